--- /dev/null
+++ b/src/godwitwheel/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/godwitwheel/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: elections, replication, storage and snapshots."""
--- /dev/null
+++ b/src/godwitwheel/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: configuration, membership, leases, promotion and claims."""
--- /dev/null
+++ b/src/godwitwheel/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision functions and their state; the present time is an argument."""
--- /dev/null
+++ b/src/godwitwheel/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that every layer shares."""
--- /dev/null
+++ b/src/godwitwheel/internal/loop.py
@@ -0,0 +1,67 @@
+"""The event loop: the only module that names eventlet outside ``wire``.
+
+Everything else sleeps, spawns and waits through these functions, so that the
+loop can be replaced in one place. eventlet warns at import that it is
+deprecated; the users chose it all the same.
+"""
+
+import contextlib
+import warnings
+from collections.abc import Callable, Iterator
+
+with warnings.catch_warnings():
+    warnings.simplefilter("ignore")
+    import eventlet
+    import eventlet.event
+    import eventlet.queue
+    import eventlet.semaphore
+
+Event = eventlet.event.Event
+Queue = eventlet.queue.LightQueue
+QueueEmpty = eventlet.queue.Empty
+Semaphore = eventlet.semaphore.Semaphore
+LoopTimeout = eventlet.Timeout
+Task = eventlet.greenthread.GreenThread
+
+
+def patch_standard_library() -> None:
+    """Makes blocking calls of the standard library yield to the loop.
+
+    Each process calls this first thing, before it imports modules that open
+    sockets.
+    """
+    eventlet.monkey_patch()
+
+
+def spawn(function: Callable, *args, **kwargs) -> Task:
+    """Starts ``function`` as a task of the loop."""
+    return eventlet.spawn(function, *args, **kwargs)
+
+
+def sleep(seconds: float = 0.0) -> None:
+    """Yields to the loop for at least ``seconds``."""
+    eventlet.sleep(seconds)
+
+
+def wait_for(event: Event, seconds: float) -> bool:
+    """Waits until ``event`` is sent.
+
+    :param seconds: the longest wait, in seconds.
+    :returns: whether the event was sent in time.
+    """
+    if event.ready():
+        return True
+    with eventlet.Timeout(max(seconds, 0.0), False):
+        event.wait()
+        return True
+    return event.ready()
+
+
+@contextlib.contextmanager
+def running_task(function: Callable, *args) -> Iterator[Task]:
+    """Runs ``function`` as a task and kills it on leaving the block."""
+    task = spawn(function, *args)
+    try:
+        yield task
+    finally:
+        task.kill()
--- /dev/null
+++ b/src/godwitwheel/internal/validation.py
@@ -0,0 +1,50 @@
+"""Checks whose messages say what was given and what was expected."""
+
+import re
+
+from .errors import InvalidValue
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_HIGHEST_PORT = 65535
+
+
+def check_name(value: str, what: str) -> str:
+    """Checks that ``value`` is a lower-case identifier.
+
+    :raises InvalidValue: if it is not.
+    """
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise InvalidValue(
+            f"{what}: got {value!r}, expected 1 to 63 characters of a-z, 0-9, '.', "
+            "'_' and '-', the first a letter or digit"
+        )
+    return value
+
+
+def check_between(value: float, lowest: float, highest: float, what: str) -> float:
+    """Checks that ``lowest <= value <= highest``.
+
+    :raises InvalidValue: if it is not.
+    """
+    if not lowest <= value <= highest:
+        raise InvalidValue(
+            f"{what}: got {value!r}, expected a number from {lowest} to {highest}"
+        )
+    return value
+
+
+def check_address(value: str, what: str) -> str:
+    """Checks that ``value`` has the form ``IP:PORT``.
+
+    :raises InvalidValue: if it does not.
+    """
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit() or int(port) > _HIGHEST_PORT:
+        raise InvalidValue(f"{what}: got {value!r}, expected IP:PORT")
+    return value
+
+
+def split_address(value: str) -> tuple[str, int]:
+    """Splits a checked ``IP:PORT``."""
+    host, _, port = value.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/godwitwheel/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the time line."""
--- /dev/null
+++ b/src/godwitwheel/observe/events.py
@@ -0,0 +1,41 @@
+"""The vocabulary of events on the time line, and the call that records one."""
+
+import enum
+
+from eliot import log_message
+
+
+class EventName(enum.StrEnum):
+    """Every event that a process records; OPERATORS.md explains each."""
+
+    process_started = "process_started"
+    process_stopping = "process_stopping"
+    process_stopped = "process_stopped"
+    handler_failed = "handler_failed"
+    leader_elected = "leader_elected"
+    leader_lost = "leader_lost"
+    snapshot_written = "snapshot_written"
+    member_added = "member_added"
+    member_removed = "member_removed"
+    target_announced = "target_announced"
+    target_leaving = "target_leaving"
+    target_unreachable = "target_unreachable"
+    target_reachable = "target_reachable"
+    primary_lost = "primary_lost"
+    group_fenced = "group_fenced"
+    leases_out = "leases_out"
+    target_promoted = "target_promoted"
+    writes_accepted = "writes_accepted"
+    ack_set_changed = "ack_set_changed"
+    lease_lost = "lease_lost"
+    lease_granted = "lease_granted"
+    view_in_force = "view_in_force"
+    revision_published = "revision_published"
+    revision_in_force = "revision_in_force"
+    publish_conflict = "publish_conflict"
+    quota_changed = "quota_changed"
+
+
+def record_event(event: EventName, **fields: object) -> None:
+    """Records an event; the log's destination adds time and process."""
+    log_message(message_type=event.value, **fields)
--- /dev/null
+++ b/src/godwitwheel/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy process: serves callers and routes statements to targets."""
--- /dev/null
+++ b/src/godwitwheel/publish/__init__.py
@@ -0,0 +1,1 @@
+"""Collects, checks and publishes service files."""
--- /dev/null
+++ b/src/godwitwheel/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets."""
--- /dev/null
+++ b/src/godwitwheel/wire/caller.py
@@ -0,0 +1,110 @@
+"""Messages between callers and proxies.
+
+``POST /v1/request`` takes a :class:`CallerRequest` and answers with a
+:class:`CallerAnswer`. Headers of the request:
+
+``Godwitwheel-Session``
+    the token of the caller's last answer. ``new`` says that the caller has not
+    written before; without the header the proxy assumes that it may have.
+``Idempotency-Key``
+    required for a write that is not repeatable, 1 to 128 visible characters.
+``Godwitwheel-Deadline-Ms``
+    milliseconds that the caller will wait, from 1 to 60,000.
+
+The status is 200 for ``done``, 400 to 499 for a request that is at fault, 503 for
+any other ``not_run`` (with ``Retry-After``) and 504 for ``unknown``.
+``Godwitwheel-Session`` of the answer repeats ``session``.
+"""
+
+import enum
+from typing import Any
+
+import msgspec
+
+SESSION_HEADER = "Godwitwheel-Session"
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "Godwitwheel-Deadline-Ms"
+NEW_SESSION = "new"
+
+
+class Outcome(enum.StrEnum):
+    """What a caller may rely on.
+
+    ``not_run`` is said only of what certainly was not run and never will be.
+    """
+
+    done = "done"
+    not_run = "not_run"
+    unknown = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a request is not done."""
+
+    bad_request = "bad_request"
+    unknown_service = "unknown_service"
+    unknown_request = "unknown_request"
+    bad_session = "bad_session"
+    key_required = "key_required"
+    key_reused = "key_reused"
+    key_expired = "key_expired"
+    statement_failed = "statement_failed"
+    overloaded = "overloaded"
+    no_primary = "no_primary"
+    no_lease = "no_lease"
+    no_fresh_replica = "no_fresh_replica"
+    draining = "draining"
+    not_configured = "not_configured"
+    claim_unavailable = "claim_unavailable"
+    deadline = "deadline"
+    primary_replaced = "primary_replaced"
+    connection_lost = "connection_lost"
+    already_claimed = "already_claimed"
+
+
+class CallerStatement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One SQL statement with its parameters."""
+
+    sql: str
+    parameters: list[Any] = []
+
+
+class CallerRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A named request; several statements form one transaction.
+
+    :ivar request: name under which the service's file declares it.
+    """
+
+    service: str
+    request: str
+    statements: list[CallerStatement]
+
+
+class StatementResult(msgspec.Struct, frozen=True):
+    """The whole result of one statement."""
+
+    columns: list[str] = []
+    rows: list[list[Any]] = []
+    row_count: int = 0
+
+
+class CallerAnswer(msgspec.Struct, frozen=True):
+    """The one answer to a request.
+
+    :ivar session: token to hand to any proxy with the next request.
+    :ivar retry_after_ms: when to come back, in milliseconds; 0 if it makes no
+        sense to.
+    :ivar served_by: target that ran it, empty if none did.
+    :ivar from_replica: whether a replica served it.
+    :ivar replayed: whether this is the recorded answer of an earlier sending.
+    """
+
+    outcome: Outcome
+    results: list[StatementResult] = []
+    session: str = ""
+    reason: Reason | None = None
+    message: str = ""
+    retry_after_ms: int = 0
+    served_by: str = ""
+    from_replica: bool = False
+    replayed: bool = False
--- /dev/null
+++ b/src/godwitwheel/wire/control.py
@@ -0,0 +1,267 @@
+"""Messages between proxies, publishers and control members.
+
+=======================  ==========================  =====================
+request                  body                        reply
+=======================  ==========================  =====================
+``POST /v1/heartbeat``   :class:`Heartbeat`          :class:`HeartbeatReply`
+``POST /v1/watch``       :class:`Watch`              :class:`WatchReply`
+``POST /v1/claim``       :class:`Claim`              :class:`ClaimReply`
+``POST /v1/outcome``     :class:`RecordOutcome`      :class:`OutcomeRecorded`
+``POST /v1/publish``     :class:`Publish`            :class:`PublishReply`
+``GET /v1/in-force``     none                        :class:`InForce`
+``POST /v1/consensus``   consensus messages          none
+=======================  ==========================  =====================
+
+A member that does not lead answers 421 with a :class:`NotLeading`.
+Any other refusal is a status of 400 or above with a :class:`ControlProblem`.
+"""
+
+import enum
+
+import msgspec
+
+from .caller import CallerAnswer
+from .service import Configuration, Service
+from .target import TargetStatus
+
+
+class GroupPhase(enum.StrEnum):
+    """Whether a group may serve writes.
+
+    ``fenced``: the primary of ``term`` is being replaced; no write of this term
+    may be acknowledged any more.
+    """
+
+    serving = "serving"
+    fenced = "fenced"
+
+
+class GroupView(msgspec.Struct, frozen=True):
+    """Who serves a group.
+
+    :ivar term: number of the group's latest promotion; 0 before the first.
+    :ivar term_start: position at which the primary of ``term`` began.
+    :ivar previous: starting positions of earlier terms, ``{term: term_start}``.
+    :ivar ack_set: targets that must hold a write before it is acknowledged,
+        the primary among them.
+    :ivar promotable: members of ``ack_set`` that hold every acknowledged write.
+    """
+
+    group: str
+    term: int
+    phase: GroupPhase
+    primary: str = ""
+    term_start: int = 0
+    previous: dict[int, int] = {}
+    ack_set: list[str] = []
+    promotable: list[str] = []
+
+
+class TargetRecord(msgspec.Struct, frozen=True):
+    """A target that the cell knows of."""
+
+    target_id: str
+    group: str
+    data_centre: str
+    address: str
+    slots: int
+    connection_cap: int
+    leaving: bool = False
+
+
+class ClusterView(msgspec.Struct, frozen=True):
+    """The committed state that proxies route by.
+
+    :ivar version: log index of the latest change; it only grows.
+    :ivar token_key: hexadecimal key that signs session tokens.
+    """
+
+    version: int = 0
+    groups: dict[str, GroupView] = {}
+    targets: dict[str, TargetRecord] = {}
+    token_key: str = ""
+
+
+class TargetObservation(msgspec.Struct, frozen=True):
+    """What a proxy sees of a target.
+
+    :ivar answer_age_ms: milliseconds since the last answered probe was sent;
+        -1 if none was answered yet.
+    :ivar status: the latest status, if any was received.
+    """
+
+    target_id: str
+    answer_age_ms: int
+    status: TargetStatus | None = None
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """Renews a proxy's lease, batched with all that it reports.
+
+    :ivar incarnation: random number of this start of the process.
+    :ivar view_version: the view that the proxy already acts on; by sending it the
+        proxy promises to acknowledge nothing under an older one.
+    :ivar announcements: what targets announced to this proxy since its last
+        heartbeat.
+    :ivar held: database connections open or being opened, by target.
+    :ivar demand: connections that it could use now, by target.
+    :ivar leaving: the proxy stops; its lease and connections are given back.
+    """
+
+    proxy_id: str
+    incarnation: int
+    data_centre: str
+    address: str
+    view_version: int
+    revision: int
+    announcements: list[TargetStatus] = []
+    observations: list[TargetObservation] = []
+    held: dict[str, int] = {}
+    demand: dict[str, int] = {}
+    leaving: bool = False
+
+
+class HeartbeatReply(msgspec.Struct, frozen=True):
+    """Grants a lease, counted from the moment at which the heartbeat was sent.
+
+    :ivar lease_ms: 0 grants none.
+    :ivar view: the present view if it is newer than the proxy's.
+    :ivar configuration: the present configuration if it is newer.
+    :ivar quotas: connections that the proxy may hold, by target.
+    """
+
+    lease_ms: int
+    view_version: int
+    revision: int
+    view: ClusterView | None = None
+    configuration: Configuration | None = None
+    quotas: dict[str, int] = {}
+
+
+class Watch(msgspec.Struct, frozen=True):
+    """Asks to be answered once the view or the configuration is newer."""
+
+    view_version: int
+    revision: int
+    timeout_ms: int
+
+
+class WatchReply(msgspec.Struct, frozen=True):
+    """The member's present versions; they grant nothing."""
+
+    view_version: int
+    revision: int
+
+
+class ClaimStatus(enum.StrEnum):
+    """What became of a claim.
+
+    ``granted``: this attempt, and only it, may run the request.
+    ``pending``: another attempt holds it and has not recorded an outcome.
+    ``recorded``: the outcome is known and comes with the reply.
+    ``mismatch``: the key was used with another request.
+    ``expired``: the key is older than its retention.
+    ``full``: no room for another key.
+    """
+
+    granted = "granted"
+    pending = "pending"
+    recorded = "recorded"
+    mismatch = "mismatch"
+    expired = "expired"
+    full = "full"
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Claims the right to run a request that must not be repeated.
+
+    :ivar digest: xxh3_128 of the request, in hexadecimal.
+    :ivar attempt: random identity of this sending.
+    :ivar retention_s: how long the key is to be remembered, in seconds.
+    """
+
+    service: str
+    key: str
+    digest: str
+    attempt: str
+    retention_s: int
+
+
+class ClaimReply(msgspec.Struct, frozen=True):
+    """Answers a claim; ``answer`` comes with ``recorded``."""
+
+    status: ClaimStatus
+    answer: CallerAnswer | None = None
+
+
+class RecordOutcome(msgspec.Struct, frozen=True):
+    """Records the outcome of a granted attempt.
+
+    An answer of ``not_run`` frees the key for another attempt.
+    """
+
+    service: str
+    key: str
+    attempt: str
+    answer: CallerAnswer
+
+
+class OutcomeRecorded(msgspec.Struct, frozen=True):
+    """Whether the attempt still held the claim and its outcome stands."""
+
+    recorded: bool
+
+
+class Publish(msgspec.Struct, frozen=True):
+    """Replaces the whole configuration.
+
+    :ivar publish_id: identity of this publish, the same in every resend.
+    :ivar expected_revision: revision that it replaces.
+    """
+
+    publish_id: str
+    expected_revision: int
+    content_hash: str
+    services: dict[str, Service]
+
+
+class PublishStatus(enum.StrEnum):
+    """What became of a publish."""
+
+    accepted = "accepted"
+    unchanged = "unchanged"
+    conflict = "conflict"
+    id_reused = "id_reused"
+
+
+class PublishReply(msgspec.Struct, frozen=True):
+    """Answers a publish; a resend gets the first answer again.
+
+    :ivar revision: the revision made or, for a conflict, the one in the way.
+    :ivar winner: ``publish_id`` of the revision in the way.
+    """
+
+    status: PublishStatus
+    revision: int
+    winner: str = ""
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """The committed revision, and the one that each live proxy acts on."""
+
+    revision: int
+    publish_id: str
+    content_hash: str
+    proxies: dict[str, int]
+
+
+class NotLeading(msgspec.Struct, frozen=True):
+    """Ask the leader instead; the address is empty if none is known."""
+
+    leader_address: str
+
+
+class ControlProblem(msgspec.Struct, frozen=True):
+    """Why a control member refused; nothing was changed."""
+
+    message: str
--- /dev/null
+++ b/src/godwitwheel/wire/server.py
@@ -0,0 +1,157 @@
+"""An HTTP server on the loop, with a table of routes."""
+
+import contextlib
+import socket
+import warnings
+from collections.abc import Callable, Iterator
+
+from ..internal.loop import Task, spawn
+from ..internal.validation import split_address
+from .codec import encode
+from .errors import BadMessage
+
+with warnings.catch_warnings():
+    warnings.simplefilter("ignore")
+    import eventlet
+    import eventlet.wsgi
+
+MAX_BODY_BYTES = 1 << 20
+MAX_CONNECTIONS = 20_000
+KEEP_ALIVE_S = 300.0
+LISTEN_BACKLOG = 1024
+
+
+class Request:
+    """One HTTP request, read whole."""
+
+    __slots__ = ("method", "path", "body", "environ")
+
+    def __init__(self, method: str, path: str, body: bytes, environ: dict):
+        self.method = method
+        self.path = path
+        self.body = body
+        self.environ = environ
+
+    def header(self, name: str) -> str | None:
+        """Returns a header's value, or ``None``."""
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
+
+
+class Response:
+    """One HTTP response; a message as body is encoded as JSON."""
+
+    __slots__ = ("status", "body", "headers")
+
+    def __init__(
+        self,
+        body: object = b"",
+        status: int = 200,
+        headers: list[tuple[str, str]] | None = None,
+    ):
+        self.status = status
+        self.body = body if isinstance(body, bytes) else encode(body)
+        self.headers = headers or []
+
+
+Handler = Callable[[Request], Response]
+
+
+class BodyTooLarge(BadMessage):
+    """Raised when a body is longer than the server takes."""
+
+
+def _problem(status: int, message: str) -> Response:
+    return Response({"message": message}, status)
+
+
+def _read_body(environ: dict) -> bytes:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdigit():
+        raise BadMessage(f"Content-Length: got {length!r}, expected a whole number")
+    if int(length) > MAX_BODY_BYTES:
+        raise BodyTooLarge(f"body of {length} bytes, expected at most {MAX_BODY_BYTES}")
+    body = environ["wsgi.input"].read(int(length))
+    if len(body) != int(length):
+        raise BadMessage(f"body ended after {len(body)} of {length} bytes")
+    return body
+
+
+class Server:
+    """Serves a table of ``(method, path)`` to handlers.
+
+    A handler that raises :class:`BadMessage` yields a 400; any other exception
+    yields a 500 and is handed to ``on_error``, and the server goes on.
+    """
+
+    __slots__ = ("routes", "on_error", "listener", "task", "protocol", "address")
+
+    def __init__(
+        self,
+        routes: dict[tuple[str, str], Handler],
+        on_error: Callable[[Exception], None],
+        protocol: type[eventlet.wsgi.HttpProtocol] = eventlet.wsgi.HttpProtocol,
+    ):
+        self.routes = routes
+        self.on_error = on_error
+        self.protocol = protocol
+        self.listener: socket.socket | None = None
+        self.task: Task | None = None
+        self.address = ""
+
+    def respond(self, environ: dict) -> Response:
+        """Finds and calls the handler of a request."""
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        handler = self.routes.get((method, path))
+        if handler is None:
+            return _problem(404, f"no such interface: {method} {path}")
+        try:
+            return handler(Request(method, path, _read_body(environ), environ))
+        except BodyTooLarge as error:
+            return _problem(413, str(error))
+        except BadMessage as error:
+            return _problem(400, str(error))
+        except Exception as error:
+            self.on_error(error)
+            return _problem(500, f"{type(error).__name__}")
+
+    def application(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """The WSGI entry point."""
+        response = self.respond(environ)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(response.body))),
+            *response.headers,
+        ]
+        if response.status == 413:
+            headers.append(("Connection", "close"))
+        start_response(f"{response.status} -", headers)
+        return [response.body]
+
+    @contextlib.contextmanager
+    def listening(self, address: str) -> Iterator["Server"]:
+        """Serves on ``IP:PORT`` (port 0 picks a free one) inside the block."""
+        listener = eventlet.listen(
+            split_address(address), backlog=LISTEN_BACKLOG, reuse_port=False
+        )
+        self.listener = listener
+        host, port = listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.task = spawn(
+            eventlet.wsgi.server,
+            listener,
+            self.application,
+            log_output=False,
+            max_size=MAX_CONNECTIONS,
+            keepalive=KEEP_ALIVE_S,
+            protocol=self.protocol,
+        )
+        try:
+            yield self
+        finally:
+            self.stop_accepting()
+            self.task.kill()
+
+    def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections go on."""
+        self.listener.close()
--- /dev/null
+++ b/src/godwitwheel/wire/target.py
@@ -0,0 +1,153 @@
+"""Messages between the system and targets.
+
+A target is a member of a database group. One TCP connection that has opened a
+session is one database connection; statements of a transaction stay on it, and
+closing it rolls an open transaction back. ``/v1/status``, ``/v1/promote`` and
+``/v1/follow`` use other TCP connections, which don't count as database
+connections.
+
+==========================  =====================  ======================
+request                     body                   reply
+==========================  =====================  ======================
+``GET /v1/status``          none                   :class:`TargetStatus`
+``POST /v1/session``        none                   :class:`SessionOpened`
+``POST /v1/statement``      :class:`Statement`     :class:`StatementReply`
+``POST /v1/begin``          :class:`TransactionStep`  :class:`StepReply`
+``POST /v1/commit``         :class:`TransactionStep`  :class:`StepReply`
+``POST /v1/rollback``       :class:`TransactionStep`  :class:`StepReply`
+``POST /v1/promote``        :class:`Promote`       :class:`TargetStatus`
+``POST /v1/follow``         :class:`Follow`        :class:`TargetStatus`
+==========================  =====================  ======================
+
+Any other outcome is a status of 400 or above with a :class:`TargetProblem`.
+"""
+
+import enum
+from typing import Any
+
+import msgspec
+
+
+class Role(enum.StrEnum):
+    """What a target believes that it is."""
+
+    primary = "primary"
+    replica = "replica"
+
+
+class ProblemCode(enum.StrEnum):
+    """Why a target did not do what it was asked."""
+
+    bad_request = "bad_request"
+    not_primary = "not_primary"
+    too_many_connections = "too_many_connections"
+    no_session = "no_session"
+    no_transaction = "no_transaction"
+    statement_failed = "statement_failed"
+    stale_term = "stale_term"
+    leaving = "leaving"
+
+
+class TargetStatus(msgspec.Struct, frozen=True):
+    """What a target says of itself.
+
+    :ivar address: ``IP:PORT`` of its HTTP interface.
+    :ivar term: number of the latest promotion that it knows of.
+    :ivar position: index of its last log entry; an index belongs to one term's
+        history, so positions compare only within a term.
+    :ivar term_start: position at which ``term`` began.
+    :ivar slots: statements that it runs at once.
+    :ivar connection_cap: database connections that it accepts.
+    """
+
+    target_id: str
+    group: str
+    data_centre: str
+    address: str
+    role: Role
+    term: int
+    position: int
+    term_start: int
+    slots: int
+    connection_cap: int
+    connections_open: int = 0
+    leaving: bool = False
+
+
+class SessionOpened(msgspec.Struct, frozen=True):
+    """The TCP connection is now a database connection."""
+
+    term: int
+    role: Role
+
+
+class Statement(msgspec.Struct, frozen=True):
+    """One SQL statement; outside a transaction it commits by itself.
+
+    :ivar request_id: number that the reply repeats, so that a late reply is told
+        from the expected one.
+    """
+
+    request_id: int
+    sql: str
+    parameters: list[Any] = []
+    read_only: bool = False
+
+
+class StatementReply(msgspec.Struct, frozen=True):
+    """The whole result of a statement.
+
+    :ivar term: the target's term when it ran the statement.
+    :ivar position: log position that the statement saw or, if it wrote outside a
+        transaction, made.
+    """
+
+    request_id: int
+    term: int
+    position: int
+    columns: list[str] = []
+    rows: list[list[Any]] = []
+    row_count: int = 0
+
+
+class TransactionStep(msgspec.Struct, frozen=True):
+    """Begins, commits or rolls back; the path says which."""
+
+    request_id: int
+    read_only: bool = False
+
+
+class StepReply(msgspec.Struct, frozen=True):
+    """The step was done; ``position`` after a commit is the commit's."""
+
+    request_id: int
+    term: int
+    position: int
+
+
+class Promote(msgspec.Struct, frozen=True):
+    """Become primary of ``term``, which must be above the target's own.
+
+    Repeating it for a term that the target already leads is no error.
+    """
+
+    term: int
+
+
+class Follow(msgspec.Struct, frozen=True):
+    """Replicate from ``primary_address`` under ``term``; drop a diverged tail."""
+
+    term: int
+    primary_id: str
+    primary_address: str
+
+
+class TargetProblem(msgspec.Struct, frozen=True):
+    """Why a target refused.
+
+    :ivar ran: ``False`` only if the target is sure that nothing was run.
+    """
+
+    code: ProblemCode
+    message: str
+    ran: bool = False
