--- a/src/godwitwheel/consensus/__init__.py
+++ b/src/godwitwheel/consensus/__init__.py
@@ -1,1 +1,39 @@
-"""Replicated log: elections, replication, storage and snapshots."""
+"""Replicated log: elections, replication, storage and snapshots.
+
+A process that is a member constructs its :class:`~.replicated.StateMachine` and
+:class:`~.state.ConsensusOptions`, runs the log and serves its route::
+
+    options = ConsensusOptions(
+        settings.member_id,
+        settings.advertise,
+        settings.members,
+        may_found=not settings.join,
+        election_timeout_s=settings.election_timeout_s,
+        append_interval_s=settings.append_interval_s,
+    )
+    rng = random.Random()
+    folder = settings.data_folder
+    with running_log(options, state_machine, folder, clock, rng) as log:
+        routes = {**consensus_routes(log), **other_routes}
+        with Server(routes, on_error).listening(settings.listen):
+            ...
+
+``running_log`` is in ``running``, ``consensus_routes`` in ``http_transport``.
+
+* ``log.propose(command, timeout_s)`` and ``log.confirm_leadership(timeout_s)`` may
+  be called by any number of tasks at once; they share syncs and rounds.
+* ``log.leader_id()`` and ``log.leader_address()`` say whom to ask instead.
+* ``log.leading_since()`` is a reading of the clock, ``None`` unless this member
+  leads and has applied all entries of earlier terms.
+* ``log.failure`` is set once the disk has failed; the process then has to end,
+  because what the disk holds is not known any more.
+* ``StateMachine.apply`` runs on the loop and must not yield.
+
+The founding members are those in ``members`` when all of them start with an empty
+data folder; the one with the lowest id founds the cell once it has heard all of
+them. A member whose folder was lost starts with the same settings and an empty
+folder. It is then another member under the same id: its peers remove the old
+identity, take it in as a learner and make it a voter once it has caught up, all by
+committed entries. A member with a new id starts with ``may_found=False`` and the
+addresses of some running members. ``log.remove_member(id)`` removes one for good.
+"""
--- /dev/null
+++ b/src/godwitwheel/consensus/core.py
@@ -0,0 +1,197 @@
+"""One member of the replicated log, without input, output or clock.
+
+The driver calls :meth:`Consensus.tick` and :meth:`Consensus.receive`, then does
+what :meth:`Consensus.take_work` returns: store and sync, call
+:meth:`Consensus.work_synced`, only then send, and apply what was committed.
+"""
+
+import random
+
+from . import election, following, joining, reading, replication
+from . import membership as memberships
+from .messages import (
+    AnyMessage,
+    Append,
+    AppendReply,
+    Entry,
+    EntryKind,
+    Hello,
+    HelloReply,
+    Message,
+    Snapshot,
+    SnapshotPart,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from .state import ConsensusOptions, MemberState, ReadRequest, SavedState, Work
+
+TRAILING_ENTRIES = 1024
+
+
+class Consensus:
+    """Dispatches to the controllers, which share one :class:`MemberState`."""
+
+    __slots__ = ("state", "joining")
+
+    def __init__(
+        self,
+        options: ConsensusOptions,
+        saved: SavedState,
+        rng: random.Random,
+        now: float,
+    ):
+        self.state = MemberState(options, saved, rng, now)
+        self.joining = joining.Joining()
+
+    def tick(self, now: float) -> None:
+        """Does what has become due."""
+        state = self.state
+        if state.is_leader():
+            replication.check_quorum(state, now)
+        else:
+            election.check_election(state, now)
+        if state.is_leader() and now >= state.next_heartbeat:
+            joining.check_promotion(state)
+        joining.check_joining(state, self.joining, now)
+
+    def receive(self, message: AnyMessage, now: float) -> None:
+        """Handles a message; one that is not meant for this member is dropped."""
+        state = self.state
+        if message.target != state.options.member_id:
+            return
+        if isinstance(message, Hello):
+            joining.receive_hello(state, self.joining, message, now)
+            return
+        if message.target_identity != state.identity:
+            return
+        if isinstance(message, HelloReply):
+            joining.receive_hello_reply(state, self.joining, message)
+            return
+        if joining.enter_cell(state, message.cell):
+            self._receive_in_cell(message, now)
+
+    def _receive_in_cell(self, message: Message, now: float) -> None:
+        state = self.state
+        if isinstance(message, VoteRequest):
+            election.receive_vote_request(state, message, now)
+            return
+        if message.term > state.term and not _is_pre_vote_grant(message):
+            election.become_follower(state, now, message.term)
+        match message:
+            case VoteReply():
+                election.receive_vote_reply(state, message, now)
+            case Append() | SnapshotPart() if message.term < state.term:
+                self._refuse_old_leader(message)
+            case Append():
+                following.receive_append(state, message, now)
+            case SnapshotPart():
+                following.receive_snapshot_part(state, message, now)
+            case AppendReply() if message.term == state.term:
+                replication.receive_append_reply(state, message, now)
+                reading.finish_reads(state)
+            case SnapshotReply() if message.term == state.term:
+                replication.receive_snapshot_reply(state, message, now)
+                reading.finish_reads(state)
+
+    def _refuse_old_leader(self, message: Append | SnapshotPart) -> None:
+        # The reply's term makes the old leader step down.
+        self.state.reply(message, AppendReply, accepted=False, match_index=0, round=0)
+
+    def propose(self, command: bytes) -> Entry | None:
+        """Appends a command.
+
+        :returns: the entry, or ``None`` if this member does not lead.
+        """
+        if not self.state.is_leader():
+            return None
+        return replication.append_as_leader(self.state, EntryKind.command, command)
+
+    def request_read(self) -> ReadRequest:
+        """Asks that the leadership be confirmed from now on."""
+        return reading.request_read(self.state)
+
+    def remove_member(self, member_id: str) -> bool:
+        """Removes a member for good.
+
+        :returns: whether the change was appended; the caller repeats it if another
+            change is open.
+        """
+        state = self.state
+        if member_id not in state.membership.members:
+            return False
+        if not joining.may_change_membership(state):
+            return False
+        membership = memberships.without_member(state.membership, member_id)
+        joining.change_membership(state, membership)
+        return True
+
+    def take_work(self, now: float) -> Work:
+        """Returns what has come up; the caller does all of it in its order."""
+        state = self.state
+        if state.is_leader():
+            if now >= state.next_heartbeat:
+                reading.begin_round(state)
+                replication.send_heartbeats(state, now)
+            elif reading.begin_round(state):
+                replication.send_round(state, now)
+            else:
+                replication.send_new_entries(state, now)
+            reading.finish_reads(state)
+        work = state.work
+        state.work = Work()
+        if work.snapshot is not None:
+            work.hard_state = state.hard_state()
+            work.entries = list(state.log.entries)
+        return work
+
+    def work_synced(self, work: Work, now: float) -> None:
+        """Notes that the work's entries are synced."""
+        state = self.state
+        if work.entries:
+            last = work.entries[-1]
+            # The entry may have been replaced while it was being synced.
+            if state.log.term_at(last.index) == last.term:
+                state.synced_index = last.index
+        elif work.snapshot is not None:
+            state.synced_index = work.snapshot.index
+        if state.is_leader():
+            replication.advance_commit(state, now)
+
+    def committed_entries(self) -> list[Entry]:
+        """Returns the committed entries that are not applied yet."""
+        state = self.state
+        return state.log.between(state.applied_index + 1, state.commit_index)
+
+    def entry_applied(self, entry: Entry) -> None:
+        """Notes that an entry was applied."""
+        self.state.applied_index = entry.index
+
+    def make_snapshot(self, data: bytes) -> Snapshot:
+        """Returns a snapshot of the applied state."""
+        state = self.state
+        index = state.applied_index
+        term = state.log.term_at(index)
+        return Snapshot(index, term, state.memberships.at(index), data)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Drops entries that a synced snapshot holds, but for the last ones."""
+        state = self.state
+        state.snapshot = snapshot
+        state.memberships.compact(snapshot.index, snapshot.membership)
+        base_index = max(snapshot.index - TRAILING_ENTRIES, state.log.base_index)
+        state.log.compact(base_index, state.log.term_at(base_index))
+
+    def address_of(self, message: Message) -> str:
+        """Returns where a message goes, or an empty string."""
+        record = self.state.membership.members.get(message.target)
+        identity = message.target_identity
+        if record is not None and identity in ("", record.identity):
+            return record.address
+        if identity in self.joining.stranger_addresses:
+            return self.joining.stranger_addresses[identity]
+        return self.state.options.founders.get(message.target, "")
+
+
+def _is_pre_vote_grant(message: Message) -> bool:
+    return isinstance(message, VoteReply) and message.pre_vote and message.granted
--- /dev/null
+++ b/src/godwitwheel/consensus/driver.py
@@ -0,0 +1,299 @@
+"""Runs a member: its clock, its storage, its peers and its state machine."""
+
+import random
+
+from ..internal.clock import Clock
+from ..internal.errors import InvalidValue
+from ..internal.loop import Event, Task, sleep, spawn, wait_for
+from ..observe.events import EventName, record_event
+from .core import Consensus
+from .errors import NotLeader, OutcomeUnknown, StorageError
+from .log import MAX_APPEND_BYTES
+from .messages import AnyMessage, Entry, EntryKind
+from .replicated import ReplicatedLog, StateMachine
+from .state import ConsensusOptions, Work
+from .storage import Storage
+from .transport import Transport
+
+MAX_COMMAND_BYTES = MAX_APPEND_BYTES
+SNAPSHOT_ENTRIES = 4096
+
+
+class Proposal:
+    """A caller that waits for its command to be applied."""
+
+    __slots__ = ("term", "event")
+
+    def __init__(self, term: int):
+        self.term = term
+        self.event = Event()
+
+
+class ConsensusLog(ReplicatedLog):
+    """Owns a running member from entering to leaving the block.
+
+    Everything that has come up while the last sync ran is stored with the next
+    one, so that concurrent proposals share a sync.
+
+    :ivar failure: why the member stopped by itself, or ``None``.
+    """
+
+    __slots__ = (
+        "core",
+        "clock",
+        "storage",
+        "transport",
+        "state_machine",
+        "tick_s",
+        "snapshot_entries",
+        "proposals",
+        "confirmed_reads",
+        "leading_term",
+        "led_since",
+        "woken",
+        "tasks",
+        "failure",
+    )
+
+    def __init__(
+        self,
+        options: ConsensusOptions,
+        state_machine: StateMachine,
+        storage: Storage,
+        transport: Transport,
+        clock: Clock,
+        rng: random.Random,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+    ):
+        saved = storage.load()
+        self.core = Consensus(options, saved, rng, clock.now())
+        self.clock = clock
+        self.storage = storage
+        self.transport = transport
+        self.state_machine = state_machine
+        self.tick_s = options.append_interval_s / 2
+        self.snapshot_entries = snapshot_entries
+        self.proposals: dict[int, Proposal] = {}
+        self.confirmed_reads = []
+        self.leading_term = 0
+        self.led_since: float | None = None
+        self.woken = Event()
+        self.tasks: list[Task] = []
+        self.failure: StorageError | None = None
+        if saved.snapshot is not None:
+            state_machine.load_snapshot(saved.snapshot.data)
+
+    def __enter__(self) -> "ConsensusLog":
+        self.tasks = [spawn(self._run_ticks), spawn(self._run_work)]
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for task in self.tasks:
+            task.kill()
+        self.tasks = []
+        self._abandon_proposals()
+
+    def propose(self, command: bytes, timeout_s: float) -> bytes:
+        if len(command) > MAX_COMMAND_BYTES:
+            raise InvalidValue(
+                f"command: got {len(command)} bytes, expected at most "
+                f"{MAX_COMMAND_BYTES}"
+            )
+        entry = None if self.failure else self.core.propose(command)
+        if entry is None:
+            raise NotLeader(self.leader_id())
+        proposal = Proposal(entry.term)
+        self.proposals[entry.index] = proposal
+        self._wake()
+        if not wait_for(proposal.event, timeout_s):
+            raise OutcomeUnknown(f"entry {entry.index} is not applied in time")
+        return proposal.event.wait()
+
+    def confirm_leadership(self, timeout_s: float) -> None:
+        request = self.core.request_read()
+        if self.failure or request.confirmed is False:
+            raise NotLeader(self.leader_id())
+        request.waiter = Event()
+        self._wake()
+        if not wait_for(request.waiter, timeout_s) or not request.confirmed:
+            raise NotLeader(self.leader_id())
+
+    def leader_id(self) -> str:
+        return self.core.state.leader_id
+
+    def leader_address(self) -> str:
+        """Returns the leader's address as far as is known, or empty."""
+        record = self.core.state.membership.members.get(self.leader_id())
+        return record.address if record is not None else ""
+
+    def leading_since(self) -> float | None:
+        state = self.core.state
+        if not state.is_leader() or self.leading_term != state.term:
+            return None
+        return self.led_since
+
+    def handle(self, messages: list[AnyMessage]) -> None:
+        """Takes messages of other members."""
+        now = self.clock.now()
+        for message in messages:
+            self.core.receive(message, now)
+        self._wake()
+
+    def tick(self) -> None:
+        """Does what has become due."""
+        self.core.tick(self.clock.now())
+        self._wake()
+
+    def remove_member(self, member_id: str) -> bool:
+        """Removes a member for good; the leader's caller repeats it until it is
+        gone from the membership.
+
+        :returns: whether the change was proposed.
+        """
+        proposed = self.core.remove_member(member_id)
+        self._wake()
+        return proposed
+
+    def _wake(self) -> None:
+        if not self.woken.ready():
+            self.woken.send()
+
+    def _run_ticks(self) -> None:
+        while True:
+            self.tick()
+            sleep(self.tick_s)
+
+    def _run_work(self) -> None:
+        while self.failure is None:
+            self.woken.wait()
+            self.woken = Event()
+            # Tasks that are ready to propose get to do so before the sync.
+            sleep()
+            try:
+                self.do_work()
+            except StorageError as error:
+                self._fail(error)
+
+    def _fail(self, error: StorageError) -> None:
+        # Nothing may be promised any more: what the disk holds is not known.
+        self.failure = error
+        self.led_since = None
+        self._abandon_proposals()
+        self.tasks[0].kill()
+
+    def do_work(self) -> None:
+        """Stores, sends and applies what has come up, without yielding.
+
+        :raises StorageError: if the storage fails; the member must stop.
+        """
+        work = self.core.take_work(self.clock.now())
+        while not work.is_empty():
+            self._store(work)
+            self.core.work_synced(work, self.clock.now())
+            self._send(work.messages)
+            if work.snapshot is not None:
+                self.state_machine.load_snapshot(work.snapshot.data)
+            self._apply_committed()
+            self._finish_reads(work)
+            work = self.core.take_work(self.clock.now())
+        self._apply_committed()
+        self._observe_leadership()
+        self._write_snapshot()
+
+    def _store(self, work: Work) -> None:
+        state = self.core.state
+        if work.snapshot is not None:
+            self.storage.save_snapshot(
+                work.snapshot,
+                work.hard_state,
+                state.log.base_index,
+                state.log.base_term,
+                work.entries,
+            )
+        elif work.hard_state is not None or work.entries:
+            self.storage.write(work.hard_state, work.entries)
+            self.storage.sync()
+
+    def _send(self, messages: list[AnyMessage]) -> None:
+        batches: dict[tuple[str, str], list[AnyMessage]] = {}
+        for message in messages:
+            address = self.core.address_of(message)
+            batches.setdefault((message.target, address), []).append(message)
+        for (member_id, address), batch in batches.items():
+            if address:
+                self.transport.send(member_id, address, batch)
+
+    def _apply_committed(self) -> None:
+        for entry in self.core.committed_entries():
+            result = b""
+            if entry.kind is EntryKind.command:
+                result = self.state_machine.apply(entry.index, entry.data)
+            self.core.entry_applied(entry)
+            self._answer(entry, result)
+
+    def _answer(self, entry: Entry, result: bytes) -> None:
+        proposal = self.proposals.pop(entry.index, None)
+        if proposal is None:
+            return
+        if proposal.term == entry.term:
+            proposal.event.send(result)
+        else:
+            _abandon(proposal)
+
+    def _finish_reads(self, work: Work) -> None:
+        for read in work.finished_reads:
+            if read.confirmed:
+                self.confirmed_reads.append(read)
+            elif read.waiter is not None:
+                read.waiter.send()
+        self._release_reads()
+
+    def _release_reads(self) -> None:
+        applied_index = self.core.state.applied_index
+        waiting = []
+        for read in self.confirmed_reads:
+            if read.index > applied_index:
+                waiting.append(read)
+            elif read.waiter is not None:
+                read.waiter.send()
+        self.confirmed_reads = waiting
+
+    def _observe_leadership(self) -> None:
+        self._release_reads()
+        state = self.core.state
+        leads = state.is_leader() and state.applied_index >= state.term_start_index
+        if self.leading_term and (not leads or self.leading_term != state.term):
+            record_event(EventName.leader_lost, term=self.leading_term)
+            self.leading_term = 0
+            self.led_since = None
+        if leads and not self.leading_term:
+            self.leading_term = state.term
+            self.led_since = self.clock.now()
+            record_event(EventName.leader_elected, term=state.term)
+        if not state.is_leader():
+            self._abandon_proposals()
+
+    def _abandon_proposals(self) -> None:
+        for proposal in self.proposals.values():
+            _abandon(proposal)
+        self.proposals.clear()
+
+    def _write_snapshot(self) -> None:
+        state = self.core.state
+        covered = state.snapshot.index if state.snapshot is not None else 0
+        if state.applied_index - covered < self.snapshot_entries:
+            return
+        snapshot = self.core.make_snapshot(self.state_machine.take_snapshot())
+        self.core.compact(snapshot)
+        self.storage.save_snapshot(
+            snapshot,
+            state.hard_state(),
+            state.log.base_index,
+            state.log.base_term,
+            state.log.entries,
+        )
+        record_event(EventName.snapshot_written, index=snapshot.index)
+
+
+def _abandon(proposal: Proposal) -> None:
+    proposal.event.send_exception(OutcomeUnknown("the leader lost its term"))
--- /dev/null
+++ b/src/godwitwheel/consensus/file_storage.py
@@ -0,0 +1,259 @@
+"""The storage of a member in its data folder.
+
+=============  ==========================================================
+file           content
+=============  ==========================================================
+``identity``   random identity of this folder, one record
+``log``        write-ahead log of hard states and entries
+``snapshot``   the latest snapshot, one record
+``*.tmp``      a file that is being written, dropped when opened
+=============  ==========================================================
+"""
+
+import fcntl
+import os
+import secrets
+from pathlib import Path
+
+import msgspec
+
+from .errors import CorruptLog, StorageError
+from .messages import Entry, HardState, Snapshot
+from .records import (
+    BatchStart,
+    EntryRecord,
+    HardStateRecord,
+    LogStart,
+    Record,
+    encode_record,
+    frame,
+    read_records,
+    unframe,
+)
+from .state import SavedState
+from .storage import Storage
+
+IDENTITY_BYTES = 8
+IDENTITY_FILE = "identity"
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
+LOCK_FILE = "lock"
+
+
+class FileStorage(Storage):
+    """Owns a data folder from entering to leaving the block."""
+
+    __slots__ = ("folder", "folder_fd", "lock_fd", "log_fd", "size", "pending")
+
+    def __init__(self, folder: str | os.PathLike):
+        self.folder = Path(folder)
+        self.folder_fd = -1
+        self.lock_fd = -1
+        self.log_fd = -1
+        self.size = 0
+        self.pending: list[bytes] = []
+
+    def __enter__(self) -> "FileStorage":
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            self.folder_fd = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+            self.lock_fd = os.open(
+                self.folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600
+            )
+            fcntl.flock(self.lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            self.__exit__()
+            raise StorageError(f"{self.folder}: {error}") from error
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for fd in (self.log_fd, self.lock_fd, self.folder_fd):
+            if fd >= 0:
+                os.close(fd)
+        self.log_fd = self.lock_fd = self.folder_fd = -1
+
+    def load(self) -> SavedState:
+        for leftover in self.folder.glob("*.tmp"):
+            leftover.unlink()
+        try:
+            identity = self._load_identity()
+            snapshot = self._load_snapshot()
+            saved = self._load_log(identity, snapshot)
+        except OSError as error:
+            raise StorageError(f"{self.folder}: {error}") from error
+        return saved
+
+    def write(self, hard_state: HardState | None, entries: list[Entry]) -> None:
+        if hard_state is not None:
+            self.pending.append(encode_record(HardStateRecord(hard_state)))
+        for entry in entries:
+            self.pending.append(encode_record(EntryRecord(entry)))
+
+    def sync(self) -> None:
+        if not self.pending:
+            return
+        batch = encode_record(BatchStart(self.size)) + b"".join(self.pending)
+        self.pending.clear()
+        try:
+            _write_whole(self.log_fd, batch)
+            os.fdatasync(self.log_fd)
+        except OSError as error:
+            raise StorageError(f"{self.folder / LOG_FILE}: {error}") from error
+        self.size += len(batch)
+
+    def save_snapshot(
+        self,
+        snapshot: Snapshot,
+        hard_state: HardState,
+        base_index: int,
+        base_term: int,
+        entries: list[Entry],
+    ) -> None:
+        records: list[Record] = [HardStateRecord(hard_state)]
+        records += [EntryRecord(entry) for entry in entries]
+        self.pending.clear()
+        try:
+            # The snapshot goes first: a log that begins after a snapshot which
+            # does not exist yet would be a log with a gap.
+            self._replace(SNAPSHOT_FILE, frame(msgspec.msgpack.encode(snapshot)))
+            self._replace_log(LogStart(base_index, base_term), records)
+        except OSError as error:
+            raise StorageError(f"{self.folder}: {error}") from error
+
+    def _load_identity(self) -> str:
+        path = self.folder / IDENTITY_FILE
+        if not path.exists():
+            self._create()
+        payload = unframe(path.read_bytes(), 0)
+        if payload is None:
+            raise CorruptLog(f"{path} is damaged")
+        return payload.hex()
+
+    def _create(self) -> None:
+        """Makes an empty log and then, as the last step, an identity.
+
+        An identity without a log is thus never an interrupted creation but a log
+        that was lost, and its member must not vote again.
+        """
+        for name in (LOG_FILE, SNAPSHOT_FILE):
+            path = self.folder / name
+            if path.exists() and not _is_empty_log(path):
+                raise CorruptLog(f"{path} is there without an identity")
+        self._replace_log(LogStart(0, 0), [])
+        self._replace(IDENTITY_FILE, frame(secrets.token_bytes(IDENTITY_BYTES)))
+
+    def _load_snapshot(self) -> Snapshot | None:
+        path = self.folder / SNAPSHOT_FILE
+        if not path.exists():
+            return None
+        payload = unframe(path.read_bytes(), 0)
+        if payload is None:
+            raise CorruptLog(f"{path} is damaged")
+        return msgspec.msgpack.decode(payload, type=Snapshot)
+
+    def _load_log(self, identity: str, snapshot: Snapshot | None) -> SavedState:
+        path = self.folder / LOG_FILE
+        if not path.exists():
+            raise CorruptLog(f"{path} is missing beside an identity")
+        data = path.read_bytes()
+        records, sound_bytes = read_records(data)
+        saved = _replay(identity, snapshot, records)
+        self._open_log(sound_bytes)
+        if sound_bytes < len(data):
+            os.ftruncate(self.log_fd, sound_bytes)
+            os.fsync(self.log_fd)
+        if _is_overtaken(saved):
+            _start_at_snapshot(saved)
+            start = LogStart(saved.base_index, saved.base_term)
+            self._replace_log(start, [HardStateRecord(saved.hard_state)])
+        return saved
+
+    def _open_log(self, size: int) -> None:
+        if self.log_fd >= 0:
+            os.close(self.log_fd)
+        self.log_fd = os.open(self.folder / LOG_FILE, os.O_RDWR)
+        self.size = size
+        os.lseek(self.log_fd, size, os.SEEK_SET)
+
+    def _replace_log(self, start: LogStart, records: list[Record]) -> None:
+        content = b"".join(encode_record(record) for record in [start, *records])
+        # The rename makes all of it last at once, so damage in it is never a torn
+        # write; the batch start at the end shows that.
+        content += encode_record(BatchStart(len(content)))
+        self._replace(LOG_FILE, content)
+        self._open_log(len(content))
+
+    def _replace(self, name: str, content: bytes) -> None:
+        temporary = self.folder / f"{name}.tmp"
+        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_whole(fd, content)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        os.rename(temporary, self.folder / name)
+        os.fsync(self.folder_fd)
+
+
+def _write_whole(fd: int, content: bytes) -> None:
+    view = memoryview(content)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
+def _replay(
+    identity: str, snapshot: Snapshot | None, records: list[Record]
+) -> SavedState:
+    if not records or not isinstance(records[0], LogStart):
+        raise CorruptLog("the log does not begin with its start")
+    start = records[0]
+    covered = snapshot.index if snapshot is not None else 0
+    if start.base_index > covered:
+        raise CorruptLog(f"no snapshot covers the entries up to {start.base_index}")
+    saved = SavedState(
+        identity,
+        snapshot=snapshot,
+        base_index=start.base_index,
+        base_term=start.base_term,
+    )
+    for record in records[1:]:
+        _replay_record(saved, record)
+    return saved
+
+
+def _replay_record(saved: SavedState, record: Record) -> None:
+    if isinstance(record, HardStateRecord):
+        saved.hard_state = record.hard_state
+    elif isinstance(record, EntryRecord):
+        position = record.entry.index - saved.base_index - 1
+        if not 0 <= position <= len(saved.entries):
+            raise CorruptLog(f"entry {record.entry.index} follows a gap")
+        saved.entries[position:] = [record.entry]
+
+
+def _is_overtaken(saved: SavedState) -> bool:
+    """Whether the log does not reach the snapshot or disagrees with it.
+
+    A crash between the renaming of a snapshot and that of its log leaves that.
+    """
+    snapshot = saved.snapshot
+    if snapshot is None or snapshot.index == saved.base_index:
+        return False
+    position = snapshot.index - saved.base_index - 1
+    if position >= len(saved.entries):
+        return True
+    return saved.entries[position].term != snapshot.term
+
+
+def _start_at_snapshot(saved: SavedState) -> None:
+    saved.entries = []
+    saved.base_index = saved.snapshot.index
+    saved.base_term = saved.snapshot.term
+
+
+def _is_empty_log(path: Path) -> bool:
+    """Whether a file is the log of an interrupted creation."""
+    records, _ = read_records(path.read_bytes())
+    return all(
+        isinstance(record, BatchStart) or record == LogStart(0, 0) for record in records
+    )
--- /dev/null
+++ b/src/godwitwheel/consensus/http_transport.py
@@ -0,0 +1,114 @@
+"""Carries messages between members as JSON over HTTP."""
+
+from collections import deque
+
+from ..internal.loop import Event, Task, spawn
+from ..wire.client import Client
+from ..wire.codec import decode, encode
+from ..wire.errors import WireError
+from ..wire.server import Handler, Request, Response
+from .driver import ConsensusLog
+from .log import MAX_APPEND_BYTES
+from .messages import AnyMessage, Append, Packet, SnapshotPart
+from .transport import Transport
+
+CONSENSUS_PATH = "/v1/consensus"
+MAX_QUEUED_MESSAGES = 512
+MAX_PACKET_MESSAGES = 64
+MAX_PACKET_BYTES = MAX_APPEND_BYTES
+
+
+class PeerLink:
+    """The queue towards one member, and the task that empties it."""
+
+    __slots__ = ("client", "address", "queue", "timeout_s", "woken", "task")
+
+    def __init__(self, client: Client, timeout_s: float):
+        self.client = client
+        self.address = ""
+        self.queue: deque[AnyMessage] = deque()
+        self.timeout_s = timeout_s
+        self.woken = Event()
+        self.task: Task = spawn(self._run)
+
+    def put(self, address: str, messages: list[AnyMessage]) -> None:
+        """Queues messages, as far as there is room."""
+        self.address = address
+        room = MAX_QUEUED_MESSAGES - len(self.queue)
+        self.queue.extend(messages[:room])
+        if not self.woken.ready():
+            self.woken.send()
+
+    def _run(self) -> None:
+        while True:
+            self.woken.wait()
+            self.woken = Event()
+            while self.queue:
+                self._send_packet()
+
+    def _send_packet(self) -> None:
+        body = encode(Packet(self._take_packet()))
+        try:
+            self.client.exchange(
+                self.address, "POST", CONSENSUS_PATH, body, self.timeout_s
+            )
+        except WireError:
+            # What waited behind a failure is stale; the leader sends anew.
+            self.queue.clear()
+
+    def _take_packet(self) -> list[AnyMessage]:
+        taken = [self.queue.popleft()]
+        size = _size_of(taken[0])
+        while self.queue and len(taken) < MAX_PACKET_MESSAGES:
+            size += _size_of(self.queue[0])
+            if size > MAX_PACKET_BYTES:
+                break
+            taken.append(self.queue.popleft())
+        return taken
+
+
+def _size_of(message: AnyMessage) -> int:
+    if isinstance(message, Append):
+        return sum(len(entry.data) for entry in message.entries)
+    if isinstance(message, SnapshotPart):
+        return len(message.data)
+    return 0
+
+
+class HttpTransport(Transport):
+    """Owns one task and one bounded queue for every peer.
+
+    :ivar timeout_s: limit for one exchange, in seconds.
+    """
+
+    __slots__ = ("client", "timeout_s", "links")
+
+    def __init__(self, timeout_s: float = 0.5):
+        self.client = Client()
+        self.timeout_s = timeout_s
+        self.links: dict[str, PeerLink] = {}
+
+    def __enter__(self) -> "HttpTransport":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for link in self.links.values():
+            link.task.kill()
+        self.links.clear()
+        self.client.__exit__(*exc_info)
+
+    def send(self, member_id: str, address: str, messages: list[AnyMessage]) -> None:
+        link = self.links.get(member_id)
+        if link is None:
+            link = self.links[member_id] = PeerLink(self.client, self.timeout_s)
+        link.put(address, messages)
+
+
+def consensus_routes(log: ConsensusLog) -> dict[tuple[str, str], Handler]:
+    """Returns the route by which messages of other members reach a log."""
+
+    def receive(request: Request) -> Response:
+        log.handle(decode(request.body, Packet).messages)
+        return Response()
+
+    return {("POST", CONSENSUS_PATH): receive}
--- /dev/null
+++ b/src/godwitwheel/consensus/log.py
@@ -0,0 +1,86 @@
+"""The part of the log that a member keeps in memory."""
+
+from .messages import Entry
+
+MAX_APPEND_BYTES = 256 * 1024
+MAX_APPEND_ENTRIES = 512
+ENTRY_OVERHEAD_BYTES = 32
+
+
+class EntryLog:
+    """Entries after ``base_index``; what precedes them is in a snapshot.
+
+    :ivar base_index: index of the last dropped entry, 0 if none was dropped.
+    :ivar base_term: term of that entry.
+    """
+
+    __slots__ = ("base_index", "base_term", "entries")
+
+    def __init__(
+        self,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: list[Entry] | None = None,
+    ):
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries = entries if entries is not None else []
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, dropped ones included."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term of an entry, or ``None`` if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def between(self, first: int, last: int) -> list[Entry]:
+        """Returns the entries from ``first`` to ``last``, both included."""
+        start = max(first - self.base_index - 1, 0)
+        return self.entries[start : max(last - self.base_index, start)]
+
+    def batch_from(self, first: int) -> list[Entry]:
+        """Returns entries from ``first`` on that fit into one message."""
+        batch = self.between(first, first + MAX_APPEND_ENTRIES - 1)
+        size = 0
+        for count, entry in enumerate(batch):
+            size += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            if size > MAX_APPEND_BYTES and count:
+                return batch[:count]
+        return batch
+
+    def append(self, entry: Entry) -> None:
+        """Appends the entry that follows the last one."""
+        self.entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drops ``index`` and all later entries."""
+        del self.entries[max(index - self.base_index - 1, 0) :]
+
+    def compact(self, index: int, term: int) -> None:
+        """Drops entries up to ``index``, whose term is ``term``."""
+        if index <= self.base_index:
+            return
+        if self.term_at(index) == term:
+            del self.entries[: index - self.base_index]
+        else:
+            self.entries.clear()
+        self.base_index = index
+        self.base_term = term
+
+    def first_index_of_term(self, index: int) -> int:
+        """Returns the first held index with the same term as ``index``."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
--- /dev/null
+++ b/src/godwitwheel/consensus/replication.py
@@ -0,0 +1,253 @@
+"""A leader's side of replication: appends, commits and snapshots."""
+
+from . import membership as memberships
+from .election import become_follower
+from .messages import (
+    Append,
+    AppendReply,
+    Entry,
+    EntryKind,
+    MemberRecord,
+    SnapshotPart,
+    SnapshotReply,
+)
+from .progress import Progress, SnapshotTransfer
+from .state import MemberState
+
+MAX_UNACKNOWLEDGED_ENTRIES = 4096
+SNAPSHOT_PART_BYTES = 256 * 1024
+
+
+def append_as_leader(state: MemberState, kind: EntryKind, data: bytes) -> Entry:
+    """Appends an entry of the present term."""
+    entry = Entry(state.log.last_index + 1, state.term, kind, data)
+    state.append_entry(entry)
+    if kind is EntryKind.membership:
+        _follow_membership(state)
+    return entry
+
+
+def _follow_membership(state: MemberState) -> None:
+    members = state.membership.members
+    state.progress = {
+        member_id: progress
+        for member_id, progress in state.progress.items()
+        if member_id in members and members[member_id].identity == progress.identity
+    }
+
+
+def progress_of(
+    state: MemberState, member_id: str, record: MemberRecord, now: float
+) -> Progress:
+    """Returns what is known of a member, beginning anew with a new one."""
+    progress = state.progress.get(member_id)
+    if progress is None:
+        progress = Progress(record.identity, state.log.last_index + 1, now)
+        state.progress[member_id] = progress
+    return progress
+
+
+def peers(state: MemberState) -> list[tuple[str, MemberRecord]]:
+    """Returns all members but this one."""
+    return [
+        (member_id, record)
+        for member_id, record in state.membership.members.items()
+        if member_id != state.options.member_id
+    ]
+
+
+def send_heartbeats(state: MemberState, now: float) -> None:
+    """Sends every peer a message now, with entries if it lacks some."""
+    for member_id, record in peers(state):
+        progress = progress_of(state, member_id, record, now)
+        progress.catch_up_index = state.commit_index
+        if progress.transfer is not None:
+            _resend_part(state, member_id, progress, now)
+        elif _is_silent(state, progress, now):
+            # A peer that may be down gets no entries until it answers.
+            progress.probing = True
+            _send_append(state, member_id, progress, [])
+        elif not send_entries(state, member_id, progress, now):
+            _send_append(state, member_id, progress, [])
+    state.next_heartbeat = now + state.options.append_interval_s
+
+
+def send_round(state: MemberState, now: float) -> None:
+    """Sends every peer a message now, so that it can confirm the leader."""
+    for member_id, record in peers(state):
+        progress = progress_of(state, member_id, record, now)
+        if progress.probing or not send_entries(state, member_id, progress, now):
+            _send_append(state, member_id, progress, [])
+
+
+def _is_silent(state: MemberState, progress: Progress, now: float) -> bool:
+    return now - progress.heard_at > state.options.election_timeout_s
+
+
+def send_new_entries(state: MemberState, now: float) -> None:
+    """Sends every peer the entries that were appended since the last call."""
+    for member_id, record in peers(state):
+        progress = progress_of(state, member_id, record, now)
+        if not progress.probing:
+            send_entries(state, member_id, progress, now)
+
+
+def send_entries(
+    state: MemberState, member_id: str, progress: Progress, now: float
+) -> bool:
+    """Sends what a peer lacks, as far as it may be on its way at once.
+
+    :returns: whether anything was sent.
+    """
+    if progress.transfer is not None:
+        return False
+    if state.log.term_at(progress.next_index - 1) is None:
+        _begin_transfer(state, member_id, progress, now)
+        return True
+    sent = False
+    while _may_send(state, progress):
+        batch = state.log.batch_from(progress.next_index)
+        if not batch:
+            break
+        _send_append(state, member_id, progress, batch)
+        sent = True
+        if progress.probing:
+            break
+        progress.next_index = batch[-1].index + 1
+    return sent
+
+
+def _may_send(state: MemberState, progress: Progress) -> bool:
+    on_the_way = progress.next_index - 1 - progress.match_index
+    return progress.probing or on_the_way < MAX_UNACKNOWLEDGED_ENTRIES
+
+
+def _send_append(
+    state: MemberState, member_id: str, progress: Progress, entries: list[Entry]
+) -> None:
+    previous_index = progress.next_index - 1
+    previous_term = state.log.term_at(previous_index)
+    if previous_term is None:
+        previous_index, previous_term = 0, 0
+    state.send(
+        Append,
+        member_id,
+        progress.identity,
+        previous_index=previous_index,
+        previous_term=previous_term,
+        entries=entries,
+        commit_index=state.commit_index,
+        round=state.round,
+    )
+
+
+def receive_append_reply(state: MemberState, reply: AppendReply, now: float) -> None:
+    """Takes a peer's answer to an append or to the last part of a snapshot."""
+    progress = heard_from(state, reply, now)
+    if progress is None:
+        return
+    if reply.accepted:
+        progress.accept(reply.match_index)
+        advance_commit(state, now)
+    elif not progress.reject(reply.match_index):
+        return
+    if state.is_leader():
+        send_entries(state, reply.source, progress, now)
+
+
+def heard_from(
+    state: MemberState, reply: AppendReply | SnapshotReply, now: float
+) -> Progress | None:
+    """Notes that a peer answered in this term.
+
+    :returns: what is known of it, or ``None`` if the reply is not from a member
+        of a leader.
+    """
+    if not state.is_leader():
+        return None
+    progress = state.progress.get(reply.source)
+    if progress is None or progress.identity != reply.source_identity:
+        return None
+    progress.heard_at = now
+    progress.round = max(progress.round, reply.round)
+    return progress
+
+
+def advance_commit(state: MemberState, now: float) -> None:
+    """Commits what a quorum of the voters has synced."""
+    synced = {
+        member_id: progress.match_index
+        for member_id, progress in state.progress.items()
+    }
+    synced[state.options.member_id] = state.synced_index
+    index = int(memberships.quorum_value(state.membership, synced))
+    # An entry of an earlier term is committed only by one of this term after it.
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return
+    state.commit_index = index
+    removed = state.memberships.latest_index <= index and not state.is_voter()
+    if removed:
+        become_follower(state, now, state.term)
+
+
+def check_quorum(state: MemberState, now: float) -> None:
+    """Steps down if no quorum was heard for longer than any election takes."""
+    heard = {
+        member_id: progress.heard_at for member_id, progress in state.progress.items()
+    }
+    heard[state.options.member_id] = now
+    quorum_heard_at = memberships.quorum_value(state.membership, heard)
+    if now - quorum_heard_at > 2 * state.options.election_timeout_s:
+        become_follower(state, now, state.term)
+
+
+def _begin_transfer(
+    state: MemberState, member_id: str, progress: Progress, now: float
+) -> None:
+    progress.transfer = SnapshotTransfer(state.snapshot, now)
+    _send_part(state, member_id, progress, now)
+
+
+def _send_part(
+    state: MemberState, member_id: str, progress: Progress, now: float
+) -> None:
+    transfer = progress.transfer
+    transfer.sent_at = now
+    snapshot = transfer.snapshot
+    end = transfer.offset + SNAPSHOT_PART_BYTES
+    state.send(
+        SnapshotPart,
+        member_id,
+        progress.identity,
+        index=snapshot.index,
+        last_term=snapshot.term,
+        membership=snapshot.membership,
+        offset=transfer.offset,
+        total_bytes=len(snapshot.data),
+        data=snapshot.data[transfer.offset : end],
+        round=state.round,
+    )
+
+
+def _resend_part(
+    state: MemberState, member_id: str, progress: Progress, now: float
+) -> None:
+    if now - progress.transfer.sent_at > state.options.election_timeout_s:
+        _send_part(state, member_id, progress, now)
+    else:
+        _send_append(state, member_id, progress, [])
+
+
+def receive_snapshot_reply(
+    state: MemberState, reply: SnapshotReply, now: float
+) -> None:
+    """Sends the next part of a snapshot."""
+    progress = heard_from(state, reply, now)
+    if progress is None or progress.transfer is None:
+        return
+    transfer = progress.transfer
+    if reply.index != transfer.snapshot.index:
+        return
+    if reply.received_bytes != transfer.offset:
+        transfer.offset = reply.received_bytes
+        _send_part(state, reply.source, progress, now)
--- /dev/null
+++ b/src/godwitwheel/consensus/state.py
@@ -0,0 +1,274 @@
+"""The state of one member, which the controllers read and write."""
+
+import enum
+import random
+
+from .log import EntryLog
+from .membership import MembershipHistory, is_voter
+from .messages import AnyMessage, Entry, HardState, Membership, Message, Snapshot
+
+
+class Role(enum.Enum):
+    """What a member does in its term."""
+
+    follower = "follower"
+    pre_candidate = "pre_candidate"
+    candidate = "candidate"
+    leader = "leader"
+
+
+class ConsensusOptions:
+    """What a member is told when it is made.
+
+    :ivar founders: addresses of the first members by id.
+    :ivar may_found: whether the member may take part in founding a cell.
+    :ivar election_timeout_s: shortest silence of a leader before an election.
+    :ivar append_interval_s: time between a leader's heartbeats.
+    """
+
+    __slots__ = (
+        "member_id",
+        "address",
+        "founders",
+        "may_found",
+        "election_timeout_s",
+        "append_interval_s",
+    )
+
+    def __init__(
+        self,
+        member_id: str,
+        address: str,
+        founders: dict[str, str],
+        may_found: bool = True,
+        election_timeout_s: float = 0.5,
+        append_interval_s: float = 0.05,
+    ):
+        self.member_id = member_id
+        self.address = address
+        self.founders = founders
+        self.may_found = may_found
+        self.election_timeout_s = election_timeout_s
+        self.append_interval_s = append_interval_s
+
+
+class SavedState:
+    """What a storage held when it was opened.
+
+    :ivar identity: random identity, made when the storage was created.
+    :ivar entries: the log after ``base_index``, without a gap.
+    """
+
+    __slots__ = (
+        "identity",
+        "hard_state",
+        "snapshot",
+        "base_index",
+        "base_term",
+        "entries",
+    )
+
+    def __init__(
+        self,
+        identity: str,
+        hard_state: HardState | None = None,
+        snapshot: Snapshot | None = None,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: list[Entry] | None = None,
+    ):
+        self.identity = identity
+        self.hard_state = hard_state or HardState()
+        self.snapshot = snapshot
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries = entries or []
+
+
+class ReadRequest:
+    """One call that waits for a quorum to confirm the leader.
+
+    :ivar round: the round that it joined; 0 until one is begun.
+    :ivar index: what must be applied before the call may return.
+    :ivar confirmed: ``None`` while it waits.
+    :ivar waiter: whatever the driver wants to find again.
+    """
+
+    __slots__ = ("round", "index", "confirmed", "waiter")
+
+    def __init__(self):
+        self.round = 0
+        self.index = 0
+        self.confirmed: bool | None = None
+        self.waiter: object = None
+
+
+class Work:
+    """What the driver has to do, in this order.
+
+    :ivar snapshot: replaces the stored log and the state machine's state.
+    :ivar hard_state: to be stored, or ``None``.
+    :ivar entries: to be stored; an entry replaces those at its index and later.
+    :ivar messages: to be sent once all of the above is synced.
+    :ivar finished_reads: calls that were confirmed or refused.
+    """
+
+    __slots__ = ("snapshot", "hard_state", "entries", "messages", "finished_reads")
+
+    def __init__(self):
+        self.snapshot: Snapshot | None = None
+        self.hard_state: HardState | None = None
+        self.entries: list[Entry] = []
+        self.messages: list[AnyMessage] = []
+        self.finished_reads: list[ReadRequest] = []
+
+    def is_empty(self) -> bool:
+        """Whether there is nothing to do."""
+        return not (
+            self.entries
+            or self.messages
+            or self.finished_reads
+            or self.hard_state is not None
+            or self.snapshot is not None
+        )
+
+
+class MemberState:
+    """All that a member knows.
+
+    :ivar leader_id: the leader of ``term`` as far as is known, or empty.
+    :ivar last_contact: when a leader was last heard, or the member started.
+    :ivar synced_index: last index that is synced here.
+    :ivar term_start_index: index of the leader's first entry in its term.
+    :ivar progress: what a leader knows of its peers.
+    :ivar work: what has come up since the driver last took work.
+    """
+
+    __slots__ = (
+        "options",
+        "identity",
+        "random",
+        "cell",
+        "term",
+        "vote",
+        "role",
+        "leader_id",
+        "log",
+        "memberships",
+        "snapshot",
+        "commit_index",
+        "applied_index",
+        "synced_index",
+        "last_contact",
+        "election_deadline",
+        "votes",
+        "term_start_index",
+        "progress",
+        "next_heartbeat",
+        "round",
+        "reads",
+        "incoming",
+        "work",
+    )
+
+    def __init__(
+        self,
+        options: ConsensusOptions,
+        saved: SavedState,
+        rng: random.Random,
+        now: float,
+    ):
+        self.options = options
+        self.identity = saved.identity
+        self.random = rng
+        self.cell = saved.hard_state.cell
+        self.term = saved.hard_state.term
+        self.vote = saved.hard_state.vote
+        self.role = Role.follower
+        self.leader_id = ""
+        self.snapshot = saved.snapshot
+        self.log = EntryLog(saved.base_index, saved.base_term, list(saved.entries))
+        self.memberships = _restore_memberships(saved)
+        self.applied_index = saved.snapshot.index if saved.snapshot else 0
+        self.commit_index = self.applied_index
+        self.synced_index = self.log.last_index
+        # A restarted member can't know when it last heard a leader.
+        self.last_contact = now
+        self.election_deadline = now
+        self.votes: set[str] = set()
+        self.term_start_index = 0
+        self.progress = {}
+        self.next_heartbeat = now
+        self.round = 0
+        self.reads: list[ReadRequest] = []
+        self.incoming = None
+        self.work = Work()
+        self.postpone_election(now)
+
+    @property
+    def membership(self) -> Membership:
+        """The membership in force."""
+        return self.memberships.latest
+
+    def hard_state(self) -> HardState:
+        """Returns what must be synced before anything is promised."""
+        return HardState(self.cell, self.term, self.vote)
+
+    def is_leader(self) -> bool:
+        """Whether this member leads its term, as far as it knows."""
+        return self.role is Role.leader
+
+    def is_voter(self) -> bool:
+        """Whether this member counts for quorums."""
+        return is_voter(self.membership, self.options.member_id, self.identity)
+
+    def postpone_election(self, now: float) -> None:
+        """Draws a new election timeout, from 1 to 2 times the shortest."""
+        stretch = 1.0 + self.random.random()
+        self.election_deadline = now + self.options.election_timeout_s * stretch
+
+    def heard_leader_lately(self, now: float) -> bool:
+        """Whether a leader may still count on this member's silence."""
+        return now < self.last_contact + self.options.election_timeout_s
+
+    def set_term(self, term: int, vote: str = "") -> None:
+        """Enters a term or records the vote in it."""
+        self.term = term
+        self.vote = vote
+        self.work.hard_state = self.hard_state()
+
+    def append_entry(self, entry: Entry) -> None:
+        """Appends to the log and has it stored."""
+        self.log.append(entry)
+        self.memberships.observe(entry)
+        self.work.entries.append(entry)
+
+    def send(self, kind: type[Message], target: str, identity: str, **fields) -> None:
+        """Queues a message that goes out after the next sync.
+
+        :param fields: fields of the message; ``term`` is the present one unless
+            it is given.
+        """
+        fields.setdefault("term", self.term)
+        message = kind(
+            cell=self.cell,
+            source=self.options.member_id,
+            source_identity=self.identity,
+            target=target,
+            target_identity=identity,
+            **fields,
+        )
+        self.work.messages.append(message)
+
+    def reply(self, to: Message, kind: type[Message], **fields) -> None:
+        """Queues an answer to the sender of a message."""
+        self.send(kind, to.source, to.source_identity, **fields)
+
+
+def _restore_memberships(saved: SavedState) -> MembershipHistory:
+    base = saved.snapshot.membership if saved.snapshot else Membership()
+    history = MembershipHistory(base)
+    for entry in saved.entries:
+        if saved.snapshot is None or entry.index > saved.snapshot.index:
+            history.observe(entry)
+    return history
--- /dev/null
+++ b/tests/common/cell.py
@@ -0,0 +1,279 @@
+"""A cell of members on fakes: one clock, a lossy network, disks that forget."""
+
+import json
+import random
+
+from godwitwheel.consensus.driver import ConsensusLog
+from godwitwheel.consensus.errors import StorageError
+from godwitwheel.consensus.messages import HardState, Snapshot
+from godwitwheel.consensus.replicated import StateMachine
+from godwitwheel.consensus.state import ConsensusOptions, SavedState
+from godwitwheel.consensus.storage import Storage
+from godwitwheel.consensus.transport import Transport
+from godwitwheel.internal.clock import ManualClock
+
+ELECTION_TIMEOUT_S = 0.5
+STEP_S = 0.05
+
+
+class Crash(StorageError):
+    """Raised by a disk that loses its power."""
+
+
+class FakeStorage(Storage):
+    """A disk that forgets what was not synced.
+
+    :ivar crash_at: ``"before"`` or ``"after"`` crashes at the next sync.
+    """
+
+    def __init__(self, identity: str):
+        self.identity = identity
+        self.synced = SavedState(identity)
+        self.pending: list[object] = []
+        self.crash_at = ""
+
+    def load(self) -> SavedState:
+        saved = self.synced
+        return SavedState(
+            saved.identity,
+            saved.hard_state,
+            saved.snapshot,
+            saved.base_index,
+            saved.base_term,
+            list(saved.entries),
+        )
+
+    def write(self, hard_state, entries) -> None:
+        if hard_state is not None:
+            self.pending.append(hard_state)
+        self.pending += entries
+
+    def sync(self) -> None:
+        crash_at, self.crash_at = self.crash_at, ""
+        if crash_at == "before":
+            raise Crash
+        self._keep(len(self.pending))
+        if crash_at == "after":
+            raise Crash
+
+    def save_snapshot(
+        self, snapshot, hard_state, base_index, base_term, entries
+    ) -> None:
+        self.pending = []
+        self.synced = SavedState(
+            self.identity, hard_state, snapshot, base_index, base_term, list(entries)
+        )
+
+    def lose_power(self, rng: random.Random) -> None:
+        """Keeps some first part of what was written but not synced."""
+        self._keep(rng.randint(0, len(self.pending)))
+        self.pending = []
+
+    def _keep(self, count: int) -> None:
+        for item in self.pending[:count]:
+            if isinstance(item, HardState):
+                self.synced.hard_state = item
+            else:
+                place = item.index - self.synced.base_index - 1
+                assert place <= len(self.synced.entries)
+                self.synced.entries[place:] = [item]
+        del self.pending[:count]
+
+
+class FakeTransport(Transport):
+    """Hands messages to the cell's network."""
+
+    def __init__(self, cell: "Cell", source: str):
+        self.cell = cell
+        self.source = source
+
+    def send(self, member_id, address, messages) -> None:
+        for message in messages:
+            self.cell.in_flight.append((self.source, address, message))
+
+
+class Register(StateMachine):
+    """Remembers every command by index, and checks it against all other members."""
+
+    def __init__(self, cell: "Cell"):
+        self.cell = cell
+        self.commands: dict[int, str] = {}
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        text = command.decode()
+        assert not self.commands or index > max(self.commands)
+        assert self.cell.committed.setdefault(index, text) == text
+        self.commands[index] = text
+        self._check_prefix()
+        return text.encode()
+
+    def take_snapshot(self) -> bytes:
+        return json.dumps(self.commands).encode()
+
+    def load_snapshot(self, snapshot: bytes) -> None:
+        loaded = json.loads(snapshot)
+        self.commands = {int(index): text for index, text in loaded.items()}
+        self._check_prefix()
+
+    def _check_prefix(self) -> None:
+        last = max(self.commands, default=0)
+        expected = {
+            index: text for index, text in self.cell.committed.items() if index <= last
+        }
+        assert self.commands == expected
+
+
+class Member:
+    """One member with its disk; ``log`` is ``None`` while it is down."""
+
+    def __init__(self, cell: "Cell", member_id: str, join: bool = False):
+        self.cell = cell
+        self.member_id = member_id
+        self.join = join
+        self.log: ConsensusLog | None = None
+        self.replace_disk()
+
+    @property
+    def state(self):
+        return self.log.core.state
+
+    def replace_disk(self) -> None:
+        self.cell.disks_made += 1
+        self.storage = FakeStorage(f"{self.member_id}-{self.cell.disks_made}")
+
+    def start(self) -> None:
+        options = ConsensusOptions(
+            self.member_id,
+            self.member_id,
+            {member_id: member_id for member_id in self.cell.founders},
+            may_found=not self.join,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+            append_interval_s=STEP_S,
+        )
+        self.log = ConsensusLog(
+            options,
+            Register(self.cell),
+            self.storage,
+            FakeTransport(self.cell, self.member_id),
+            self.cell.clock,
+            self.cell.random,
+            snapshot_entries=self.cell.snapshot_entries,
+        )
+
+    def crash(self) -> None:
+        self.storage.lose_power(self.cell.random)
+        self.log = None
+
+    def work(self) -> None:
+        """Does the pending work; a disk that fails crashes the member."""
+        try:
+            self.log.do_work()
+        except Crash:
+            self.crash()
+            return
+        self.cell.check_leader(self)
+
+
+class Cell:
+    """Members, the network between them and the oracle.
+
+    :ivar committed: every command that any member has applied, by index.
+    :ivar leaders: the leader of each term.
+    :ivar cut: pairs of members that don't reach each other.
+    """
+
+    def __init__(self, size: int = 3, seed: int = 1, snapshot_entries: int = 4096):
+        self.random = random.Random(seed)
+        self.clock = ManualClock()
+        self.snapshot_entries = snapshot_entries
+        self.disks_made = 0
+        self.in_flight: list[tuple] = []
+        self.committed: dict[int, str] = {}
+        self.leaders: dict[int, str] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.founders = [f"m{number}" for number in range(size)]
+        self.members = {name: Member(self, name) for name in self.founders}
+        for member in self.members.values():
+            member.start()
+
+    def running(self) -> list[Member]:
+        return [member for member in self.members.values() if member.log is not None]
+
+    def leader(self) -> Member | None:
+        """Returns the leader of the highest term that can commit."""
+        leaders = [member for member in self.running() if member.state.is_leader()]
+        return max(leaders, key=lambda member: member.state.term, default=None)
+
+    def check_leader(self, member: Member) -> None:
+        if member.state.is_leader():
+            name = f"{member.member_id}/{member.state.identity}"
+            assert self.leaders.setdefault(member.state.term, name) == name
+
+    def isolate(self, *names: str) -> None:
+        """Cuts the named members off from all others."""
+        for name in self.members:
+            for other in names:
+                if name not in names:
+                    self.cut.add(frozenset((name, other)))
+
+    def deliver(self, position: int = 0) -> None:
+        """Delivers one message, unless the network is cut there."""
+        source, address, message = self.in_flight.pop(position)
+        member = self.members.get(address)
+        if member is None or member.log is None:
+            return
+        if frozenset((source, address)) in self.cut:
+            return
+        member.log.handle([message])
+        member.work()
+
+    def settle(self) -> None:
+        """Does all work and delivers all messages, without time passing."""
+        for member in self.running():
+            member.work()
+        for _ in range(20_000):
+            if not self.in_flight:
+                return
+            self.deliver()
+
+    def step(self, count: int = 1) -> None:
+        """Lets time pass, with an orderly network."""
+        for _ in range(count):
+            self.clock.advance(STEP_S)
+            for member in self.running():
+                member.log.tick()
+            self.settle()
+
+    def step_until(self, condition, steps: int = 400) -> None:
+        """Lets time pass until a condition holds."""
+        for _ in range(steps):
+            if condition():
+                return
+            self.step()
+        raise AssertionError("the condition does not come true")
+
+    def serving_leader(self) -> Member:
+        """Lets time pass until a leader has committed its first entry."""
+
+        def serves() -> bool:
+            leader = self.leader()
+            return leader is not None and leader.log.leading_since() is not None
+
+        self.step_until(serves)
+        return self.leader()
+
+    def commit(self, command: str) -> int:
+        """Commits a command and returns its index."""
+        leader = self.serving_leader()
+        entry = leader.log.core.propose(command.encode())
+        self.step_until(lambda: entry.index in self.committed)
+        assert self.committed[entry.index] == command
+        return entry.index
+
+    def voters(self) -> set[str]:
+        """Returns identities of the voters in the leader's membership."""
+        members = self.leader().state.membership.members
+        return {record.identity for record in members.values() if record.voter}
+
+
+__all__ = ["Cell", "Crash", "FakeStorage", "Member", "Snapshot"]
