Add the event log, metrics, health and the command line

Settings come from flags and variables and are all checked before a process starts; every problem is listed. Log lines go to the kernel one write each: a buffered writer was ruled out, since it loses the last lines of a killed process, and a blocking one stalls the loop behind a full pipe.

wire.server.Response gets content_type (additive): /metrics is not JSON and a second Content-Type header would contradict the first.

--- /dev/null
+++ b/src/godwitwheel/cli/processes.py
@@ -0,0 +1,118 @@
+"""The commands that run a process until it is told to stop."""
+
+from .command import Command
+from .options import Option
+from .values import (
+    number_between,
+    parse_address,
+    parse_addresses,
+    parse_members,
+    parse_name,
+    parse_path,
+    parse_truth,
+)
+
+LOG_FILE = Option(
+    "log_file", "file to append events to, else standard error", parse_path, "", "PATH"
+)
+DATA_CENTRE = Option("data_centre", "data centre of this VM", parse_name, unit="NAME")
+LISTEN = Option("listen", "address to serve on", parse_address, unit="IP:PORT")
+ADVERTISE = Option(
+    "advertise", "address for others, else --listen", parse_address, "", "IP:PORT"
+)
+CONTROL = Option(
+    "control", "control members", parse_addresses, unit="IP:PORT,IP:PORT,..."
+)
+
+
+def _seconds(name: str, help: str, lowest: float, highest: float, default: float):
+    parse = number_between(lowest, highest)
+    text = f"{help}, {lowest} to {highest} seconds"
+    return Option(name, text, parse, default, "SECONDS")
+
+
+class ProxyCommand(Command):
+    """Serves callers; keeps nothing that must survive. Ends on SIGTERM."""
+
+    name = "proxy"
+    help = "serve callers and route their requests to targets"
+    options = [
+        Option(
+            "proxy_id", "identity of this proxy", parse_name, unit="ID", flag="--id"
+        ),
+        DATA_CENTRE,
+        LISTEN,
+        ADVERTISE,
+        CONTROL,
+        _seconds("heartbeat_interval_s", "time between lease renewals", 0.02, 5, 0.15),
+        _seconds("probe_interval_s", "time between probes of a target", 0.02, 5, 0.1),
+        _seconds("drain_limit_s", "longest wait for requests at a stop", 0, 3600, 30.0),
+        LOG_FILE,
+    ]
+
+    def run(self, values: dict[str, object], paths: list[str]) -> int:
+        from ..proxy.process import run_proxy
+        from ..proxy.settings import ProxySettings
+
+        return run_proxy(ProxySettings(**values))
+
+
+class ControlCommand(Command):
+    """Keeps the replicated log in --data-folder. Ends on SIGTERM."""
+
+    name = "control"
+    help = "run one member of the control cell"
+    options = [
+        Option(
+            "member_id", "identity of this member", parse_name, unit="ID", flag="--id"
+        ),
+        DATA_CENTRE,
+        LISTEN,
+        ADVERTISE,
+        Option(
+            "data_folder", "folder of the log and snapshots", parse_path, unit="DIR"
+        ),
+        Option(
+            "members",
+            "first members of the cell, read only when the cell is created",
+            parse_members,
+            unit="ID=IP:PORT,...",
+        ),
+        Option("join", "join a running cell with an empty log", parse_truth, False),
+        _seconds("election_timeout_s", "silence before an election", 0.05, 60, 0.5),
+        _seconds(
+            "append_interval_s", "time between a leader's messages", 0.01, 10, 0.05
+        ),
+        _seconds("lease_s", "length of a proxy's lease", 0.05, 60, 0.6),
+        Option(
+            "clock_drift",
+            "largest relative difference between the rates of two clocks, 0 to 0.2",
+            number_between(0, 0.2),
+            0.01,
+            "RATIO",
+        ),
+        _seconds("detection_s", "silence after which a primary is lost", 0.05, 60, 0.4),
+        _seconds("in_sync_lag_s", "longest hold-up by a replica", 0.05, 60, 0.5),
+        LOG_FILE,
+    ]
+
+    def check(self, values: dict[str, object]) -> list[str]:
+        problems = []
+        if values["election_timeout_s"] < 2 * values["append_interval_s"]:
+            problems.append(
+                f"--election-timeout-s: got {values['election_timeout_s']}, expected "
+                f"at least twice --append-interval-s ({values['append_interval_s']})"
+            )
+        members = values["members"]
+        if not values["join"] and values["member_id"] not in members:
+            problems.append(
+                f"--members: got {', '.join(members)}, expected {values['member_id']} "
+                "among them, or --join"
+            )
+        return problems
+
+    def run(self, values: dict[str, object], paths: list[str]) -> int:
+        from ..control.process import run_control
+        from ..control.settings import ControlSettings
+
+        return run_control(ControlSettings(**values))
--- /dev/null
+++ b/src/godwitwheel/observe/log.py
@@ -0,0 +1,155 @@
+"""Writes a process's events as JSON lines, one write call each.
+
+Each line goes to the kernel at once, so the last lines of a killed process are in
+the file. The loop never waits for a slow reader of a pipe: what the kernel does
+not take stays in a bounded buffer.
+"""
+
+import contextlib
+import os
+import stat
+import sys
+import time
+from collections import deque
+from collections.abc import Iterator
+
+import eliot
+import msgspec
+
+from .errors import LogUnavailable
+
+MAX_PENDING_BYTES = 1 << 20
+FLUSH_LIMIT_S = 1.0
+FLUSH_POLL_S = 0.01
+FILE_MODE = 0o644
+_FLAGS = os.O_WRONLY | os.O_APPEND | os.O_NONBLOCK | os.O_CLOEXEC
+
+
+def _reopen(descriptor: int) -> int:
+    """Returns a non-blocking descriptor of the same open file.
+
+    A second open of a pipe leaves the mode of the first alone, which other
+    processes may share. A socket can't be opened a second time.
+    """
+    if stat.S_ISSOCK(os.fstat(descriptor).st_mode):
+        copy = os.dup(descriptor)
+        os.set_blocking(copy, False)
+        return copy
+    return os.open(f"/proc/self/fd/{descriptor}", _FLAGS)
+
+
+def open_log(path: str) -> int:
+    """Opens a log file to append to, or standard error if ``path`` is empty.
+
+    :returns: a non-blocking descriptor that the caller owns.
+    :raises LogUnavailable: if it can't be opened.
+    """
+    try:
+        if not path:
+            return _reopen(sys.stderr.fileno())
+        return os.open(path, _FLAGS | os.O_CREAT, FILE_MODE)
+    except OSError as error:
+        raise LogUnavailable(f"log file {path!r}: {error.strerror}") from error
+
+
+class LineWriter:
+    """Writes whole lines without blocking.
+
+    :ivar pending: lines that the kernel has not taken, oldest first.
+    :ivar dropped: lines lost because the buffer was full or the disk refused.
+    """
+
+    __slots__ = ("descriptor", "pending", "pending_bytes", "dropped")
+
+    def __init__(self, descriptor: int):
+        self.descriptor = descriptor
+        self.pending: deque[bytes] = deque()
+        self.pending_bytes = 0
+        self.dropped = 0
+
+    def __enter__(self) -> "LineWriter":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.flush(FLUSH_LIMIT_S)
+        os.close(self.descriptor)
+
+    def write(self, line: bytes) -> None:
+        """Writes a line, or keeps it while the kernel takes no more."""
+        if self.pending_bytes + len(line) > MAX_PENDING_BYTES:
+            self.dropped += 1
+        else:
+            self.pending.append(line)
+            self.pending_bytes += len(line)
+        self.write_pending()
+
+    def write_pending(self) -> None:
+        """Hands the kernel as much as it takes now."""
+        while self.pending:
+            line = self.pending[0]
+            try:
+                # os.write would yield to the loop, which no caller expects here.
+                written = os.writev(self.descriptor, [line])
+            except BlockingIOError:
+                return
+            except OSError:
+                written = len(line)
+                self.dropped += 1
+            self.pending_bytes -= written
+            if written == len(line):
+                self.pending.popleft()
+            else:
+                self.pending[0] = line[written:]
+
+    def flush(self, limit_s: float) -> None:
+        """Waits until nothing is pending, for at most ``limit_s`` seconds."""
+        limit = time.monotonic() + limit_s
+        self.write_pending()
+        while self.pending and time.monotonic() < limit:
+            time.sleep(FLUSH_POLL_S)
+            self.write_pending()
+
+
+class LogDestination:
+    """An eliot destination that adds the process to each message.
+
+    :ivar sequence: lines written so far; a gap in a log shows lost lines.
+    """
+
+    __slots__ = ("writer", "identity", "sequence")
+
+    def __init__(self, writer: LineWriter, identity: dict[str, object]):
+        self.writer = writer
+        self.identity = identity
+        self.sequence = 0
+
+    def __call__(self, message: dict) -> None:
+        self.sequence += 1
+        line = {**message, **self.identity, "sequence": self.sequence}
+        if self.writer.dropped:
+            line["dropped_lines"] = self.writer.dropped
+        self.writer.write(msgspec.json.encode(line, enc_hook=repr) + b"\n")
+
+
+@contextlib.contextmanager
+def process_log(
+    path: str, process_id: str, role: str, data_centre: str
+) -> Iterator[LogDestination]:
+    """Records events of this process inside the block.
+
+    :param path: file to append to; empty for standard error.
+    :raises LogUnavailable: if the file can't be opened.
+    """
+    identity = {
+        "process_id": process_id,
+        "role": role,
+        "data_centre": data_centre,
+        "pid": os.getpid(),
+    }
+    with LineWriter(open_log(path)) as writer:
+        destination = LogDestination(writer, identity)
+        eliot.add_destinations(destination)
+        try:
+            yield destination
+        finally:
+            eliot.remove_destination(destination)
--- a/src/godwitwheel/wire/server.py
+++ b/src/godwitwheel/wire/server.py
@@ -40,17 +40,19 @@
 class Response:
     """One HTTP response; a message as body is encoded as JSON."""
 
-    __slots__ = ("status", "body", "headers")
+    __slots__ = ("status", "body", "headers", "content_type")
 
     def __init__(
         self,
         body: object = b"",
         status: int = 200,
         headers: list[tuple[str, str]] | None = None,
+        content_type: str = "application/json",
     ):
         self.status = status
         self.body = body if isinstance(body, bytes) else encode(body)
         self.headers = headers or []
+        self.content_type = content_type
 
 
 Handler = Callable[[Request], Response]
@@ -119,7 +121,7 @@
         """The WSGI entry point."""
         response = self.respond(environ)
         headers = [
-            ("Content-Type", "application/json"),
+            ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
             *response.headers,
         ]
