--- a/src/godwitwheel/cli/commands.py
+++ b/src/godwitwheel/cli/commands.py
@@ -2,8 +2,9 @@
 
 from .command import Command
 from .processes import ControlCommand, ProxyCommand
+from .publish_command import PublishCommand
 
 
 def all_commands() -> list[Command]:
     """Returns one of each command."""
-    return [ProxyCommand(), ControlCommand()]
+    return [ProxyCommand(), ControlCommand(), PublishCommand()]
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -33,6 +33,8 @@
     revision_published = "revision_published"
     revision_in_force = "revision_in_force"
     publish_conflict = "publish_conflict"
+    publish_sent = "publish_sent"
+    publish_answered = "publish_answered"
     quota_changed = "quota_changed"
 
 
--- a/src/godwitwheel/wire/service.py
+++ b/src/godwitwheel/wire/service.py
@@ -3,6 +3,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 
 class Access(enum.StrEnum):
@@ -48,3 +49,12 @@
     revision: int = 0
     content_hash: str = ""
     services: dict[str, Service] = {}
+
+
+def hash_services(services: dict[str, Service]) -> str:
+    """Returns the content hash of a configuration's services, in hexadecimal.
+
+    It does not depend on the order in which services or requests are listed.
+    """
+    canonical = msgspec.json.encode(services, order="sorted")
+    return xxhash.xxh3_128_hexdigest(canonical)
