--- a/src/godwitwheel/cli/commands.py
+++ b/src/godwitwheel/cli/commands.py
@@ -3,8 +3,9 @@
 from .command import Command
 from .processes import ControlCommand, ProxyCommand
 from .publish_command import PublishCommand
+from .timeline_command import TimelineCommand
 
 
 def all_commands() -> list[Command]:
     """Returns one of each command."""
-    return [ProxyCommand(), ControlCommand(), PublishCommand()]
+    return [ProxyCommand(), ControlCommand(), PublishCommand(), TimelineCommand()]
