--- a/src/godwitwheel/targets/__init__.py
+++ b/src/godwitwheel/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to targets."""
+"""Connections to targets: the abstract interface and its HTTP/JSON adapter."""
--- a/src/godwitwheel/wire/client.py
+++ b/src/godwitwheel/wire/client.py
@@ -138,7 +138,7 @@
         waiting = self.idle.get(address)
         while waiting:
             connection = waiting.pop()
-            if connection.is_usable() and not _has_unread(connection):
+            if connection.is_usable() and not has_unread(connection):
                 return connection
             connection.close()
         connection = HttpConnection(address)
@@ -155,7 +155,7 @@
             connection.close()
 
 
-def _has_unread(connection: HttpConnection) -> bool:
+def has_unread(connection: HttpConnection) -> bool:
     """Whether the peer closed the idle connection or sent what nobody asked for."""
     raw = connection.connection.sock
     try:
