--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -3,9 +3,18 @@
 import json
 import random
 
+import msgspec
+
 from godwitwheel.consensus.driver import ConsensusLog
 from godwitwheel.consensus.errors import StorageError
-from godwitwheel.consensus.messages import HardState, Snapshot
+from godwitwheel.consensus.messages import (
+    AppendReply,
+    EntryKind,
+    HardState,
+    Membership,
+    VoteReply,
+    VoteRequest,
+)
 from godwitwheel.consensus.replicated import StateMachine
 from godwitwheel.consensus.state import ConsensusOptions, SavedState
 from godwitwheel.consensus.storage import Storage
@@ -83,14 +92,32 @@
 class FakeTransport(Transport):
     """Hands messages to the cell's network."""
 
-    def __init__(self, cell: "Cell", source: str):
+    def __init__(self, cell: "Cell", source: str, storage: FakeStorage):
         self.cell = cell
         self.source = source
+        self.storage = storage
 
     def send(self, member_id, address, messages) -> None:
         for message in messages:
+            self._check_synced(message)
             self.cell.in_flight.append((self.source, address, message))
 
+    def _check_synced(self, message) -> None:
+        """Checks that what the message promises outlasts a crash."""
+        synced = self.storage.synced
+        term = synced.hard_state.term
+        match message:
+            case VoteReply(granted=True, pre_vote=False):
+                vote = (term, synced.hard_state.vote)
+                assert vote == (message.term, message.target_identity)
+            case VoteRequest(pre_vote=False):
+                vote = (term, synced.hard_state.vote)
+                assert vote == (message.term, message.source_identity)
+            case AppendReply(accepted=True) if term == message.term:
+                last_index = synced.base_index + len(synced.entries)
+                assert last_index >= message.match_index
+        assert term >= message.term or getattr(message, "pre_vote", False)
+
 
 class Register(StateMachine):
     """Remembers every command by index, and checks it against all other members."""
@@ -154,7 +181,7 @@
             options,
             Register(self.cell),
             self.storage,
-            FakeTransport(self.cell, self.member_id),
+            FakeTransport(self.cell, self.member_id, self.storage),
             self.cell.clock,
             self.cell.random,
             snapshot_entries=self.cell.snapshot_entries,
@@ -236,6 +263,24 @@
                 return
             self.deliver()
 
+    def disorderly_step(self, loss: float) -> None:
+        """Lets time pass while messages are lost, repeated, late and out of order."""
+        self.clock.advance(self.random.random() * 2 * STEP_S)
+        for member in self.running():
+            if self.random.random() > loss:
+                member.log.tick()
+                member.work()
+        for _ in range(len(self.in_flight)):
+            if self.random.random() < 0.3:
+                continue
+            position = self.random.randrange(len(self.in_flight))
+            if self.random.random() < loss:
+                self.in_flight.pop(position)
+                continue
+            if self.random.random() < loss:
+                self.in_flight.append(self.in_flight[position])
+            self.deliver(position)
+
     def step(self, count: int = 1) -> None:
         """Lets time pass, with an orderly network."""
         for _ in range(count):
@@ -270,10 +315,73 @@
         assert self.committed[entry.index] == command
         return entry.index
 
+    def start_read(self, member: Member) -> "ReadProbe":
+        """Asks a member to confirm that it leads, and checks what it finds."""
+        return ReadProbe(member)
+
+    def bears_loss_of(self, lost: Member) -> bool:
+        """Whether a quorum keeps its disks in every membership that may rule."""
+        intact = {member.storage.identity for member in self.members.values()}
+        intact.discard(lost.storage.identity)
+        return all(
+            len(voter_identities(membership) & intact) * 2
+            > len(voter_identities(membership))
+            for membership in self._ruling_memberships()
+        )
+
+    def _ruling_memberships(self) -> list[Membership]:
+        """Returns the latest committed membership and all that follow it."""
+        held = {}
+        committed_at = 0
+        for member in self.members.values():
+            saved = member.storage.synced
+            entries = [*saved.entries, *member.storage.pending]
+            if member.log is not None:
+                entries += member.state.log.entries
+                applied_index = member.state.applied_index
+                history = member.state.memberships
+                held[applied_index, ""] = history.at(applied_index)
+                committed_at = max(committed_at, applied_index)
+            if saved.snapshot is not None:
+                held[saved.snapshot.index, ""] = saved.snapshot.membership
+            for entry in entries:
+                if getattr(entry, "kind", None) is EntryKind.membership:
+                    decoded = msgspec.json.decode(entry.data, type=Membership)
+                    held[entry.index, entry.data] = decoded
+        return [
+            membership
+            for (index, _), membership in held.items()
+            if index >= committed_at
+        ]
+
     def voters(self) -> set[str]:
         """Returns identities of the voters in the leader's membership."""
-        members = self.leader().state.membership.members
-        return {record.identity for record in members.values() if record.voter}
+        return voter_identities(self.leader().state.membership)
 
 
-__all__ = ["Cell", "Crash", "FakeStorage", "Member", "Snapshot"]
+class ReadProbe:
+    """Waits for a confirmed leadership and compares it with what was known.
+
+    :ivar done: whether it was confirmed or refused.
+    """
+
+    def __init__(self, member: Member):
+        self.member = member
+        self.state = member.state
+        self.floor = max(member.cell.committed, default=0)
+        self.highest_term = max(member.cell.leaders, default=0)
+        self.done = False
+        self.term = member.state.term
+        self.request = member.log.core.request_read()
+        self.request.waiter = self
+
+    def send(self) -> None:
+        """Called by the log when the read is confirmed and applied, or refused."""
+        self.done = True
+        if self.request.confirmed:
+            assert self.term >= self.highest_term, "a deposed leader was confirmed"
+            assert self.state.applied_index >= self.floor, "the read went back"
+
+
+def voter_identities(membership: Membership) -> set[str]:
+    return {record.identity for record in membership.members.values() if record.voter}
