Let a removed member campaign until its removal is known to be committed

The fuzz machine found a cell that could elect nobody (4 members, one disk lost, the leader removing itself): only the leader held its own removal, so it did not campaign, and its longer log made it refuse the others.

--- a/src/godwitwheel/consensus/election.py
+++ b/src/godwitwheel/consensus/election.py
@@ -34,7 +34,7 @@
     if now < state.election_deadline:
         return
     state.postpone_election(now)
-    if not state.is_voter():
+    if not state.may_campaign():
         return
     state.leader_id = ""
     state.role = Role.pre_candidate
--- a/src/godwitwheel/consensus/state.py
+++ b/src/godwitwheel/consensus/state.py
@@ -222,6 +222,19 @@
         """Whether this member counts for quorums."""
         return is_voter(self.membership, self.options.member_id, self.identity)
 
+    def may_campaign(self) -> bool:
+        """Whether this member may become leader.
+
+        A member whose removal is not known to be committed still may: it can be
+        the only one that holds the removal, and others won't outrun its log.
+        """
+        if self.is_voter():
+            return True
+        known = self.memberships.at(self.commit_index)
+        return self.memberships.latest_index > self.commit_index and is_voter(
+            known, self.options.member_id, self.identity
+        )
+
     def postpone_election(self, now: float) -> None:
         """Draws a new election timeout, from 1 to 2 times the shortest."""
         stretch = 1.0 + self.random.random()
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -140,3 +140,19 @@
     assert away.state.snapshot.index >= 300
     cell.commit("after")
     cell.step_until(lambda: away.log.state_machine.commands == cell.committed)
+
+
+def test_elects_a_removed_leader_that_alone_holds_its_removal():
+    cell = Cell(size=4)
+    leader = cell.serving_leader()
+    down = next(member for member in cell.running() if member is not leader)
+    down.crash()
+    cell.isolate(leader.member_id)
+    assert leader.log.core.remove_member(leader.member_id)
+    leader.work()
+    cell.in_flight.clear()
+    leader.crash()
+    leader.start()
+    cell.cut.clear()
+    cell.commit("after")
+    assert leader.storage.identity not in cell.voters()
--- a/tests/cover/test_consensus_machine.py
+++ b/tests/cover/test_consensus_machine.py
@@ -3,7 +3,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from pytest import MonkeyPatch
 
+from godwitwheel.consensus import core, log, replication
 from tests.common.cell import Cell, Member
 
 MAX_MEMBERS = 5
@@ -16,13 +18,18 @@
     def __init__(self):
         super().__init__()
         self.proposed = 0
+        self.patches = MonkeyPatch()
 
     @initialize(
         size=st.integers(3, MAX_MEMBERS),
         seed=st.integers(0, 2**16),
         snapshot_entries=st.sampled_from([3, 20, 4096]),
+        append_entries=st.sampled_from([1, 3, 512]),
     )
-    def found(self, size, seed, snapshot_entries):
+    def found(self, size, seed, snapshot_entries, append_entries):
+        self.patches.setattr(log, "MAX_APPEND_ENTRIES", append_entries)
+        self.patches.setattr(core, "TRAILING_ENTRIES", append_entries)
+        self.patches.setattr(replication, "SNAPSHOT_PART_BYTES", 100)
         self.cell = Cell(size, seed, snapshot_entries)
         self.cell.serving_leader()
 
@@ -125,8 +132,13 @@
         leader.log.core.remove_member(self.member(number).member_id)
 
     def teardown(self):
-        if not hasattr(self, "cell"):
-            return
+        try:
+            if hasattr(self, "cell"):
+                self.check_convergence()
+        finally:
+            self.patches.undo()
+
+    def check_convergence(self):
         self.cell.cut.clear()
         for member in self.cell.members.values():
             member.storage.crash_at = ""
@@ -140,5 +152,5 @@
                 assert member.log.state_machine.commands == self.cell.committed
 
 
-CellMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40)
+CellMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=50)
 TestCell = CellMachine.TestCase
