Let a restarted member campaign before it knows its removal is committed

The membership before the latest change decides now; it is committed, because only one change is open at a time. The fuzz machine also pauses and isolates leaders and reads at the deposed ones.

--- a/src/godwitwheel/consensus/membership.py
+++ b/src/godwitwheel/consensus/membership.py
@@ -88,6 +88,11 @@
         """The membership in force."""
         return self.changes[-1][1] if self.changes else self.base
 
+    @property
+    def previous(self) -> Membership:
+        """The membership before the latest change."""
+        return self.changes[-2][1] if len(self.changes) > 1 else self.base
+
     @property
     def latest_index(self) -> int:
         """Index of the latest change that is still in the held log, else 0."""
--- a/src/godwitwheel/consensus/state.py
+++ b/src/godwitwheel/consensus/state.py
@@ -230,9 +230,8 @@
         """
         if self.is_voter():
             return True
-        known = self.memberships.at(self.commit_index)
         return self.memberships.latest_index > self.commit_index and is_voter(
-            known, self.options.member_id, self.identity
+            self.memberships.previous, self.options.member_id, self.identity
         )
 
     def postpone_election(self, now: float) -> None:
--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -207,6 +207,7 @@
     :ivar committed: every command that any member has applied, by index.
     :ivar leaders: the leader of each term.
     :ivar cut: pairs of members that don't reach each other.
+    :ivar paused: members that stand still, as a suspended VM does.
     """
 
     def __init__(self, size: int = 3, seed: int = 1, snapshot_entries: int = 4096):
@@ -218,13 +219,19 @@
         self.committed: dict[int, str] = {}
         self.leaders: dict[int, str] = {}
         self.cut: set[frozenset[str]] = set()
+        self.paused: set[str] = set()
         self.founders = [f"m{number}" for number in range(size)]
         self.members = {name: Member(self, name) for name in self.founders}
         for member in self.members.values():
             member.start()
 
     def running(self) -> list[Member]:
-        return [member for member in self.members.values() if member.log is not None]
+        """Returns the members that are up and not paused."""
+        return [
+            member
+            for name, member in self.members.items()
+            if member.log is not None and name not in self.paused
+        ]
 
     def leader(self) -> Member | None:
         """Returns the leader of the highest term that can commit."""
@@ -247,7 +254,7 @@
         """Delivers one message, unless the network is cut there."""
         source, address, message = self.in_flight.pop(position)
         member = self.members.get(address)
-        if member is None or member.log is None:
+        if member not in self.running():
             return
         if frozenset((source, address)) in self.cut:
             return
@@ -315,9 +322,12 @@
         assert self.committed[entry.index] == command
         return entry.index
 
-    def start_read(self, member: Member) -> "ReadProbe":
-        """Asks a member to confirm that it leads, and checks what it finds."""
-        return ReadProbe(member)
+    def read_everywhere(self) -> None:
+        """Asks every leader to confirm that it leads, and checks what it finds."""
+        for member in self.running():
+            if member.state.is_leader():
+                ReadProbe(member)
+                member.work()
 
     def bears_loss_of(self, lost: Member) -> bool:
         """Whether a quorum keeps its disks in every membership that may rule."""
@@ -360,24 +370,19 @@
 
 
 class ReadProbe:
-    """Waits for a confirmed leadership and compares it with what was known.
-
-    :ivar done: whether it was confirmed or refused.
-    """
+    """Waits for a confirmed leadership and compares it with what was known."""
 
     def __init__(self, member: Member):
         self.member = member
         self.state = member.state
         self.floor = max(member.cell.committed, default=0)
         self.highest_term = max(member.cell.leaders, default=0)
-        self.done = False
         self.term = member.state.term
         self.request = member.log.core.request_read()
         self.request.waiter = self
 
     def send(self) -> None:
         """Called by the log when the read is confirmed and applied, or refused."""
-        self.done = True
         if self.request.confirmed:
             assert self.term >= self.highest_term, "a deposed leader was confirmed"
             assert self.state.applied_index >= self.floor, "the read went back"
--- a/tests/cover/test_consensus_machine.py
+++ b/tests/cover/test_consensus_machine.py
@@ -55,19 +55,32 @@
             self.proposed += 1
             member.log.core.propose(b"c%d" % self.proposed)
 
-    @rule(number=pick)
-    def propose_at_leader(self, number):
+    @rule()
+    def propose_at_leader(self):
         leader = self.cell.leader()
         if leader is not None:
             self.proposed += 1
             leader.log.core.propose(b"c%d" % self.proposed)
             leader.work()
 
-    @rule(number=pick)
-    def confirm_leadership(self, number):
-        member = self.member(number)
-        if member.log is not None:
-            self.cell.start_read(member)
+    @rule()
+    def confirm_leadership(self):
+        self.cell.read_everywhere()
+
+    @rule(steps=st.integers(6, 24), pauses=st.booleans())
+    def read_at_deposed_leader(self, steps, pauses):
+        leader = self.cell.leader()
+        if leader is None:
+            return
+        self.cell.cut.clear()
+        self.cell.isolate(leader.member_id)
+        if pauses:
+            self.cell.paused.add(leader.member_id)
+        self.cell.step(steps)
+        self.propose_at_leader()
+        self.cell.settle()
+        self.cell.paused.clear()
+        self.cell.read_everywhere()
 
     @rule(number=pick)
     def isolate(self, number):
