Build the binary from the installed distributions and prove it has no child

shiv with pip would ask a registry at each build; the declared distributions are already installed, at the versions that were tested. The message about unreplaced locks that eventlet prints under the archive's bootstrap is left out: nobody can act on it, and one thread never contends for them.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,7 @@
 	$(BIN)/python -m bench.experiments
 
 binary: $(STAMP)
-	$(BIN)/shiv --quiet --compressed --output-file dist/godwitwheel \
-		--python '/usr/bin/env python3' --console-script godwitwheel .
+	$(BIN)/python -m tools.build_binary
 
 clean:
 	rm -rf dist build .pytest_cache .ruff_cache .hypothesis
--- a/src/godwitwheel/cli/main.py
+++ b/src/godwitwheel/cli/main.py
@@ -1,6 +1,8 @@
 """The entry point of the command line."""
 
 import argparse
+import contextlib
+import io
 import os
 import sys
 from collections.abc import Mapping
@@ -11,6 +13,7 @@
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_INVALID = 2
+UNREPLACED_LOCKS = "RLock(s) were not greened"
 
 
 def _parse(commands: list, argv: list[str]) -> tuple[argparse.Namespace, list[str]]:
@@ -56,10 +59,24 @@
     return command.run(values, paths)
 
 
+def _patch_standard_library() -> None:
+    """Patches, without the warning that no operator can act on.
+
+    The archive that a built binary starts from holds locks that can't be replaced,
+    which is harmless with one thread.
+    """
+    output = io.StringIO()
+    with contextlib.redirect_stderr(output):
+        patch_standard_library()
+    for line in output.getvalue().splitlines():
+        if UNREPLACED_LOCKS not in line:
+            print(line, file=sys.stderr)
+
+
 def main(argv: list[str] | None = None) -> int:
     """Runs the command line and returns the exit status."""
     # This comes before the modules below are imported, since they open sockets.
-    patch_standard_library()
+    _patch_standard_library()
     arguments = sys.argv[1:] if argv is None else argv
     try:
         return run_command(arguments, os.environ)
--- /dev/null
+++ b/tests/nocover/test_binary.py
@@ -0,0 +1,65 @@
+"""The built executable runs every command in one process without children."""
+
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.common.processes import WAIT_LIMIT_S
+from tools.build_binary import build
+
+SERVICES = Path(__file__).parent.parent.parent / "bench" / "services"
+
+
+@pytest.fixture(scope="module")
+def run(tmp_path_factory):
+    """Starts the executable, built once, outside this checkout."""
+    folder = tmp_path_factory.mktemp("binary")
+    binary = folder / "godwitwheel"
+    build(binary)
+    # The interpreter that the file was built with must be first in the path.
+    path = f"{Path(sys.executable).parent}{os.pathsep}{os.environ['PATH']}"
+    environ = {"PATH": path, "SHIV_ROOT": str(folder / "unpacked"), "HOME": "/nowhere"}
+
+    def start(*arguments):
+        return subprocess.Popen(
+            [str(binary), *arguments],
+            cwd=folder,
+            env=environ,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+
+    return start
+
+
+def children(pid):
+    """Returns the ids of a process's children, of all its threads."""
+    lists = Path(f"/proc/{pid}/task").glob("*/children")
+    return [child for path in lists for child in path.read_text().split()]
+
+
+def test_shows_every_setting_of_a_command(run):
+    output, errors = run("proxy", "--help").communicate(timeout=WAIT_LIMIT_S)
+    assert "GODWITWHEEL_HEARTBEAT_INTERVAL_S" in output
+    assert errors == ""
+
+
+def test_publishes_without_a_child_process(run):
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        silent.settimeout(WAIT_LIMIT_S)
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        process = run(
+            "publish", "--control", address, "--timeout-s", "1", str(SERVICES)
+        )
+        connection, _ = silent.accept()
+        with connection:
+            assert connection.recv(100).startswith(b"GET /v1/in-force")
+            assert children(process.pid) == []
+            _, errors = process.communicate(timeout=WAIT_LIMIT_S)
+    assert process.returncode == 1
+    assert "no answer within 1.0 s" in errors
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts of the build."""
