Add the stand-in target

The common prefix of two logs is found from their runs of terms, so a replica never goes back below the entries that it shares with the new primary.

--- /dev/null
+++ b/bench/standin/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a target: SQLite behind the target interface."""
--- /dev/null
+++ b/bench/standin/state.py
@@ -0,0 +1,172 @@
+"""What a stand-in target is at the moment: role, term, log, sessions."""
+
+import time
+
+from godwitwheel.internal.loop import Event, Semaphore
+from godwitwheel.wire.target import ProblemCode, Role, TargetStatus
+
+from .database import Database
+from .errors import TargetRefusal
+from .log import LogEntry, LogPage, PullLog, ReplicationLog
+from .settings import TargetSettings
+
+PAGE_LIMIT = 500
+
+
+class Counters:
+    """What the target saw, for checks after a run."""
+
+    __slots__ = (
+        "statements",
+        "sessions",
+        "refused_over_cap",
+        "most_connections",
+        "left_at",
+        "last_work_after_leaving_s",
+    )
+
+    def __init__(self):
+        self.statements = 0
+        self.sessions = 0
+        self.refused_over_cap = 0
+        self.most_connections = 0
+        self.left_at: float | None = None
+        self.last_work_after_leaving_s = 0.0
+
+    def count_work(self) -> None:
+        """Counts a statement or a transaction that begins."""
+        self.statements += 1
+        if self.left_at is not None:
+            self.last_work_after_leaving_s = time.monotonic() - self.left_at
+
+
+class TargetState:
+    """Role, term and log of the target; sessions and handlers share it.
+
+    :ivar writer: held by the one transaction that may write.
+    :ivar grown: sent and replaced whenever an entry is appended.
+    """
+
+    __slots__ = (
+        "settings",
+        "database",
+        "log",
+        "role",
+        "term",
+        "term_start",
+        "lag_s",
+        "leaving",
+        "sessions",
+        "slots",
+        "writer",
+        "grown",
+        "counters",
+    )
+
+    def __init__(self, settings: TargetSettings):
+        self.settings = settings
+        self.database = Database(settings.folder)
+        self.log = ReplicationLog(self.database.read_log())
+        kept = self.database.read_meta()
+        self.role = Role(kept.get("role", settings.role))
+        self.term = int(kept.get("term", 0))
+        self.term_start = int(kept.get("term_start", 0))
+        self.lag_s = settings.lag_s
+        self.leaving = False
+        self.sessions: set = set()
+        self.slots = Semaphore(settings.slots)
+        self.writer = Semaphore(1)
+        self.grown = Event()
+        self.counters = Counters()
+
+    def status(self) -> TargetStatus:
+        """Returns what the target says of itself."""
+        settings = self.settings
+        return TargetStatus(
+            target_id=settings.target_id,
+            group=settings.group,
+            data_centre=settings.data_centre,
+            address=settings.advertise,
+            role=self.role,
+            term=self.term,
+            position=self.log.position(),
+            term_start=self.term_start,
+            slots=settings.slots,
+            connection_cap=settings.connection_cap,
+            connections_open=len(self.sessions),
+            leaving=self.leaving,
+        )
+
+    def next_entry(self, statements: list[tuple[str, list]]) -> LogEntry:
+        """Returns the entry that a commit made now would append."""
+        position = self.log.position() + 1
+        return LogEntry(self.term, position, time.monotonic(), statements)
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Adds committed entries to the log and wakes waiting replicas."""
+        self.log.entries.extend(entries)
+        grown, self.grown = self.grown, Event()
+        grown.send()
+
+    def apply(self, entries: list[LogEntry]) -> None:
+        """Applies replicated entries."""
+        self.database.apply(entries)
+        self.append(entries)
+
+    def check_writable(self) -> None:
+        """Refuses a write at a replica.
+
+        :raises TargetRefusal: unless this target believes that it is primary.
+        """
+        if self.role is not Role.primary:
+            raise TargetRefusal(ProblemCode.not_primary, f"role is {self.role}")
+
+    def promote(self, term: int) -> None:
+        """Becomes primary of ``term``.
+
+        :raises TargetRefusal: if the target knows of a later term.
+        """
+        if term == self.term and self.role is Role.primary:
+            return
+        if term <= self.term:
+            raise TargetRefusal(ProblemCode.stale_term, f"term is {self.term}")
+        self._change(Role.primary, term, self.log.position())
+
+    def follow(self, term: int, page: LogPage) -> None:
+        """Becomes a replica of ``term`` and drops what its primary does not have."""
+        self.end_write_transactions()
+        if page.common < self.log.position():
+            self.truncate(page.common)
+        self._change(Role.replica, term, page.term_start)
+
+    def truncate(self, position: int) -> None:
+        """Drops the entries after ``position``; every session is closed."""
+        for session in list(self.sessions):
+            session.abort()
+        del self.log.entries[position:]
+        self.database.rebuild(self.log.entries)
+
+    def end_write_transactions(self) -> None:
+        """Rolls back the transactions that may write."""
+        for session in list(self.sessions):
+            if session.holds_writer:
+                session.roll_back()
+
+    def page_after(self, pull: PullLog) -> LogPage:
+        """Answers a replica's pull."""
+        common = self.log.common_prefix(pull.runs)
+        return LogPage(
+            term=self.term,
+            term_start=self.term_start,
+            is_primary=self.role is Role.primary,
+            common=common,
+            entries=self.log.after(common, PAGE_LIMIT),
+        )
+
+    def _change(self, role: Role, term: int, term_start: int) -> None:
+        self.role = role
+        self.term = term
+        self.term_start = term_start
+        self.database.keep_meta(
+            {"role": str(role), "term": term, "term_start": term_start}
+        )
