--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,303 @@
+"""Starts a whole deployment as processes on loopback and causes its faults."""
+
+import contextlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+from godwitwheel.wire.client import Client
+from godwitwheel.wire.errors import WireError
+from godwitwheel.wire.target import Role, TargetStatus
+from tests.common.processes import (
+    free_address,
+    process_environment,
+    wait_until,
+)
+
+from .command_lines import CommandLines, Member, data_folder, joined_addresses
+from .links import SetLinks
+from .processes import ManagedProcess
+from .standin.interface import CountersReply, Query, QueryReply, SetLag
+from .topology import Topology
+
+CALL_TIMEOUT_S = 2.0
+READY_LIMIT_S = 30.0
+PUBLISH_TIMEOUT_S = 20.0
+
+
+class Deployment:
+    """Control members, proxies and stand-in targets of one topology.
+
+    :ivar members: every process by its id.
+    :ivar folder: logs, data and output of all processes.
+    :ivar with_relay: whether processes meet through the relay.
+    """
+
+    __slots__ = (
+        "topology",
+        "folder",
+        "with_relay",
+        "members",
+        "relay",
+        "client",
+        "relay_control",
+        "cuts",
+        "lag_ms",
+        "keep_folder",
+    )
+
+    def __init__(
+        self,
+        topology: Topology,
+        with_relay: bool = False,
+        lag_ms: int = 0,
+        folder: Path | None = None,
+    ):
+        self.topology = topology
+        self.with_relay = with_relay
+        self.lag_ms = lag_ms
+        self.keep_folder = folder is not None
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="godwitwheel-bench-"))
+        self.members: dict[str, Member] = {}
+        self.relay: ManagedProcess | None = None
+        self.relay_control = ""
+        self.cuts: list[tuple[str, str]] = []
+        self.client = Client()
+
+    def __enter__(self) -> "Deployment":
+        self.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            self._declare()
+            self._start_all()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.stop()
+        if not self.keep_folder:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def stop(self) -> None:
+        """Ends every process that this deployment started."""
+        self.client.__exit__(None, None, None)
+        for member in self.members.values():
+            member.process.kill()
+        if self.relay is not None:
+            self.relay.kill()
+
+    # What there is.
+
+    def of_kind(self, kind: str) -> list[Member]:
+        """Returns the members of a kind: ``control``, ``proxy`` or ``target``."""
+        return [member for member in self.members.values() if member.kind == kind]
+
+    def proxy_addresses(self) -> list[str]:
+        """Returns where callers reach the proxies."""
+        return [member.listen for member in self.of_kind("proxy")]
+
+    def targets_of(self, group: str) -> list[str]:
+        """Returns the ids of a group's targets."""
+        return [name for name, m in self.members.items() if m.group == group]
+
+    def inside(self, data_centre: str) -> list[str]:
+        """Returns the ids of a data centre's processes."""
+        found = self.members.items()
+        return [name for name, member in found if member.data_centre == data_centre]
+
+    def log_files(self) -> list[Path]:
+        """Returns the event logs of all processes."""
+        return sorted(self.folder.glob("*.log"))
+
+    # What is seen from outside.
+
+    def status(self, target_id: str) -> TargetStatus | None:
+        """Returns what a target says of itself, or ``None`` if it does not answer."""
+        address = self.members[target_id].listen
+        with contextlib.suppress(WireError):
+            return self.client.call(
+                address, "/v1/status", None, TargetStatus, CALL_TIMEOUT_S
+            )
+        return None
+
+    def primary_of(self, group: str) -> str:
+        """Returns the running target that leads a group's highest term, or empty."""
+        found = []
+        for target_id in self.targets_of(group):
+            if not self.members[target_id].process.is_running():
+                continue
+            status = self.status(target_id)
+            if status is not None and status.role is Role.primary and status.term:
+                found.append((status.term, target_id))
+        return max(found)[1] if found else ""
+
+    def counters(self, target_id: str) -> CountersReply:
+        """Returns what a target has counted."""
+        address = self.members[target_id].listen
+        path = "/bench/counters"
+        return self.client.call(address, path, None, CountersReply, CALL_TIMEOUT_S)
+
+    def query(self, target_id: str, sql: str) -> list[list]:
+        """Reads a target's store directly."""
+        address = self.members[target_id].listen
+        reply = self.client.call(address, "/bench/query", Query(sql), QueryReply, 10.0)
+        return reply.rows
+
+    def is_ready(self, proxy_id: str) -> bool:
+        """Whether a proxy says that it is ready for callers."""
+        url = f"http://{self.members[proxy_id].listen}/readyz"
+        try:
+            with urllib.request.urlopen(url, timeout=CALL_TIMEOUT_S) as reply:
+                return reply.status == 200
+        except (urllib.error.URLError, OSError):
+            return False
+
+    # Faults.
+
+    def kill(self, process_id: str) -> None:
+        """Ends a process at once."""
+        self.members[process_id].process.kill()
+
+    def freeze(self, process_id: str) -> None:
+        """Stops a process without ending it."""
+        self.members[process_id].process.freeze()
+
+    def resume(self, process_id: str) -> None:
+        """Lets a frozen process go on."""
+        self.members[process_id].process.resume()
+
+    def terminate(self, process_id: str) -> None:
+        """Asks a process to stop."""
+        self.members[process_id].process.terminate()
+
+    def restart(self, process_id: str, lose_disk: bool = False) -> None:
+        """Starts a killed process again, on its disk or on an empty one."""
+        member = self.members[process_id]
+        if lose_disk:
+            shutil.rmtree(data_folder(self.folder, process_id), ignore_errors=True)
+        member.process.start()
+
+    def set_lag(self, target_id: str, lag_ms: int) -> None:
+        """Sets how far a replica stays behind."""
+        address = self.members[target_id].listen
+        message = SetLag(lag_ms)
+        self.client.call(address, "/bench/lag", message, TargetStatus, CALL_TIMEOUT_S)
+
+    def leave(self, target_id: str) -> None:
+        """Lets a target announce that it is leaving."""
+        address = self.members[target_id].listen
+        self.client.call(address, "/bench/leave", {}, TargetStatus, CALL_TIMEOUT_S)
+
+    def cut_off(self, inside: list[str]) -> None:
+        """Cuts the links between ``inside`` and all other processes."""
+        outside = [name for name in self.members if name not in inside]
+        self.cuts = [(one, other) for one in inside for other in outside]
+        self._set_links()
+
+    def cut(self, pairs: list[tuple[str, str]]) -> None:
+        """Cuts exactly these links."""
+        self.cuts = pairs
+        self._set_links()
+
+    def heal(self) -> None:
+        """Restores every link."""
+        self.cut([])
+
+    # Starting.
+
+    def _declare(self) -> None:
+        topology = self.topology
+        for index in range(3):
+            self._add(f"control-{index + 1}", "control", topology.data_centre(index))
+        for index in range(topology.proxies):
+            self._add(f"proxy-{index + 1}", "proxy", topology.data_centre(index))
+        for offset, group in enumerate(topology.groups):
+            for index in range(topology.targets_per_group):
+                data_centre = topology.data_centre(offset + index)
+                self._add(f"{group}-{index + 1}", "target", data_centre, group)
+        lines = CommandLines(self.topology, self.members, self.folder, self.lag_ms)
+        for member in self.members.values():
+            member.process.arguments += lines.arguments(member)
+
+    def _add(
+        self, process_id: str, kind: str, data_centre: str, group: str = ""
+    ) -> None:
+        module = "bench.target" if kind == "target" else "godwitwheel"
+        number = len(self.members) + 1
+        source_ip = f"127.0.1.{number}" if self.with_relay else ""
+        output = self.folder / f"{process_id}.out"
+        process = ManagedProcess(process_id, module, [], output, source_ip)
+        listen = free_address()
+        advertise = free_address() if self.with_relay else listen
+        self.members[process_id] = Member(
+            process, kind, data_centre, group, listen, advertise
+        )
+
+    def _start_all(self) -> None:
+        if self.with_relay:
+            self._start_relay()
+        for member in self.members.values():
+            member.process.start()
+        self.publish(self.topology.services)
+        proxies = [member.process.process_id for member in self.of_kind("proxy")]
+        for proxy_id in proxies:
+            what = f"{proxy_id} is ready ({self.folder})"
+            wait_until(lambda name=proxy_id: self.is_ready(name), what, READY_LIMIT_S)
+        for group in self.topology.groups:
+            what = f"{group} has a primary ({self.folder})"
+            wait_until(lambda name=group: self.primary_of(name), what, READY_LIMIT_S)
+
+    def _start_relay(self) -> None:
+        self.relay_control = free_address()
+        arguments = ["--control", self.relay_control]
+        for process_id, member in self.members.items():
+            link = f"{process_id}={member.advertise}={member.listen}"
+            source = f"{member.process.source_ip}={process_id}"
+            arguments += ["--link", link, "--source", source]
+        output = self.folder / "relay.out"
+        self.relay = ManagedProcess("relay", "bench.relay", arguments, output)
+        self.relay.start()
+        wait_until(self._try_set_links, "the relay answers")
+
+    def _try_set_links(self) -> bool:
+        try:
+            self._set_links()
+        except WireError:
+            return False
+        return True
+
+    def _set_links(self) -> None:
+        links = SetLinks(self.cuts, self._latencies())
+        self.client.call(self.relay_control, "/links", links, dict, CALL_TIMEOUT_S)
+
+    def _latencies(self) -> list[tuple[str, str, float]]:
+        found = []
+        names = list(self.members)
+        for index, one in enumerate(names):
+            for other in names[index + 1 :]:
+                apart = self.members[one].data_centre != self.members[other].data_centre
+                if apart and self.topology.between_ms:
+                    found.append((one, other, self.topology.between_ms))
+        return found
+
+    def publish(self, folder: Path) -> None:
+        """Publishes a folder of service files, and again until it is accepted."""
+        wait_until(lambda: self._try_publish(folder), "the publish is accepted")
+
+    def _try_publish(self, folder: Path) -> bool:
+        command = [sys.executable, "-m", "godwitwheel", "publish"]
+        command += ["--control", joined_addresses(self.of_kind("control")), str(folder)]
+        finished = subprocess.run(
+            command,
+            env=process_environment(),
+            capture_output=True,
+            timeout=PUBLISH_TIMEOUT_S,
+        )
+        with (self.folder / "publish.out").open("ab") as output:
+            output.write(finished.stdout + finished.stderr)
+        return finished.returncode == 0
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,121 @@
+"""A TCP relay between the processes of a deployment, with switchable links.
+
+One process relays for all: each destination has a listener here, and the source
+address of a connection tells which process opened it. A cut link keeps its
+connections and their bytes back, as a network partition does, and lets them go
+on when it is healed.
+"""
+
+from godwitwheel.internal.loop import patch_standard_library
+
+patch_standard_library()
+
+import argparse  # noqa: E402
+import contextlib  # noqa: E402
+import socket  # noqa: E402
+import sys  # noqa: E402
+import traceback  # noqa: E402
+
+import eventlet  # noqa: E402
+
+from godwitwheel.internal.loop import Event, spawn  # noqa: E402
+from godwitwheel.internal.validation import split_address  # noqa: E402
+from godwitwheel.wire.codec import decode  # noqa: E402
+from godwitwheel.wire.server import Request, Response, Server  # noqa: E402
+
+from .links import Links, SetLinks  # noqa: E402
+
+CALLER = "caller"
+CHUNK_BYTES = 64 * 1024
+
+
+class Relay:
+    """Listens for one destination."""
+
+    __slots__ = ("destination_id", "destination", "sources", "links")
+
+    def __init__(
+        self,
+        destination_id: str,
+        destination: str,
+        sources: dict[str, str],
+        links: Links,
+    ):
+        self.destination_id = destination_id
+        self.destination = destination
+        self.sources = sources
+        self.links = links
+
+    def accept_forever(self, listener: socket.socket) -> None:
+        """Relays every connection in a task of its own."""
+        while True:
+            accepted, peer = listener.accept()
+            source = self.sources.get(peer[0], CALLER)
+            spawn(self._relay, accepted, frozenset((source, self.destination_id)))
+
+    def _relay(self, accepted: socket.socket, pair: frozenset[str]) -> None:
+        self.links.hold_back(pair)
+        try:
+            onward = eventlet.connect(split_address(self.destination))
+        except OSError:
+            _reset(accepted)
+            return
+        for end in (accepted, onward):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        spawn(self._pump, onward, accepted, pair)
+        self._pump(accepted, onward, pair)
+
+    def _pump(self, come: socket.socket, go: socket.socket, pair: frozenset) -> None:
+        try:
+            while chunk := come.recv(CHUNK_BYTES):
+                self.links.hold_back(pair)
+                go.sendall(chunk)
+            self.links.hold_back(pair)
+        except OSError:
+            self.links.hold_back(pair)
+        for end in (come, go):
+            _close(end)
+
+
+def _reset(end: socket.socket) -> None:
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    end.close()
+
+
+def _close(end: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        end.shutdown(socket.SHUT_RDWR)
+    end.close()
+
+
+def serve(options: argparse.Namespace) -> None:
+    """Relays until the process is ended."""
+    links = Links()
+    sources = dict(source.split("=") for source in options.source)
+    for link in options.link:
+        destination_id, listen, destination = link.split("=")
+        relay = Relay(destination_id, destination, sources, links)
+        spawn(relay.accept_forever, eventlet.listen(split_address(listen)))
+
+    def set_links(request: Request) -> Response:
+        links.replace(decode(request.body, SetLinks))
+        return Response({})
+
+    routes = {("POST", "/links"): set_links}
+    with Server(routes, traceback.print_exception).listening(options.control):
+        Event().wait()
+
+
+def main() -> int:
+    """Parses the command line and serves."""
+    parser = argparse.ArgumentParser(prog="bench.relay", description=__doc__)
+    parser.add_argument("--control", required=True, help="IP:PORT of its interface")
+    parser.add_argument("--link", action="append", help="ID=LISTEN=DESTINATION")
+    parser.add_argument("--source", action="append", help="IP=ID")
+    serve(parser.parse_args())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/standin/interface.py
+++ b/bench/standin/interface.py
@@ -1,7 +1,7 @@
 """The stand-in's HTTP interface: the target interface and the bench's own.
 
 The bench's own: ``POST /bench/log`` (replication), ``POST /bench/lag``,
-``POST /bench/leave``, ``GET /bench/counters``.
+``POST /bench/leave``, ``POST /bench/query``, ``GET /bench/counters``.
 """
 
 import time
@@ -38,6 +38,18 @@
     lag_ms: int
 
 
+class Query(msgspec.Struct, frozen=True):
+    """Reads the store directly, past sessions and slots."""
+
+    sql: str
+
+
+class QueryReply(msgspec.Struct, frozen=True):
+    """The rows of a query."""
+
+    rows: list[list]
+
+
 class CountersReply(msgspec.Struct, frozen=True):
     """What the target saw; see :class:`bench.standin.state.Counters`."""
 
@@ -88,6 +100,7 @@
             ("POST", "/bench/log"): self.read_log,
             ("POST", "/bench/lag"): self.set_lag,
             ("POST", "/bench/leave"): self.leave,
+            ("POST", "/bench/query"): self.query,
             ("GET", "/bench/counters"): self.show_counters,
         }
         return {route: _typed_refusals(handler) for route, handler in handlers.items()}
@@ -152,6 +165,11 @@
         self.state.lag_s = decode(request.body, SetLag).lag_ms / 1000
         return Response(self.state.status())
 
+    def query(self, request: Request) -> Response:
+        sql = decode(request.body, Query).sql
+        rows = self.state.database.connection.execute(sql).fetchall()
+        return Response(QueryReply([list(row) for row in rows]))
+
     def leave(self, request: Request) -> Response:
         self.start_leaving()
         return Response(self.state.status())
--- a/bench/standin/state.py
+++ b/bench/standin/state.py
@@ -113,6 +113,13 @@
         self.database.apply(entries)
         self.append(entries)
 
+    def create_schema(self, sql_script: str) -> None:
+        """Fills a new primary's empty store; the script is its first entry."""
+        if self.role is Role.primary and not self.log.position():
+            statements = [part.strip() for part in sql_script.split(";")]
+            entry = self.next_entry([(part, []) for part in statements if part])
+            self.apply([entry])
+
     def check_writable(self) -> None:
         """Refuses a write at a replica.
 
--- a/bench/target.py
+++ b/bench/target.py
@@ -38,6 +38,7 @@
     parser.add_argument("--role", type=Role, default=Role.replica)
     parser.add_argument("--follow", default="", help="address of the primary")
     parser.add_argument("--folder", default="", help="keeps the data over a restart")
+    parser.add_argument("--schema", default="", help="SQL file for a new primary")
     parser.add_argument("--lag-ms", type=int, default=0)
     parser.add_argument("--slots", type=int, default=2)
     parser.add_argument("--connection-cap", type=int, default=15)
@@ -67,11 +68,12 @@
     )
 
 
-def serve(settings: TargetSettings, leave_s: float) -> None:
+def serve(settings: TargetSettings, schema: str, leave_s: float) -> None:
     """Serves until SIGTERM, then announces for ``leave_s`` that it leaves."""
     stopping: list[int] = []
     signal.signal(signal.SIGTERM, lambda signum, frame: stopping.append(signum))
     state = TargetState(settings)
+    state.create_schema(schema)
     with contextlib.ExitStack() as stack:
         client = stack.enter_context(Client())
         replication = Replication(state, client)
@@ -96,7 +98,8 @@
     with contextlib.ExitStack() as stack:
         folder = options.folder or stack.enter_context(tempfile.TemporaryDirectory())
         Path(folder).mkdir(parents=True, exist_ok=True)
-        serve(settings_from(options, Path(folder)), options.leave_s)
+        schema = Path(options.schema).read_text() if options.schema else ""
+        serve(settings_from(options, Path(folder)), schema, options.leave_s)
     return 0
 
 
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -1,6 +1,7 @@
 """Starts and ends the processes of a test, and waits on conditions."""
 
 import os
+import random
 import socket
 import time
 from collections.abc import Callable
@@ -8,27 +9,52 @@
 
 WAIT_LIMIT_S = 30.0
 POLL_S = 0.02
+# Below the range from which the kernel takes ports of outgoing connections, so
+# that no connection takes a port between its choice and its use.
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+
+_random = random.SystemRandom()
+_given: set[int] = set()
 
 
 def free_port() -> int:
-    """Returns a port that was free a moment ago."""
+    """Returns a port that was free a moment ago and that it never gave before."""
+    while True:
+        port = _random.randint(LOWEST_PORT, HIGHEST_PORT)
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def free_address() -> str:
+    """Returns ``127.0.0.1`` with a free port."""
+    return f"127.0.0.1:{free_port()}"
 
 
-def wait_until(condition: Callable[[], object], what: str) -> object:
+def wait_until(
+    condition: Callable[[], object], what: str, limit_s: float = WAIT_LIMIT_S
+) -> object:
     """Waits until ``condition`` returns something true, and returns that.
 
-    :raises AssertionError: if it stays false for ``WAIT_LIMIT_S`` seconds.
+    :raises AssertionError: if it stays false for ``limit_s`` seconds.
     """
-    limit = time.monotonic() + WAIT_LIMIT_S
+    limit = time.monotonic() + limit_s
     while time.monotonic() < limit:
         result = condition()
         if result:
             return result
         time.sleep(POLL_S)
-    raise AssertionError(f"still waiting after {WAIT_LIMIT_S} s: {what}")
+    raise AssertionError(f"still waiting after {limit_s} s: {what}")
 
 
 def process_environment() -> dict[str, str]:
