--- a/src/godwitwheel/publish/service_file.py
+++ b/src/godwitwheel/publish/service_file.py
@@ -88,7 +88,14 @@
 
         :raises InvalidServiceFiles: naming every fault.
         """
-        content = self.convert("", self.load(), _File)
+        return self.check(self.load())
+
+    def check(self, raw: dict[str, Any]) -> Service:
+        """Checks the content of the file.
+
+        :raises InvalidServiceFiles: naming every fault.
+        """
+        content = self.convert("", raw, _File)
         service = None if content is None else self.build(content)
         if self.problems:
             raise InvalidServiceFiles(self.problems)
@@ -100,7 +107,8 @@
             return tomllib.loads(self.path.read_text("utf-8"))
         except OSError as error:
             problem = f"{self.path}: {error.strerror}"
-        except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
+        except (ValueError, RecursionError) as error:
+            # ValueError covers bad UTF-8, bad TOML and numbers of too many digits.
             problem = f"{self.path}: expected TOML in UTF-8: {error}"
         raise InvalidServiceFiles([problem])
 
--- a/tests/cover/test_publish.py
+++ b/tests/cover/test_publish.py
@@ -1,9 +1,10 @@
 """Bad service files publish nothing; a resend publishes nothing twice."""
 
+import contextlib
 from pathlib import Path
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from godwitwheel.publish import control_client
@@ -16,7 +17,7 @@
     PublishRefused,
 )
 from godwitwheel.publish.publisher import Publisher
-from godwitwheel.publish.service_file import read_service_file
+from godwitwheel.publish.service_file import ServiceFile, read_service_file
 from godwitwheel.wire.codec import encode
 from godwitwheel.wire.control import (
     ControlProblem,
@@ -104,6 +105,37 @@
     assert expected in problem
 
 
+TOKENS = (
+    "service key_retention defaults reads writes group max_staleness repeatable a "
+    "true 1s 9d kits '' 7 -1 1e999 1979-05-27 [] {} = , . [ ] { } \n \0"
+)
+WORDS = st.sampled_from(TOKENS.split())
+HOSTILE = st.lists(WORDS, max_size=40).map(lambda words: " ".join(words).encode())
+HOSTILE |= st.binary(max_size=60).map(lambda tail: VALID.encode() + tail)
+LEAVES = st.none() | st.integers() | st.text(max_size=5) | st.booleans() | st.floats()
+TABLES = st.recursive(
+    LEAVES, lambda inner: st.dictionaries(NAMES, inner, max_size=2), max_leaves=4
+)
+
+
+@given(HOSTILE)
+@example(b"service = " + b"9" * 5_000)
+@example(b"service = " + b"[" * 100_000)
+def test_hostile_files_are_refused_by_name(tmp_path_factory, content):
+    path = tmp_path_factory.mktemp("files") / "x.godwitwheel.toml"
+    path.write_bytes(content)
+    with contextlib.suppress(InvalidServiceFiles):
+        assert read_service_file(path).requests
+
+
+@given(st.sampled_from(["defaults", "reads", "writes"]), NAMES, TABLES)
+def test_hostile_tables_are_refused_by_name(table, name, content):
+    raw = {"service": "kit", "reads": {"a": {"group": "b"}}}
+    raw[table] = {**raw.get(table, {}), name: content}
+    with contextlib.suppress(InvalidServiceFiles):
+        assert ServiceFile(Path("x")).check(raw).requests
+
+
 def test_names_every_fault_of_a_set(tmp_path):
     inner = tmp_path / "inner"
     inner.mkdir()
