--- /dev/null
+++ b/src/godwitwheel/decisions/acknowledgement.py
@@ -0,0 +1,89 @@
+"""When a write may be acknowledged: the one rule, as one function."""
+
+import enum
+
+from ..blackboard import Lease
+from ..wire.control import GroupPhase, GroupView
+from .sessions import LogPoint
+
+
+class Verdict(enum.Enum):
+    """What to tell the caller of a write that a primary answered.
+
+    ``wait``: not every member of the acknowledgement set holds it yet.
+    """
+
+    acknowledge = "acknowledge"
+    wait = "wait"
+    lease_lost = "lease_lost"
+    primary_replaced = "primary_replaced"
+
+
+class AnsweredWrite:
+    """A write as the primary answered it.
+
+    :ivar dispatched_term: term of the view under which it was dispatched.
+    :ivar written: where the primary says that it is.
+    """
+
+    __slots__ = ("target_id", "dispatched_term", "written")
+
+    def __init__(self, target_id: str, dispatched_term: int, written: LogPoint):
+        self.target_id = target_id
+        self.dispatched_term = dispatched_term
+        self.written = written
+
+
+def judge_write(
+    write: AnsweredWrite,
+    view: GroupView,
+    lease: Lease,
+    positions: dict[str, LogPoint],
+    now: float,
+) -> Verdict:
+    """Decides whether a write may be acknowledged at ``now``.
+
+    :param view: the group's present view, not the one of the dispatch.
+    :param positions: where each target was last seen.
+    """
+    interruption = judge_authority(write.dispatched_term, view, lease, now)
+    if interruption is not None:
+        return interruption
+    if write.written.term != write.dispatched_term:
+        return Verdict.primary_replaced
+    if missing_holders(write, view, positions):
+        return Verdict.wait
+    return Verdict.acknowledge
+
+
+def judge_authority(
+    dispatched_term: int, view: GroupView, lease: Lease, now: float
+) -> Verdict | None:
+    """Returns why nothing of ``dispatched_term`` may be acknowledged any more.
+
+    :returns: ``None`` while it may.
+    """
+    if view.term != dispatched_term or view.phase is not GroupPhase.serving:
+        return Verdict.primary_replaced
+    if not lease.is_valid(now):
+        return Verdict.lease_lost
+    return None
+
+
+def missing_holders(
+    write: AnsweredWrite, view: GroupView, positions: dict[str, LogPoint]
+) -> list[str]:
+    """Returns the members of the acknowledgement set not yet seen to hold it."""
+    return [
+        target_id
+        for target_id in view.ack_set
+        if target_id != write.target_id
+        and not _holds(positions.get(target_id), write.written)
+    ]
+
+
+def _holds(seen: LogPoint | None, written: LogPoint) -> bool:
+    # Positions of another term index another history.
+    if seen is None or seen.term != written.term:
+        return False
+    return seen.position >= written.position
--- /dev/null
+++ b/src/godwitwheel/decisions/admission.py
@@ -0,0 +1,314 @@
+"""Admits work to one target: adaptive concurrency and short, fair queues."""
+
+import enum
+from collections import deque
+
+from ..internal.sentinel import Refusal
+from ..wire.service import Access
+
+MAX_QUEUE_WAIT_S = 0.5
+MAX_QUEUE_SHARE_OF_DEADLINE = 0.5
+MAX_QUEUED = 512
+MIN_RETRY_AFTER_S = 0.01
+FIRST_HOLD_S = 0.005
+HOLD_SMOOTHING = 0.1
+LATENCY_SMOOTHING = 0.1
+CONGESTED_RATIO = 2.0
+CONGESTED_SLACK_S = 0.005
+LIMIT_DECREASE = 0.9
+BASELINE_WINDOW = 500
+WRITE_RESERVE_SHARE = 0.25
+
+
+class AdmissionProblem(enum.Enum):
+    """Why work is not admitted."""
+
+    queue_full = "queue_full"
+    too_late = "too_late"
+    displaced = "displaced"
+
+
+class TicketState(enum.Enum):
+    """Where a piece of work stands."""
+
+    offered = "offered"
+    queued = "queued"
+    admitted = "admitted"
+    refused = "refused"
+    ended = "ended"
+
+
+class Ticket:
+    """One piece of work at one target.
+
+    :ivar deadline: when its caller stops waiting, in seconds of the clock.
+    :ivar give_up_at: when it leaves the queue, in seconds of the clock.
+    :ivar admitted_at: when it began to hold a connection.
+    :ivar refusal: why it was refused.
+    """
+
+    __slots__ = (
+        "service",
+        "access",
+        "deadline",
+        "give_up_at",
+        "admitted_at",
+        "state",
+        "refusal",
+    )
+
+    def __init__(self, service: str, access: Access, deadline: float):
+        self.service = service
+        self.access = access
+        self.deadline = deadline
+        self.give_up_at = deadline
+        self.admitted_at = 0.0
+        self.state = TicketState.offered
+        self.refusal: Refusal | None = None
+
+
+class FairQueue:
+    """One queue for each service, served in turn."""
+
+    __slots__ = ("by_service", "length")
+
+    def __init__(self):
+        self.by_service: dict[str, deque[Ticket]] = {}
+        self.length = 0
+
+    def push(self, ticket: Ticket) -> None:
+        """Adds a ticket at the end of its service's queue."""
+        self.by_service.setdefault(ticket.service, deque()).append(ticket)
+        self.length += 1
+
+    def pop(self) -> Ticket | None:
+        """Takes the first ticket of the service whose turn it is."""
+        if not self.length:
+            return None
+        service = next(iter(self.by_service))
+        waiting = self.by_service.pop(service)
+        ticket = waiting.popleft()
+        self.length -= 1
+        if waiting:
+            # Put back at the end: the next service has its turn first.
+            self.by_service[service] = waiting
+        return ticket
+
+    def remove(self, ticket: Ticket) -> None:
+        """Takes a ticket out of the middle."""
+        waiting = self.by_service[ticket.service]
+        waiting.remove(ticket)
+        self.length -= 1
+        if not waiting:
+            del self.by_service[ticket.service]
+
+    def ahead_of(self, service: str) -> int:
+        """Returns how many tickets are served before a new one of a service."""
+        own = len(self.by_service.get(service, ()))
+        return sum(min(len(other), own + 1) for other in self.by_service.values())
+
+    def last_of_longest(self, service: str) -> Ticket | None:
+        """Returns the ticket that a new one of ``service`` may displace."""
+        if not self.length:
+            return None
+        longest = max(self.by_service.values(), key=len)
+        own = len(self.by_service.get(service, ()))
+        return longest[-1] if len(longest) > own + 1 else None
+
+
+class TargetGate:
+    """Decides how much of this proxy's work a target gets at once.
+
+    The limit grows while the target answers about as fast as it does when idle,
+    and shrinks when answers take longer. Work that would wait too long to be of
+    use is refused when it is offered, so that what is run is also in time.
+
+    :ivar quota: connections that this proxy may hold.
+    :ivar limit: statements that the target takes without growing slower.
+    :ivar serves_writes: whether connections are reserved for writes.
+    :ivar hold_s: smoothed time for which work holds a connection, in seconds.
+    """
+
+    __slots__ = (
+        "quota",
+        "limit",
+        "serves_writes",
+        "running",
+        "queues",
+        "hold_s",
+        "latency_s",
+        "baseline_s",
+        "next_baseline_s",
+        "samples_in_window",
+        "samples_since_decrease",
+    )
+
+    def __init__(self, quota: int = 0):
+        self.quota = quota
+        self.limit = float(max(quota, 1))
+        self.serves_writes = False
+        self.running = {Access.read: 0, Access.write: 0}
+        self.queues = {Access.read: FairQueue(), Access.write: FairQueue()}
+        self.hold_s = FIRST_HOLD_S
+        self.latency_s = 0.0
+        self.baseline_s = float("inf")
+        self.next_baseline_s = float("inf")
+        self.samples_in_window = 0
+        self.samples_since_decrease = 0
+
+    def set_quota(self, quota: int) -> None:
+        """Takes a new quota; call :meth:`admit_waiting` afterwards."""
+        if quota > self.quota:
+            self.limit = max(self.limit, float(quota))
+        self.quota = quota
+        self.limit = max(1.0, min(self.limit, float(quota)))
+
+    def capacity(self) -> int:
+        """Returns how much work may run at once."""
+        return min(self.quota, int(self.limit))
+
+    def busy(self) -> int:
+        """Returns how much work runs now."""
+        return self.running[Access.read] + self.running[Access.write]
+
+    def load(self) -> float:
+        """Returns the work in hand, in units of what may run at once."""
+        queued = sum(queue.length for queue in self.queues.values())
+        return (self.busy() + queued) / max(self.capacity(), 1)
+
+    def demand(self) -> int:
+        """Returns how many connections could be used now."""
+        return self.busy() + sum(queue.length for queue in self.queues.values())
+
+    def has_room(self, access: Access) -> bool:
+        """Whether one more piece of work may run."""
+        capacity = self.capacity()
+        if self.busy() >= capacity:
+            return False
+        if access is Access.write or not self.serves_writes:
+            return True
+        return self.running[Access.read] < capacity - self.write_reserve()
+
+    def write_reserve(self) -> int:
+        """Returns the connections that reads leave free."""
+        capacity = self.capacity()
+        if capacity < 2:
+            return 0
+        return max(1, int(capacity * WRITE_RESERVE_SHARE))
+
+    def offer(self, ticket: Ticket, now: float) -> list[Ticket]:
+        """Admits, queues or refuses a ticket; its state says which.
+
+        :returns: queued tickets that were refused to make room.
+        """
+        queue = self.queues[ticket.access]
+        if not queue.length and self.has_room(ticket.access):
+            self._admit(ticket, now)
+            return []
+        displaced = []
+        wait_s = self.expected_wait_s(ticket)
+        longest_s = self._longest_wait_s(ticket, now)
+        if wait_s > longest_s:
+            self._refuse(ticket, AdmissionProblem.too_late)
+            return []
+        if queue.length >= MAX_QUEUED:
+            victim = queue.last_of_longest(ticket.service)
+            if victim is None:
+                self._refuse(ticket, AdmissionProblem.queue_full)
+                return []
+            queue.remove(victim)
+            self._refuse(victim, AdmissionProblem.displaced)
+            displaced.append(victim)
+        ticket.give_up_at = now + longest_s
+        ticket.state = TicketState.queued
+        queue.push(ticket)
+        return displaced
+
+    def expected_wait_s(self, ticket: Ticket) -> float:
+        """Returns how long a new ticket would wait, in seconds."""
+        ahead = self.queues[ticket.access].ahead_of(ticket.service)
+        if ticket.access is Access.read:
+            ahead += self.queues[Access.write].length
+        return (ahead + 1) * self.hold_s / max(self.capacity(), 1)
+
+    def retry_after_s(self) -> float:
+        """Returns when refused work may come back, in seconds."""
+        queued = sum(queue.length for queue in self.queues.values())
+        wait_s = (queued + 1) * self.hold_s / max(self.capacity(), 1)
+        return max(wait_s, MIN_RETRY_AFTER_S)
+
+    def _longest_wait_s(self, ticket: Ticket, now: float) -> float:
+        remaining_s = ticket.deadline - now - self.hold_s
+        return min(MAX_QUEUE_WAIT_S, remaining_s * MAX_QUEUE_SHARE_OF_DEADLINE)
+
+    def admit_waiting(self, now: float) -> list[Ticket]:
+        """Admits what has room, writes first.
+
+        :returns: the tickets that were admitted or, being too late, refused.
+        """
+        changed = []
+        for access in (Access.write, Access.read):
+            queue = self.queues[access]
+            while queue.length and self.has_room(access):
+                ticket = queue.pop()
+                if now < ticket.give_up_at:
+                    self._admit(ticket, now)
+                else:
+                    self._refuse(ticket, AdmissionProblem.too_late)
+                changed.append(ticket)
+        return changed
+
+    def abandon(self, ticket: Ticket) -> None:
+        """Takes a ticket back that is still queued."""
+        if ticket.state is TicketState.queued:
+            self.queues[ticket.access].remove(ticket)
+            self._refuse(ticket, AdmissionProblem.too_late)
+
+    def leave(self, ticket: Ticket, now: float) -> None:
+        """Ends admitted work; call :meth:`admit_waiting` afterwards."""
+        if ticket.state is not TicketState.admitted:
+            return
+        ticket.state = TicketState.ended
+        self.running[ticket.access] -= 1
+        held_s = now - ticket.admitted_at
+        self.hold_s += HOLD_SMOOTHING * (held_s - self.hold_s)
+
+    def record_latency(self, latency_s: float) -> None:
+        """Adapts the limit to the time that one statement took, in seconds."""
+        self._update_baseline(latency_s)
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+        self.latency_s += LATENCY_SMOOTHING * (latency_s - self.latency_s)
+        self.samples_since_decrease += 1
+        if self.latency_s > self.baseline_s * CONGESTED_RATIO + CONGESTED_SLACK_S:
+            self._decrease()
+        elif self.busy() >= self.capacity():
+            self.limit = min(self.limit + 1.0 / self.limit, float(self.quota))
+
+    def record_timeout(self) -> None:
+        """Counts a statement that was not answered."""
+        self._decrease()
+
+    def _decrease(self) -> None:
+        # Answers to work begun before the last decrease say nothing about it.
+        if self.samples_since_decrease >= self.limit:
+            self.samples_since_decrease = 0
+            self.limit = max(1.0, self.limit * LIMIT_DECREASE)
+
+    def _update_baseline(self, latency_s: float) -> None:
+        self.baseline_s = min(self.baseline_s, latency_s)
+        self.next_baseline_s = min(self.next_baseline_s, latency_s)
+        self.samples_in_window += 1
+        if self.samples_in_window >= BASELINE_WINDOW:
+            self.baseline_s = self.next_baseline_s
+            self.next_baseline_s = float("inf")
+            self.samples_in_window = 0
+
+    def _admit(self, ticket: Ticket, now: float) -> None:
+        ticket.state = TicketState.admitted
+        ticket.admitted_at = now
+        self.running[ticket.access] += 1
+
+    def _refuse(self, ticket: Ticket, problem: AdmissionProblem) -> None:
+        ticket.state = TicketState.refused
+        ticket.refusal = Refusal(problem)
--- /dev/null
+++ b/src/godwitwheel/decisions/routing.py
@@ -0,0 +1,191 @@
+"""Chooses the target of a read or a write."""
+
+import enum
+import random
+from collections.abc import Callable, Iterable
+
+from ..blackboard import Blackboard, TargetState
+from ..internal.sentinel import Refusal
+from ..wire.control import GroupPhase, GroupView
+from .sessions import LogPoint, Session, covers
+from .staleness import staleness_s
+
+
+class RouteProblem(enum.Enum):
+    """Why no target is eligible."""
+
+    unknown_group = "unknown_group"
+    no_lease = "no_lease"
+    no_primary = "no_primary"
+    no_fresh_replica = "no_fresh_replica"
+
+
+class ReadNeeds:
+    """What a read asks of its target.
+
+    :ivar floor: acknowledged write that it must see; ``None`` if there is none.
+    :ivar is_floor_known: ``False`` if the caller may have written what no token
+        tells.
+    :ivar max_staleness_s: oldest data that it may show, in seconds.
+    """
+
+    __slots__ = ("group", "floor", "is_floor_known", "max_staleness_s")
+
+    def __init__(
+        self,
+        group: str,
+        floor: LogPoint | None,
+        is_floor_known: bool,
+        max_staleness_s: float,
+    ):
+        self.group = group
+        self.floor = floor
+        self.is_floor_known = is_floor_known
+        self.max_staleness_s = max_staleness_s
+
+
+def read_needs(group: str, session: Session | None, max_staleness_ms: int) -> ReadNeeds:
+    """Derives a read's needs.
+
+    :param session: the caller's session; ``None`` if it sent no token.
+    """
+    floor = None if session is None else session.get(group)
+    return ReadNeeds(group, floor, session is not None, max_staleness_ms / 1000.0)
+
+
+def eligible_for_read(
+    needs: ReadNeeds, blackboard: Blackboard, now: float
+) -> list[str] | Refusal:
+    """Returns the targets that may serve a read, or why there is none.
+
+    The primary comes last in use: it is offered only if no replica is eligible,
+    which keeps its connections for writes.
+    """
+    view = blackboard.view.groups.get(needs.group)
+    if view is None:
+        return Refusal(RouteProblem.unknown_group, needs.group)
+    replicas = eligible_replicas(needs, blackboard, view, now)
+    if replicas:
+        return replicas
+    primary = route_write(needs.group, blackboard, now)
+    if primary:
+        return [primary]
+    if primary.reason is RouteProblem.no_lease and needs.is_floor_known:
+        return Refusal(RouteProblem.no_fresh_replica, needs.group)
+    return primary
+
+
+def eligible_replicas(
+    needs: ReadNeeds, blackboard: Blackboard, view: GroupView, now: float
+) -> list[str]:
+    """Returns the targets that may serve a read without being asked as primary.
+
+    Without a lease the primary counts as a replica: another may have taken its
+    place.
+    """
+    is_leased = blackboard.lease.is_valid(now)
+    eligible = []
+    for target_id, record in blackboard.view.targets.items():
+        if record.group != view.group or record.leaving:
+            continue
+        if is_leased and is_serving_primary(target_id, view):
+            continue
+        state = blackboard.targets.get(target_id)
+        if state is None or state.status is None or state.status.leaving:
+            continue
+        if is_leased and target_id in view.promotable:
+            fits = _promotable_fits(needs, view, state, blackboard, now)
+        else:
+            fits = _replica_fits(needs, view, state, blackboard, now)
+        if fits:
+            eligible.append(target_id)
+    return eligible
+
+
+def _promotable_fits(
+    needs: ReadNeeds,
+    view: GroupView,
+    state: TargetState,
+    blackboard: Blackboard,
+    now: float,
+) -> bool:
+    """Such a target holds every acknowledged write, with or without a token."""
+    if view.phase is GroupPhase.fenced:
+        # No proxy can acknowledge a write that this target lacks, so its data is
+        # as new as any until the next primary serves.
+        return True
+    return _is_fresh(needs, state, blackboard, now)
+
+
+def _replica_fits(
+    needs: ReadNeeds,
+    view: GroupView,
+    state: TargetState,
+    blackboard: Blackboard,
+    now: float,
+) -> bool:
+    if not needs.is_floor_known or state.status.term != view.term:
+        return False
+    if needs.floor is not None and not covers(seen_point(state), needs.floor, view):
+        return False
+    return _is_fresh(needs, state, blackboard, now)
+
+
+def _is_fresh(
+    needs: ReadNeeds, state: TargetState, blackboard: Blackboard, now: float
+) -> bool:
+    if needs.max_staleness_s <= 0:
+        return False
+    samples = blackboard.samples.get(needs.group, ())
+    age_s = staleness_s(seen_point(state), samples, now)
+    return age_s <= needs.max_staleness_s
+
+
+def is_serving_primary(target_id: str, view: GroupView) -> bool:
+    """Whether the view lets the target take writes."""
+    return target_id == view.primary and view.phase is GroupPhase.serving
+
+
+def seen_point(state: TargetState) -> LogPoint:
+    """Returns where the target was last seen."""
+    return LogPoint(state.status.term, state.status.position)
+
+
+def reply_covers(needs: ReadNeeds, seen: LogPoint, view: GroupView) -> bool:
+    """Whether the reply itself shows the caller's own writes."""
+    return needs.floor is None or covers(seen, needs.floor, view)
+
+
+def route_write(group: str, blackboard: Blackboard, now: float) -> str | Refusal:
+    """Returns the primary that may be sent a write, or why there is none."""
+    view = blackboard.view.groups.get(group)
+    if view is None:
+        return Refusal(RouteProblem.unknown_group, group)
+    if not blackboard.lease.is_valid(now):
+        return Refusal(RouteProblem.no_lease, group)
+    if view.phase is not GroupPhase.serving or not view.primary:
+        return Refusal(RouteProblem.no_primary, group)
+    if view.primary not in blackboard.view.targets:
+        return Refusal(RouteProblem.no_primary, f"{view.primary} is not known")
+    return view.primary
+
+
+def least_loaded_of_two(
+    eligible: Iterable[str],
+    load: Callable[[str], float],
+    is_near: Callable[[str], bool],
+    rng: random.Random,
+) -> str:
+    """Chooses the less loaded of two random targets.
+
+    Comparing all would send every proxy to the same target at once.
+
+    :param load: work in hand at a target.
+    :param is_near: whether a target is in the proxy's data centre; it decides
+        between equal loads.
+    """
+    choices = list(eligible)
+    if len(choices) > 2:
+        choices = rng.sample(choices, 2)
+    rng.shuffle(choices)
+    return min(choices, key=lambda target_id: (load(target_id), not is_near(target_id)))
--- /dev/null
+++ b/src/godwitwheel/decisions/sessions.py
@@ -0,0 +1,147 @@
+"""Session tokens: what a caller has written, as it carries it between proxies."""
+
+import base64
+import binascii
+import enum
+import hashlib
+import hmac
+
+import msgspec
+
+from ..internal.sentinel import Refusal
+from ..wire.codec import decode, encode
+from ..wire.control import GroupView
+from ..wire.errors import BadMessage
+
+TOKEN_VERSION = "1"
+SIGNATURE_BYTES = 16
+MAX_TOKEN_CHARACTERS = 8192
+
+
+class TokenProblem(enum.Enum):
+    """Why a token can't be used."""
+
+    malformed = "malformed"
+    forged = "forged"
+
+
+class LogPoint:
+    """A position in one term's history of a group."""
+
+    __slots__ = ("term", "position")
+
+    def __init__(self, term: int, position: int):
+        self.term = term
+        self.position = position
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, LogPoint):
+            return NotImplemented
+        return (self.term, self.position) == (other.term, other.position)
+
+    def __hash__(self) -> int:
+        return hash((self.term, self.position))
+
+    def __repr__(self) -> str:
+        return f"LogPoint({self.term}, {self.position})"
+
+
+Session = dict[str, LogPoint]
+"""The highest acknowledged write of a caller, by group."""
+
+
+class _TokenBody(msgspec.Struct, array_like=True):
+    points: dict[str, tuple[int, int]]
+
+
+def encode_token(session: Session, token_key: str) -> str:
+    """Encodes and signs a session.
+
+    :param token_key: hexadecimal key of the view.
+    """
+    points = {name: (at.term, at.position) for name, at in session.items()}
+    body = encode(_TokenBody(points))
+    return ".".join((TOKEN_VERSION, _text(body), _text(_sign(body, token_key))))
+
+
+def decode_token(token: str, token_key: str) -> Session | Refusal:
+    """Checks and decodes a token.
+
+    :returns: the session, or a :class:`Refusal` with a :class:`TokenProblem`.
+    """
+    parts = token.split(".")
+    if len(token) > MAX_TOKEN_CHARACTERS or len(parts) != 3:
+        return Refusal(TokenProblem.malformed, "expected three parts")
+    if parts[0] != TOKEN_VERSION:
+        return Refusal(TokenProblem.malformed, f"version {parts[0][:8]!r}")
+    try:
+        body = _bytes(parts[1])
+        signature = _bytes(parts[2])
+    except (binascii.Error, ValueError):
+        return Refusal(TokenProblem.malformed, "not base64url")
+    if not hmac.compare_digest(signature, _sign(body, token_key)):
+        return Refusal(TokenProblem.forged, "the signature does not match")
+    try:
+        points = decode(body, _TokenBody).points
+    except BadMessage as error:
+        return Refusal(TokenProblem.malformed, str(error))
+    return {name: LogPoint(*point) for name, point in points.items()}
+
+
+def covers(seen: LogPoint, floor: LogPoint, view: GroupView) -> bool:
+    """Whether a history up to ``seen`` holds the acknowledged write at ``floor``.
+
+    A later term's history begins with every acknowledged write of the terms
+    before it, so any position from the start of that later term on is enough.
+    """
+    if seen.term < floor.term:
+        return False
+    if seen.position >= floor.position:
+        return True
+    if seen.term == floor.term:
+        return False
+    next_start = start_of_term_after(floor.term, view)
+    return next_start is not None and seen.position >= next_start
+
+
+def start_of_term_after(term: int, view: GroupView) -> int | None:
+    """Returns where the first term after ``term`` began, if the view knows it."""
+    if view.term <= term:
+        return None
+    later = [known for known in view.previous if known > term]
+    if not later:
+        return view.term_start
+    return view.previous[min(later)]
+
+
+def record_write(session: Session, group: str, written: LogPoint) -> Session:
+    """Returns the session with an acknowledged write added."""
+    before = session.get(group)
+    if before is not None and not _is_later(written, before):
+        return session
+    return {**session, group: written}
+
+
+def merge_sessions(session: Session, other: Session) -> Session:
+    """Returns a session that covers both."""
+    for group, point in other.items():
+        session = record_write(session, group, point)
+    return session
+
+
+def _is_later(point: LogPoint, other: LogPoint) -> bool:
+    return (point.term, point.position) > (other.term, other.position)
+
+
+def _sign(body: bytes, token_key: str) -> bytes:
+    key = bytes.fromhex(token_key)
+    return hmac.new(key, body, hashlib.sha256).digest()[:SIGNATURE_BYTES]
+
+
+def _text(raw: bytes) -> str:
+    return base64.urlsafe_b64encode(raw).rstrip(b"=").decode("ascii")
+
+
+def _bytes(text: str) -> bytes:
+    padding = "=" * (-len(text) % 4)
+    return base64.b64decode(text.encode("ascii") + padding.encode(), b"-_", True)
--- a/src/godwitwheel/internal/loop.py
+++ b/src/godwitwheel/internal/loop.py
@@ -13,6 +13,7 @@
     warnings.simplefilter("ignore")
     import eventlet
     import eventlet.event
+    import eventlet.hubs
     import eventlet.queue
     import eventlet.semaphore
 
@@ -38,6 +39,26 @@
     return eventlet.spawn(function, *args, **kwargs)
 
 
+def current_task() -> object:
+    """Returns the task that runs now, to be handed to :func:`interrupt`."""
+    return eventlet.getcurrent()
+
+
+def interrupt(
+    task: object, error: Exception, is_wanted: Callable[[], bool] = lambda: True
+) -> None:
+    """Raises ``error`` in a task where it waits, once the loop turns.
+
+    :param is_wanted: asked just before; the task may have gone on meanwhile.
+    """
+
+    def throw() -> None:
+        if is_wanted():
+            task.throw(error)
+
+    eventlet.hubs.get_hub().schedule_call_global(0, throw)
+
+
 def sleep(seconds: float = 0.0) -> None:
     """Yields to the loop for at least ``seconds``."""
     eventlet.sleep(seconds)
--- /dev/null
+++ b/src/godwitwheel/proxy/answers.py
@@ -0,0 +1,81 @@
+"""Builds the answers to callers."""
+
+import msgspec
+
+from ..blackboard import Blackboard
+from ..decisions.routing import RouteProblem
+from ..decisions.sessions import Session, encode_token
+from ..wire.caller import CallerAnswer, Outcome, Reason, StatementResult
+from ..wire.target import StatementReply
+
+DEFAULT_RETRY_AFTER_S = 0.2
+
+FAULTS = {
+    Reason.bad_request: 400,
+    Reason.bad_session: 400,
+    Reason.key_required: 400,
+    Reason.unknown_service: 404,
+    Reason.unknown_request: 404,
+    Reason.key_reused: 409,
+    Reason.key_expired: 410,
+    Reason.statement_failed: 422,
+}
+
+ROUTE_REASONS = {
+    RouteProblem.unknown_group: Reason.no_primary,
+    RouteProblem.no_lease: Reason.no_lease,
+    RouteProblem.no_primary: Reason.no_primary,
+    RouteProblem.no_fresh_replica: Reason.no_fresh_replica,
+}
+
+
+def status_of(answer: CallerAnswer) -> int:
+    """Returns the HTTP status that goes with an answer."""
+    if answer.outcome is Outcome.done:
+        return 200
+    if answer.outcome is Outcome.unknown:
+        return 504
+    return FAULTS.get(answer.reason, 503)
+
+
+def not_run(
+    reason: Reason, message: str = "", retry_after_s: float = DEFAULT_RETRY_AFTER_S
+) -> CallerAnswer:
+    """Answers that nothing was run and nothing will be."""
+    retry_after_ms = 0 if reason in FAULTS else max(1, round(retry_after_s * 1000))
+    return CallerAnswer(
+        Outcome.not_run,
+        reason=reason,
+        message=message,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def unknown(reason: Reason, message: str = "") -> CallerAnswer:
+    """Answers that the request may or may not have run."""
+    return CallerAnswer(Outcome.unknown, reason=reason, message=message)
+
+
+def done(
+    replies: list[StatementReply], served_by: str, from_replica: bool
+) -> CallerAnswer:
+    """Answers with the results of all statements."""
+    return CallerAnswer(
+        Outcome.done,
+        results=[result_of(reply) for reply in replies],
+        served_by=served_by,
+        from_replica=from_replica,
+    )
+
+
+def result_of(reply: StatementReply) -> StatementResult:
+    """Turns a target's reply into the caller's result."""
+    return StatementResult(reply.columns, reply.rows, reply.row_count)
+
+
+def with_session(
+    answer: CallerAnswer, session: Session, blackboard: Blackboard
+) -> CallerAnswer:
+    """Adds the token that the caller hands to any proxy next time."""
+    token = encode_token(session, blackboard.view.token_key)
+    return msgspec.structs.replace(answer, session=token)
--- /dev/null
+++ b/src/godwitwheel/proxy/control_link.py
@@ -0,0 +1,190 @@
+"""Keeps the lease, the view, the configuration and the quotas up to date."""
+
+from ..decisions.versions import take_newer
+from ..internal.loop import sleep
+from ..observe.events import EventName, record_event
+from ..wire.control import (
+    Heartbeat,
+    HeartbeatReply,
+    TargetObservation,
+    Watch,
+    WatchReply,
+)
+from .change_signal import ChangeSignal
+from .context import ProxyContext
+from .control_client import ControlClient
+from .errors import ControlUnavailable
+
+CLOCK_DRIFT = 0.01
+HEARTBEAT_TIMEOUT_S = 0.25
+WATCH_TIMEOUT_S = 10.0
+WATCH_MARGIN_S = 1.0
+WATCH_RETRY_S = 0.2
+RETRY_PAUSE_S = 0.02
+LEASE_CHECK_S = 0.02
+FAREWELL_TIMEOUT_S = 1.0
+
+
+class ControlLink:
+    """Sends heartbeats and takes what they bring.
+
+    :ivar due: wakes the heartbeat loop before its interval is over.
+    :ivar had_lease: whether the lease held at the last check.
+    """
+
+    __slots__ = ("context", "control", "interval_s", "due", "had_lease")
+
+    def __init__(
+        self, context: ProxyContext, control: ControlClient, interval_s: float
+    ):
+        self.context = context
+        self.control = control
+        self.interval_s = interval_s
+        self.due = ChangeSignal()
+        self.had_lease = False
+
+    def run_heartbeats(self) -> None:
+        """Sends a heartbeat each interval, counted from the sending."""
+        clock = self.context.clock
+        while True:
+            sent_at = clock.now()
+            try:
+                self.beat(HEARTBEAT_TIMEOUT_S)
+            except ControlUnavailable:
+                sleep(RETRY_PAUSE_S)
+                continue
+            if not self._has_news():
+                self.due.wait(sent_at + self.interval_s - clock.now())
+
+    def run_watch(self) -> None:
+        """Has a heartbeat sent as soon as a member has something newer."""
+        while True:
+            board = self.context.blackboard
+            watch = Watch(
+                board.view.version,
+                board.configuration.revision,
+                round(WATCH_TIMEOUT_S * 1000),
+            )
+            limit_s = WATCH_TIMEOUT_S + WATCH_MARGIN_S
+            try:
+                reply = self.control.call_once("/v1/watch", watch, WatchReply, limit_s)
+            except ControlUnavailable:
+                sleep(WATCH_RETRY_S)
+                continue
+            if self._is_newer(reply):
+                self.due.notify()
+                # The heartbeat takes it; asking at once would be answered at once.
+                sleep(RETRY_PAUSE_S)
+
+    def run_lease_check(self) -> None:
+        """Wakes waiting writes as soon as the lease has run out."""
+        context = self.context
+        while True:
+            self.note_lease()
+            now = context.clock.now()
+            remaining_s = context.blackboard.lease.expires_at - now
+            sleep(max(remaining_s, LEASE_CHECK_S))
+
+    def beat(self, timeout_s: float, leaving: bool = False) -> None:
+        """Sends one heartbeat and takes the reply.
+
+        :raises ControlUnavailable: if no leader answered.
+        """
+        heartbeat = self._heartbeat(leaving)
+        board = self.context.blackboard
+        board.acknowledged_version = heartbeat.view_version
+        sent_at = self.context.clock.now()
+        reply = self.control.call_once(
+            "/v1/heartbeat", heartbeat, HeartbeatReply, timeout_s
+        )
+        for status in heartbeat.announcements:
+            if board.announcements.get(status.target_id) is status:
+                del board.announcements[status.target_id]
+        if not leaving:
+            self.take_reply(reply, sent_at)
+
+    def say_farewell(self) -> None:
+        """Gives the lease and the connections back."""
+        self.context.blackboard.lease.expires_at = 0.0
+        try:
+            self.beat(FAREWELL_TIMEOUT_S, leaving=True)
+        except ControlUnavailable:
+            return
+
+    def take_reply(self, reply: HeartbeatReply, sent_at: float) -> None:
+        """Takes the lease, the quotas and whatever is newer.
+
+        :param sent_at: when the heartbeat was sent, in seconds of the clock.
+        """
+        board = self.context.blackboard
+        if reply.lease_ms > 0:
+            lease_s = reply.lease_ms / 1000.0 * (1.0 - CLOCK_DRIFT)
+            board.lease.expires_at = max(board.lease.expires_at, sent_at + lease_s)
+        board.quotas = reply.quotas
+        if take_newer(board, reply.view, reply.configuration):
+            self._record_versions()
+            self.context.pools.apply_view()
+            self.context.authority_changed()
+            self.due.notify()
+        self.context.pools.apply_quotas()
+        self.note_lease()
+
+    def note_lease(self) -> None:
+        """Records when the lease is granted or lost, and wakes waiting work."""
+        context = self.context
+        has_lease = context.blackboard.lease.is_valid(context.clock.now())
+        if has_lease is self.had_lease:
+            return
+        self.had_lease = has_lease
+        event = EventName.lease_granted if has_lease else EventName.lease_lost
+        record_event(event, view_version=context.blackboard.view.version)
+        context.authority_changed()
+
+    def _heartbeat(self, leaving: bool) -> Heartbeat:
+        board = self.context.blackboard
+        identity = board.identity
+        self.context.pools.report()
+        return Heartbeat(
+            proxy_id=identity.proxy_id,
+            incarnation=identity.incarnation,
+            data_centre=identity.data_centre,
+            address=identity.address,
+            view_version=board.view.version,
+            revision=board.configuration.revision,
+            announcements=list(board.announcements.values()),
+            observations=self._observations(),
+            held=board.held,
+            demand=board.demand,
+            leaving=leaving,
+        )
+
+    def _observations(self) -> list[TargetObservation]:
+        board = self.context.blackboard
+        now = self.context.clock.now()
+        observations = []
+        for target_id in board.view.targets:
+            state = board.target_state(target_id)
+            age_ms = -1
+            if state.answered_at >= 0:
+                age_ms = round((now - state.answered_at) * 1000)
+            observations.append(TargetObservation(target_id, age_ms, state.status))
+        return observations
+
+    def _has_news(self) -> bool:
+        """Whether the control leader must hear something at once."""
+        board = self.context.blackboard
+        return board.view.version > board.acknowledged_version or any(
+            status.leaving for status in board.announcements.values()
+        )
+
+    def _is_newer(self, reply: WatchReply) -> bool:
+        board = self.context.blackboard
+        return (
+            reply.view_version > board.view.version
+            or reply.revision > board.configuration.revision
+        )
+
+    def _record_versions(self) -> None:
+        board = self.context.blackboard
+        record_event(EventName.view_in_force, view_version=board.view.version)
+        record_event(EventName.revision_in_force, revision=board.configuration.revision)
--- /dev/null
+++ b/src/godwitwheel/proxy/in_flight.py
@@ -0,0 +1,66 @@
+"""Writes that a primary is working on, and how they are interrupted."""
+
+import contextlib
+from collections.abc import Iterator
+
+from ..blackboard import Blackboard
+from ..decisions.acknowledgement import Verdict, judge_authority
+from ..internal.loop import current_task, interrupt
+from ..wire.caller import Reason
+from .errors import Interrupted
+
+VERDICT_REASONS = {
+    Verdict.lease_lost: Reason.no_lease,
+    Verdict.primary_replaced: Reason.primary_replaced,
+}
+
+
+class DispatchedWrite:
+    """The group and term under which a write was sent to a primary."""
+
+    __slots__ = ("group", "term")
+
+    def __init__(self, group: str, term: int):
+        self.group = group
+        self.term = term
+
+
+class WritesInFlight:
+    """Interrupts a write as soon as nobody may acknowledge it any more.
+
+    Its caller learns at once that the outcome is unknown, instead of waiting for
+    a primary that may never answer.
+    """
+
+    __slots__ = ("blackboard", "by_task")
+
+    def __init__(self, blackboard: Blackboard):
+        self.blackboard = blackboard
+        self.by_task: dict[object, DispatchedWrite] = {}
+
+    @contextlib.contextmanager
+    def dispatched(self, group: str, term: int) -> Iterator[None]:
+        """Marks the present task as waiting for a primary inside the block.
+
+        :raises Interrupted: inside the block, if the write lost its authority.
+        """
+        task = current_task()
+        self.by_task[task] = DispatchedWrite(group, term)
+        try:
+            yield
+        finally:
+            del self.by_task[task]
+
+    def interrupt_revoked(self, now: float) -> None:
+        """Interrupts the writes that may no longer be acknowledged."""
+        for task, write in self.by_task.items():
+            view = self.blackboard.view.groups.get(write.group)
+            verdict = Verdict.primary_replaced
+            if view is not None:
+                verdict = judge_authority(write.term, view, self.blackboard.lease, now)
+            if verdict is not None:
+                self._interrupt(task, write, verdict)
+
+    def _interrupt(self, task: object, write: DispatchedWrite, verdict: Verdict):
+        error = Interrupted(VERDICT_REASONS[verdict])
+        interrupt(task, error, lambda: self.by_task.get(task) is write)
--- /dev/null
+++ b/src/godwitwheel/proxy/keyed.py
@@ -0,0 +1,132 @@
+"""Writes that must not be repeated: claim, run, record the outcome, answer."""
+
+import secrets
+
+import msgspec
+import xxhash
+
+from ..decisions.sessions import decode_token, merge_sessions
+from ..internal.loop import sleep, spawn
+from ..wire.caller import CallerAnswer, Outcome, Reason
+from ..wire.codec import encode
+from ..wire.control import (
+    Claim,
+    ClaimReply,
+    ClaimStatus,
+    OutcomeRecorded,
+    RecordOutcome,
+)
+from .answers import not_run, unknown
+from .context import ProxyContext
+from .control_client import ControlClient
+from .errors import ControlUnavailable
+from .work import Work
+from .writes import WriteExecutor
+
+ATTEMPT_BYTES = 12
+MAX_CLAIM_WAIT_S = 2.0
+RECORD_LIMIT_S = 30.0
+RECORD_ANSWER_LIMIT_S = 1.0
+PENDING_POLL_S = 0.05
+
+CLAIM_REASONS = {
+    ClaimStatus.mismatch: Reason.key_reused,
+    ClaimStatus.expired: Reason.key_expired,
+    ClaimStatus.full: Reason.claim_unavailable,
+}
+
+
+class KeyedWrites:
+    """Runs each key at most once, whichever proxies its resends reach."""
+
+    __slots__ = ("context", "control", "writes")
+
+    def __init__(
+        self, context: ProxyContext, control: ControlClient, writes: WriteExecutor
+    ):
+        self.context = context
+        self.control = control
+        self.writes = writes
+
+    def run(self, work: Work) -> CallerAnswer:
+        """Returns the one answer to a write with a key."""
+        claim = Claim(
+            work.service.name,
+            work.key,
+            xxhash.xxh3_128_hexdigest(encode(work.request)),
+            secrets.token_hex(ATTEMPT_BYTES),
+            work.service.key_retention_s,
+        )
+        try:
+            reply = self._claim(claim, work)
+        except ControlUnavailable as error:
+            # The claim may be committed; this attempt will never use it.
+            answer = not_run(Reason.claim_unavailable, str(error))
+            self._record_later(claim, answer)
+            return answer
+        if reply.status is ClaimStatus.recorded:
+            return self._replay(reply.answer, work)
+        if reply.status is ClaimStatus.pending:
+            return unknown(Reason.already_claimed, "another sending is under way")
+        if reply.status is not ClaimStatus.granted:
+            return not_run(CLAIM_REASONS[reply.status], f"key {reply.status.value}")
+        return self._run_granted(claim, work)
+
+    def _claim(self, claim: Claim, work: Work) -> ClaimReply:
+        clock = self.context.clock
+        while True:
+            remaining_s = work.remaining_s(clock.now())
+            limit_s = min(remaining_s, MAX_CLAIM_WAIT_S)
+            reply = self.control.call("/v1/claim", claim, ClaimReply, limit_s)
+            if reply.status is not ClaimStatus.pending:
+                return reply
+            if work.remaining_s(clock.now()) <= PENDING_POLL_S:
+                return reply
+            sleep(PENDING_POLL_S)
+
+    def _replay(self, answer: CallerAnswer, work: Work) -> CallerAnswer:
+        """Repeats a recorded answer and lets the session see that write."""
+        recorded = decode_token(answer.session, self.context.blackboard.view.token_key)
+        work.session = merge_sessions(work.session or {}, recorded or {})
+        return msgspec.structs.replace(answer, replayed=True, session="")
+
+    def _run_granted(self, claim: Claim, work: Work) -> CallerAnswer:
+        try:
+            answer = self.writes.run(work)
+        except BaseException:
+            # A task that is ended on the way leaves the claim pending: whether it
+            # ran is not known.
+            if not work.may_have_run:
+                self._record_later(claim, not_run(Reason.draining))
+            raise
+        if answer.outcome is not Outcome.done:
+            self._record_later(claim, answer)
+            return answer
+        return self._record(claim, answer, work)
+
+    def _record(self, claim: Claim, answer: CallerAnswer, work: Work) -> CallerAnswer:
+        """Records what was done before the caller hears of it.
+
+        The write is safe by now, so that a record that can't be made in time
+        changes nothing of the answer; a resend is then told ``unknown``.
+        """
+        remaining_s = work.remaining_s(self.context.clock.now())
+        limit_s = min(max(remaining_s, 0.0), RECORD_ANSWER_LIMIT_S)
+        outcome = self._outcome(claim, answer)
+        try:
+            self.control.call("/v1/outcome", outcome, OutcomeRecorded, limit_s)
+        except ControlUnavailable:
+            self._record_later(claim, answer)
+        return answer
+
+    def _record_later(self, claim: Claim, answer: CallerAnswer) -> None:
+        spawn(self._record_patiently, self._outcome(claim, answer))
+
+    def _record_patiently(self, outcome: RecordOutcome) -> None:
+        try:
+            self.control.call("/v1/outcome", outcome, OutcomeRecorded, RECORD_LIMIT_S)
+        except ControlUnavailable:
+            return
+
+    def _outcome(self, claim: Claim, answer: CallerAnswer) -> RecordOutcome:
+        return RecordOutcome(claim.service, claim.key, claim.attempt, answer)
--- /dev/null
+++ b/src/godwitwheel/proxy/metrics.py
@@ -0,0 +1,66 @@
+"""The metrics of a proxy."""
+
+from ..observe.metrics import ProcessMetrics
+from ..wire.caller import CallerAnswer
+
+LATENCY_BUCKETS_S = [
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+]
+
+
+class ProxyMetrics:
+    """Counts answers, and shows queues and the lease."""
+
+    __slots__ = ("requests", "reads", "latency", "queued", "held", "lease_s")
+
+    def __init__(self, process: ProcessMetrics):
+        self.requests = process.counter(
+            "godwitwheel_requests_total", "Answers to callers by outcome and reason."
+        )
+        self.reads = process.counter(
+            "godwitwheel_reads_total", "Reads done by the role of the target."
+        )
+        self.latency = process.histogram(
+            "godwitwheel_request_seconds",
+            "Time from a request's arrival to its answer.",
+            LATENCY_BUCKETS_S,
+        )
+        self.queued = process.gauge(
+            "godwitwheel_queued", "Requests that wait for a connection, by target."
+        )
+        self.held = process.gauge(
+            "godwitwheel_connections_held", "Connections open or opening, by target."
+        )
+        self.lease_s = process.gauge(
+            "godwitwheel_lease_seconds", "Time for which the lease still holds."
+        )
+
+    def record_answer(self, answer: CallerAnswer, seconds: float) -> None:
+        """Counts one answer."""
+        reason = answer.reason.value if answer.reason else ""
+        self.requests.inc({"outcome": answer.outcome.value, "reason": reason})
+        self.latency.observe({"outcome": answer.outcome.value}, seconds)
+
+    def record_read(self, from_replica: bool) -> None:
+        """Counts one read that was served."""
+        self.reads.inc({"role": "replica" if from_replica else "primary"})
+
+    def record_state(self, lease_s: float, pools: dict) -> None:
+        """Takes the present queue lengths and the lease's remaining time."""
+        self.lease_s.set({}, max(lease_s, 0.0))
+        for target_id, pool in pools.items():
+            waiting = sum(queue.length for queue in pool.gate.queues.values())
+            self.queued.set({"target": target_id}, waiting)
+            self.held.set({"target": target_id}, pool.held())
--- /dev/null
+++ b/src/godwitwheel/proxy/probing.py
@@ -0,0 +1,46 @@
+"""Probes every target of the view at regular times."""
+
+from ..internal.loop import Task, sleep, spawn
+from .positions import PositionKeeper
+
+RECONCILE_INTERVAL_S = 0.05
+
+
+class Prober:
+    """Runs one task for each target; a context manager that ends them.
+
+    :ivar interval_s: time between probes of one target, in seconds.
+    """
+
+    __slots__ = ("positions", "interval_s", "tasks")
+
+    def __init__(self, positions: PositionKeeper, interval_s: float):
+        self.positions = positions
+        self.interval_s = interval_s
+        self.tasks: dict[str, Task] = {}
+
+    def __enter__(self) -> "Prober":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for task in self.tasks.values():
+            task.kill()
+
+    def run(self) -> None:
+        """Starts and ends the tasks as targets come and go."""
+        blackboard = self.positions.context.blackboard
+        while True:
+            known = blackboard.view.targets
+            for target_id in known.keys() - self.tasks.keys():
+                self.tasks[target_id] = spawn(self._probe_regularly, target_id)
+            for target_id in self.tasks.keys() - known.keys():
+                self.tasks.pop(target_id).kill()
+                blackboard.targets.pop(target_id, None)
+            sleep(RECONCILE_INTERVAL_S)
+
+    def _probe_regularly(self, target_id: str) -> None:
+        clock = self.positions.context.clock
+        while True:
+            sent_at = clock.now()
+            self.positions.probe(target_id)
+            sleep(max(sent_at + self.interval_s - clock.now(), 0.0))
--- /dev/null
+++ b/src/godwitwheel/proxy/reads.py
@@ -0,0 +1,139 @@
+"""Serves reads: chooses a target, runs them there, checks what came back."""
+
+from ..decisions.routing import (
+    ReadNeeds,
+    RouteProblem,
+    eligible_for_read,
+    least_loaded_of_two,
+    read_needs,
+    reply_covers,
+)
+from ..internal.sentinel import Refusal
+from ..targets.errors import MayHaveRun, NotRun, Overloaded, Refused
+from ..wire.caller import CallerAnswer, Reason
+from ..wire.service import Access
+from ..wire.target import ProblemCode
+from .answers import ROUTE_REASONS, done, not_run, unknown
+from .context import ProxyContext
+from .errors import RequestEnded
+from .positions import PositionKeeper
+from .statements import RanStatements, StatementRunner
+from .work import Work
+
+MAX_FAILOVER_WAIT_S = 2.0
+CHANGE_POLL_S = 0.05
+
+
+class ReadExecutor:
+    """Runs reads; it may try several targets within the deadline."""
+
+    __slots__ = ("context", "positions")
+
+    def __init__(self, context: ProxyContext, positions: PositionKeeper):
+        self.context = context
+        self.positions = positions
+
+    def run(self, work: Work) -> CallerAnswer:
+        """Returns the one answer to a read."""
+        needs = read_needs(work.rule.group, work.session, work.rule.max_staleness_ms)
+        tried: set[str] = set()
+        last = not_run(Reason.overloaded)
+        self.context.retry_budget.record_request()
+        try:
+            while True:
+                target_id = self._choose(needs, work, tried, last)
+                tried.add(target_id)
+                answer = self._try_at(target_id, needs, work)
+                if _is_final(answer):
+                    return answer
+                last = answer
+                if not self.context.retry_budget.spend():
+                    return last
+        except RequestEnded as ended:
+            return ended.answer
+
+    def _choose(
+        self, needs: ReadNeeds, work: Work, tried: set[str], last: CallerAnswer
+    ) -> str:
+        clock = self.context.clock
+        until = min(work.deadline, clock.now() + MAX_FAILOVER_WAIT_S)
+        while True:
+            now = clock.now()
+            eligible = eligible_for_read(needs, self.context.blackboard, now)
+            if eligible:
+                untried = [name for name in eligible if name not in tried]
+                if not untried:
+                    raise RequestEnded(last)
+                return self._least_loaded(untried)
+            if now >= until or not self._is_worth_waiting(eligible, now):
+                raise RequestEnded(_refused_route(eligible, tried, last))
+            self.context.signals.of(needs.group).wait(min(until - now, CHANGE_POLL_S))
+
+    def _is_worth_waiting(self, refusal: Refusal, now: float) -> bool:
+        # Without a lease this data centre may be cut off for long.
+        if refusal.reason is RouteProblem.unknown_group:
+            return False
+        return self.context.blackboard.lease.is_valid(now)
+
+    def _least_loaded(self, eligible: list[str]) -> str:
+        board = self.context.blackboard
+
+        def is_near(target_id: str) -> bool:
+            record = board.view.targets[target_id]
+            return record.data_centre == board.identity.data_centre
+
+        return least_loaded_of_two(
+            eligible, self.context.pools.load, is_near, self.context.rng
+        )
+
+    def _try_at(self, target_id: str, needs: ReadNeeds, work: Work) -> CallerAnswer:
+        try:
+            ran = self._run_at(target_id, work)
+        except Overloaded as error:
+            return not_run(Reason.overloaded, str(error), error.retry_after_s)
+        except Refused as error:
+            return _refused_statement(error)
+        except MayHaveRun as error:
+            if self._is_over(work):
+                return unknown(Reason.deadline, str(error))
+            return unknown(Reason.connection_lost, str(error))
+        except NotRun as error:
+            reason = Reason.deadline if self._is_over(work) else Reason.connection_lost
+            return not_run(reason, str(error))
+        self.positions.take_reply(target_id, ran.seen, ran.sent_at)
+        view = self.context.blackboard.view.groups.get(needs.group)
+        if view is None or not reply_covers(needs, ran.seen, view):
+            return unknown(Reason.no_fresh_replica, f"{target_id} is behind")
+        from_replica = target_id != view.primary
+        self.context.metrics.record_read(from_replica)
+        return done(ran.replies, target_id, from_replica)
+
+    def _run_at(self, target_id: str, work: Work) -> RanStatements:
+        pool = self.context.pools.of(target_id)
+        lent = pool.connection(work.service.name, Access.read, work.deadline)
+        with lent as connection:
+            runner = StatementRunner(work, connection, pool.gate, self.context.clock)
+            return runner.run()
+
+    def _is_over(self, work: Work) -> bool:
+        return work.remaining_s(self.context.clock.now()) <= 0
+
+
+def _refused_statement(error: Refused) -> CallerAnswer:
+    if error.code in (ProblemCode.statement_failed, ProblemCode.bad_request):
+        return not_run(Reason.statement_failed, error.message)
+    return not_run(Reason.connection_lost, str(error))
+
+
+def _refused_route(
+    refusal: Refusal, tried: set[str], last: CallerAnswer
+) -> CallerAnswer:
+    if tried:
+        return last
+    return not_run(ROUTE_REASONS[refusal.reason], refusal.detail)
+
+
+def _is_final(answer: CallerAnswer) -> bool:
+    if answer.reason is None:
+        return True
+    return answer.reason in (Reason.statement_failed, Reason.deadline)
--- /dev/null
+++ b/src/godwitwheel/proxy/statements.py
@@ -0,0 +1,119 @@
+"""Runs the statements of one request on one connection."""
+
+from ..decisions.admission import TargetGate
+from ..decisions.sessions import LogPoint
+from ..internal.clock import Clock
+from ..targets.base import TargetConnection
+from ..targets.errors import MayHaveRun, Refused, TargetError
+from ..wire.caller import CallerStatement
+from ..wire.target import StatementReply, StepReply
+from .work import Work
+
+
+class RanStatements:
+    """The replies to all statements of a request.
+
+    :ivar seen: position of the last statement or of the commit.
+    :ivar sent_at: when the step that gave ``seen`` was sent.
+    """
+
+    __slots__ = ("replies", "seen", "sent_at")
+
+    def __init__(self, replies: list[StatementReply], seen: LogPoint, sent_at: float):
+        self.replies = replies
+        self.seen = seen
+        self.sent_at = sent_at
+
+
+class StatementRunner:
+    """Runs a request's statements, several of them as one transaction.
+
+    :ivar gate: learns how long the target takes for a statement.
+    """
+
+    __slots__ = ("work", "connection", "gate", "clock")
+
+    def __init__(
+        self, work: Work, connection: TargetConnection, gate: TargetGate, clock: Clock
+    ):
+        self.work = work
+        self.connection = connection
+        self.gate = gate
+        self.clock = clock
+
+    def run(self) -> RanStatements:
+        """Runs them all.
+
+        :raises NotRun: if nothing was sent.
+        :raises MayHaveRun: if a reply was lost.
+        :raises Refused: if the target refused; a transaction is rolled back.
+        """
+        statements = self.work.request.statements
+        if len(statements) == 1:
+            sent_at = self.clock.now()
+            reply = self._statement(statements[0])
+            return RanStatements([reply], LogPoint(reply.term, reply.position), sent_at)
+        return self._transaction(statements)
+
+    def _transaction(self, statements: list[CallerStatement]) -> RanStatements:
+        self.connection.begin(self.work.is_read, self._remaining_s())
+        try:
+            replies = [self._statement(statement) for statement in statements]
+        except Refused:
+            self._roll_back()
+            raise
+        sent_at = self.clock.now()
+        reply = self._commit()
+        seen = LogPoint(reply.term, reply.position)
+        return RanStatements(replies, seen, sent_at)
+
+    def _commit(self) -> StepReply:
+        try:
+            return self.connection.commit(self._remaining_s())
+        except Refused as error:
+            if error.ran:
+                self.connection.close()
+            else:
+                self._roll_back()
+            raise
+
+    def _statement(self, statement: CallerStatement) -> StatementReply:
+        started_at = self.clock.now()
+        before = self.work.may_have_run
+        # Set before the sending: a task that is killed on the way must not claim
+        # that nothing was sent.
+        self.work.may_have_run = True
+        try:
+            reply = self.connection.run(
+                statement.sql,
+                statement.parameters,
+                self.work.is_read,
+                self.work.remaining_s(started_at),
+            )
+        except MayHaveRun:
+            self.gate.record_timeout()
+            raise
+        except Refused as error:
+            if not error.ran:
+                self.work.may_have_run = before
+            raise
+        except TargetError:
+            self.work.may_have_run = before
+            raise
+        self.gate.record_latency(self.clock.now() - started_at)
+        return reply
+
+    def _roll_back(self) -> None:
+        """Ends a transaction whose commit was not sent or was refused."""
+        try:
+            self.connection.rollback(self._remaining_s())
+        except Refused:
+            # The target has already ended it, without a commit.
+            self.connection.close()
+        except TargetError:
+            self.connection.close()
+            return
+        self.work.may_have_run = False
+
+    def _remaining_s(self) -> float:
+        return self.work.remaining_s(self.clock.now())
--- a/src/godwitwheel/targets/errors.py
+++ b/src/godwitwheel/targets/errors.py
@@ -38,3 +38,18 @@
         self.code: ProblemCode = problem.code
         self.message = problem.message
         self.ran = problem.ran
+
+
+class Overloaded(NotRun):
+    """Raised when no connection could be lent in time; nothing was sent.
+
+    :ivar retry_after_s: when to come back, in seconds.
+    """
+
+    def __init__(self, detail: str, retry_after_s: float):
+        super().__init__(detail)
+        self.retry_after_s = retry_after_s
+
+
+class Unreachable(NotRun):
+    """Raised when no database connection could be opened; nothing was run."""
--- a/src/godwitwheel/targets/http_target.py
+++ b/src/godwitwheel/targets/http_target.py
@@ -114,6 +114,10 @@
         if path != "/v1/session" and not self.connection.is_usable():
             # http.client would connect again by itself, without a session.
             raise NotRun(f"{self.target_id}: the connection is closed")
+        if path != "/v1/session" and has_unread(self.connection):
+            # A refusal carries no number, so a late one must not be read at all.
+            self.close()
+            raise NotRun(f"{self.target_id}: an unexpected reply came first")
         if timeout_s <= 0:
             raise NotRun(f"{self.target_id}: no time left")
         try:
