--- a/src/godwitwheel/decisions/routing.py
+++ b/src/godwitwheel/decisions/routing.py
@@ -44,13 +44,14 @@
         self.max_staleness_s = max_staleness_s
 
 
-def read_needs(group: str, session: Session | None, max_staleness_ms: int) -> ReadNeeds:
-    """Derives a read's needs.
-
-    :param session: the caller's session; ``None`` if it sent no token.
-    """
-    floor = None if session is None else session.get(group)
-    return ReadNeeds(group, floor, session is not None, max_staleness_ms / 1000.0)
+def read_needs(group: str, session: Session, max_staleness_ms: int) -> ReadNeeds:
+    """Derives a read's needs from the caller's session and the declared bound."""
+    return ReadNeeds(
+        group,
+        session.points.get(group),
+        session.knows(group),
+        max_staleness_ms / 1000.0,
+    )
 
 
 def eligible_for_read(
--- a/src/godwitwheel/decisions/sessions.py
+++ b/src/godwitwheel/decisions/sessions.py
@@ -46,12 +46,31 @@
         return f"LogPoint({self.term}, {self.position})"
 
 
-Session = dict[str, LogPoint]
-"""The highest acknowledged write of a caller, by group."""
+class Session:
+    """What a caller has written, as far as it is known.
+
+    :ivar points: the highest acknowledged write, by group.
+    :ivar is_complete: ``False`` if the caller may have written to other groups
+        before its first token.
+    """
+
+    __slots__ = ("points", "is_complete")
+
+    def __init__(self, points: dict[str, LogPoint], is_complete: bool):
+        self.points = points
+        self.is_complete = is_complete
+
+    def knows(self, group: str) -> bool:
+        """Whether the caller's last write to a group is known.
+
+        A later write to the same group covers those before it.
+        """
+        return self.is_complete or group in self.points
 
 
 class _TokenBody(msgspec.Struct, array_like=True):
     points: dict[str, tuple[int, int]]
+    is_complete: bool
 
 
 def encode_token(session: Session, token_key: str) -> str:
@@ -59,8 +78,8 @@
 
     :param token_key: hexadecimal key of the view.
     """
-    points = {name: (at.term, at.position) for name, at in session.items()}
-    body = encode(_TokenBody(points))
+    points = {name: (at.term, at.position) for name, at in session.points.items()}
+    body = encode(_TokenBody(points, session.is_complete))
     return ".".join((TOKEN_VERSION, _text(body), _text(_sign(body, token_key))))
 
 
@@ -82,10 +101,11 @@
     if not hmac.compare_digest(signature, _sign(body, token_key)):
         return Refusal(TokenProblem.forged, "the signature does not match")
     try:
-        points = decode(body, _TokenBody).points
+        token_body = decode(body, _TokenBody)
     except BadMessage as error:
         return Refusal(TokenProblem.malformed, str(error))
-    return {name: LogPoint(*point) for name, point in points.items()}
+    points = {name: LogPoint(*point) for name, point in token_body.points.items()}
+    return Session(points, token_body.is_complete)
 
 
 def covers(seen: LogPoint, floor: LogPoint, view: GroupView) -> bool:
@@ -116,15 +136,15 @@
 
 def record_write(session: Session, group: str, written: LogPoint) -> Session:
     """Returns the session with an acknowledged write added."""
-    before = session.get(group)
+    before = session.points.get(group)
     if before is not None and not _is_later(written, before):
         return session
-    return {**session, group: written}
+    return Session({**session.points, group: written}, session.is_complete)
 
 
 def merge_sessions(session: Session, other: Session) -> Session:
     """Returns a session that covers both."""
-    for group, point in other.items():
+    for group, point in other.points.items():
         session = record_write(session, group, point)
     return session
 
--- a/src/godwitwheel/proxy/caller_api.py
+++ b/src/godwitwheel/proxy/caller_api.py
@@ -73,7 +73,8 @@
         except RequestEnded as ended:
             return ended.answer
         answer = self._carry_out(work)
-        if work.session is None or answer.session:
+        if answer.session or not (work.session.is_complete or work.session.points):
+            # A token would say no more than its absence.
             return answer
         return with_session(answer, work.session, self.context.blackboard)
 
@@ -166,11 +167,11 @@
     return rule
 
 
-def _session(token: str | None, token_key: str) -> Session | None:
+def _session(token: str | None, token_key: str) -> Session:
     if token is None:
-        return None
+        return Session({}, is_complete=False)
     if token == NEW_SESSION:
-        return {}
+        return Session({}, is_complete=True)
     session = decode_token(token, token_key)
     if isinstance(session, Refusal):
         raise _fault(Reason.bad_session, f"{session.reason.value}: {session.detail}")
--- a/src/godwitwheel/proxy/keyed.py
+++ b/src/godwitwheel/proxy/keyed.py
@@ -86,8 +86,10 @@
 
     def _replay(self, answer: CallerAnswer, work: Work) -> CallerAnswer:
         """Repeats a recorded answer and lets the session see that write."""
-        recorded = decode_token(answer.session, self.context.blackboard.view.token_key)
-        work.session = merge_sessions(work.session or {}, recorded or {})
+        token_key = self.context.blackboard.view.token_key
+        recorded = decode_token(answer.session, token_key)
+        if recorded:
+            work.session = merge_sessions(work.session, recorded)
         return msgspec.structs.replace(answer, replayed=True, session="")
 
     def _run_granted(self, claim: Claim, work: Work) -> CallerAnswer:
--- a/src/godwitwheel/proxy/metrics.py
+++ b/src/godwitwheel/proxy/metrics.py
@@ -27,24 +27,24 @@
 
     def __init__(self, process: ProcessMetrics):
         self.requests = process.counter(
-            "godwitwheel_requests_total", "Answers to callers by outcome and reason."
+            "requests_total", "Answers to callers by outcome and reason."
         )
         self.reads = process.counter(
-            "godwitwheel_reads_total", "Reads done by the role of the target."
+            "reads_total", "Reads done by the role of the target."
         )
         self.latency = process.histogram(
-            "godwitwheel_request_seconds",
+            "request_seconds",
             "Time from a request's arrival to its answer.",
             LATENCY_BUCKETS_S,
         )
         self.queued = process.gauge(
-            "godwitwheel_queued", "Requests that wait for a connection, by target."
+            "queued", "Requests that wait for a connection, by target."
         )
         self.held = process.gauge(
-            "godwitwheel_connections_held", "Connections open or opening, by target."
+            "connections_held", "Connections open or opening, by target."
         )
         self.lease_s = process.gauge(
-            "godwitwheel_lease_seconds", "Time for which the lease still holds."
+            "lease_seconds", "Time for which the lease still holds."
         )
 
     def record_answer(self, answer: CallerAnswer, seconds: float) -> None:
--- a/src/godwitwheel/proxy/statements.py
+++ b/src/godwitwheel/proxy/statements.py
@@ -14,7 +14,7 @@
     """The replies to all statements of a request.
 
     :ivar seen: position of the last statement or of the commit.
-    :ivar sent_at: when the step that gave ``seen`` was sent.
+    :ivar sent_at: when the first step was sent; ``seen`` is no older.
     """
 
     __slots__ = ("replies", "seen", "sent_at")
@@ -56,13 +56,14 @@
         return self._transaction(statements)
 
     def _transaction(self, statements: list[CallerStatement]) -> RanStatements:
+        # What a transaction sees may be as old as its beginning.
+        sent_at = self.clock.now()
         self.connection.begin(self.work.is_read, self._remaining_s())
         try:
             replies = [self._statement(statement) for statement in statements]
         except Refused:
             self._roll_back()
             raise
-        sent_at = self.clock.now()
         reply = self._commit()
         seen = LogPoint(reply.term, reply.position)
         return RanStatements(replies, seen, sent_at)
--- a/src/godwitwheel/proxy/work.py
+++ b/src/godwitwheel/proxy/work.py
@@ -8,7 +8,7 @@
 class Work:
     """A request whose service, rule, session, key and deadline are checked.
 
-    :ivar session: ``None`` if the caller sent no token.
+    :ivar session: what the caller has written; a write adds to it.
     :ivar key: idempotency key; empty if there is none.
     :ivar started_at: when it arrived, in seconds of the clock.
     :ivar deadline: when the caller stops waiting, in seconds of the clock.
@@ -33,7 +33,7 @@
         request: CallerRequest,
         service: Service,
         rule: RequestRule,
-        session: Session | None,
+        session: Session,
         key: str,
         started_at: float,
         deadline: float,
--- a/src/godwitwheel/proxy/writes.py
+++ b/src/godwitwheel/proxy/writes.py
@@ -177,7 +177,7 @@
                 lease = context.blackboard.lease
                 verdict = judge_write(write, view, lease, positions, now)
             if verdict is Verdict.acknowledge:
-                work.session = record_write(work.session or {}, group, write.written)
+                work.session = record_write(work.session, group, write.written)
                 answer = done(ran.replies, write.target_id, False)
                 return with_session(answer, work.session, context.blackboard)
             if verdict is not Verdict.wait:
