Decide leases, promotion, membership, quotas and claims of the control process

Heartbeats gain a sequence number and the quotas that the proxy acts on: without them a leader can't tell whether a lowered quota has arrived, and a late heartbeat would lower a bound that a later reply had raised.

--- /dev/null
+++ b/src/godwitwheel/control/commands.py
@@ -0,0 +1,105 @@
+"""Commands of the replicated log, and the results that applying them yields."""
+
+import msgspec
+
+from ..wire.codec import encode
+from ..wire.control import Claim, GroupView, Publish, RecordOutcome, TargetRecord
+
+
+class PublishCommand(msgspec.Struct, frozen=True, tag="publish"):
+    """Replaces the configuration, if nothing else did so before."""
+
+    publish: Publish
+
+
+class ClaimCommand(msgspec.Struct, frozen=True, tag="claim"):
+    """Claims an idempotency key.
+
+    :ivar wall_s: the proposing leader's seconds since the Unix epoch; applying a
+        command reads no clock.
+    """
+
+    claim: Claim
+    wall_s: float
+
+
+class OutcomeCommand(msgspec.Struct, frozen=True, tag="outcome"):
+    """Records the outcome of a claim's attempt."""
+
+    outcome: RecordOutcome
+    wall_s: float
+
+
+class SetTokenKey(msgspec.Struct, frozen=True, tag="token_key"):
+    """Sets the key that signs session tokens, if there is none yet."""
+
+    token_key: str
+
+
+class PutTarget(msgspec.Struct, frozen=True, tag="put_target"):
+    """Adds a target or replaces what is known of it."""
+
+    record: TargetRecord
+
+
+class RemoveTarget(msgspec.Struct, frozen=True, tag="remove_target"):
+    """Forgets a target that no group view names."""
+
+    target_id: str
+
+
+class Floor(msgspec.Struct, frozen=True):
+    """A log position that a target is known to have held.
+
+    :ivar position: index within the history of ``term``.
+    """
+
+    term: int
+    position: int
+
+
+class ChangeGroup(msgspec.Struct, frozen=True, tag="change_group"):
+    """Replaces a group's view, if it has not changed since it was read.
+
+    :ivar based_on: log index of the change that the new view follows.
+    :ivar floors: known positions of the targets that hold every acknowledged
+        write; they tell a target that lost its log.
+    """
+
+    view: GroupView
+    based_on: int
+    floors: dict[str, Floor] = {}
+
+
+class Changed(msgspec.Struct, frozen=True):
+    """Whether a change was applied."""
+
+    applied: bool
+
+
+Command = (
+    PublishCommand
+    | ClaimCommand
+    | OutcomeCommand
+    | SetTokenKey
+    | PutTarget
+    | RemoveTarget
+    | ChangeGroup
+)
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """Commands that share one entry of the log."""
+
+    commands: list[Command]
+
+
+class Results(msgspec.Struct, frozen=True):
+    """One encoded result for each command of a batch."""
+
+    results: list[msgspec.Raw]
+
+
+def encode_results(results: list[object]) -> bytes:
+    """Encodes the results of a batch."""
+    return encode(Results([msgspec.Raw(encode(result)) for result in results]))
--- /dev/null
+++ b/src/godwitwheel/decisions/promotion.py
@@ -0,0 +1,301 @@
+"""Replaces a group's primary: fence, wait for leases, choose, promote, serve.
+
+Each step but the last is committed before the next begins, so a new leader goes
+on where the last one stopped:
+
+=========  ==================  ============================================
+phase      primary             next step
+=========  ==================  ============================================
+no view    -                   choose the first primary among announced ones
+serving    the primary         fence, once the primary is lost or leaves
+fenced     empty               wait until no proxy may act on an older view,
+                               then choose among ``promotable``
+fenced     the candidate       order its promotion, then serve
+=========  ==================  ============================================
+"""
+
+import msgspec
+
+from ..control.commands import ChangeGroup
+from ..observe.events import EventName
+from ..wire.control import GroupPhase, GroupView
+from ..wire.target import Role, TargetStatus
+from .actions import Action, OrderPromotion, Propose
+from .groups import DirectStatus, GroupFacts, GroupMemory
+
+PROMOTE_SPACING_S = 0.1
+ANSWER_WAIT_S = 0.15
+FIRST_PRIMARY_WAIT_FACTOR = 5.0
+MAX_PREVIOUS_TERMS = 32
+
+
+class PromotionController:
+    """Decides about the primary of one group.
+
+    :ivar detection_s: silence after which a target counts as lost, in seconds.
+    :ivar announced: the targets that are there before the first view.
+    :ivar announced_since: when that set last changed, in seconds of the clock.
+    """
+
+    __slots__ = ("detection_s", "memory", "announced", "announced_since")
+
+    def __init__(self, memory: GroupMemory, detection_s: float):
+        self.memory = memory
+        self.detection_s = detection_s
+        self.announced: frozenset[str] = frozenset()
+        self.announced_since = 0.0
+
+    def decide(self, facts: GroupFacts, now: float) -> list[Action]:
+        """Returns the next steps; none if the primary serves well."""
+        view = facts.view
+        if view is None:
+            return self._choose_first(facts, now)
+        if view.phase is GroupPhase.serving:
+            return self._fence_if_needed(facts, now)
+        if not view.primary:
+            return self._choose(facts, now)
+        return self._promote(facts, now)
+
+    # Serving.
+
+    def _fence_if_needed(self, facts: GroupFacts, now: float) -> list[Action]:
+        view = facts.view
+        lost = facts.observations.is_unreachable(view.primary, self.detection_s)
+        if lost:
+            return [self._fence(facts, "unreachable")]
+        if self._is_leaving(facts, view.primary):
+            return self._hand_over(facts)
+        return self._check_role(facts, now)
+
+    def _check_role(self, facts: GroupFacts, now: float) -> list[Action]:
+        """Fences a primary that answers but is none any more.
+
+        Reports arrive out of order, so the target itself is asked first.
+        """
+        view = facts.view
+        direct = self.memory.direct_since(view.primary, self.memory.changed_time)
+        if direct is not None:
+            if direct.lost_log:
+                return [self._fence(facts, "log_lost")]
+            if not _leads(direct.status, view):
+                return [self._fence(facts, "not_primary")]
+        sighting = facts.observations.latest(view.primary)
+        if sighting is None:
+            return []
+        status = sighting.status
+        if _leads(status, view) and not self.memory.may_have_lost_log(status, view):
+            return []
+        return self.memory.query([view.primary], now)
+
+    def _hand_over(self, facts: GroupFacts) -> list[Action]:
+        successors = [
+            target_id
+            for target_id in facts.view.promotable
+            if target_id != facts.view.primary
+            and not self._is_leaving(facts, target_id)
+            and facts.observations.is_reached(target_id, self.detection_s)
+        ]
+        return [self._fence(facts, "leaving")] if successors else []
+
+    def _fence(self, facts: GroupFacts, reason: str) -> Propose:
+        view = facts.view
+        others = [item for item in view.promotable if item != view.primary]
+        kept = self._reachable(facts, others)
+        if not kept:
+            # Each of them, the lost primary too, holds every acknowledged write:
+            # the first that returns may serve.
+            kept = view.promotable
+        return self._commit_fence(
+            facts, kept, EventName.group_fenced, primary=view.primary, reason=reason
+        )
+
+    # Fenced, no candidate yet.
+
+    def _choose(self, facts: GroupFacts, now: float) -> list[Action]:
+        view = facts.view
+        reachable = self._reachable(facts, view.promotable)
+        if reachable and len(reachable) < len(view.promotable):
+            return [self._commit_fence(facts, reachable, EventName.ack_set_changed)]
+        since = self.memory.all_acted_time
+        if since is None:
+            return []
+        candidate = self._best(facts, since, now)
+        if candidate is None:
+            return self.memory.query(view.promotable, now)
+        return [self._commit_candidate(facts, candidate)]
+
+    def _best(self, facts: GroupFacts, since: float, now: float) -> TargetStatus | None:
+        """Returns the status of the one with the longest log, once all answered.
+
+        Each of them holds every acknowledged write, so one that does not answer
+        is waited for only shortly.
+        """
+        promotable = facts.view.promotable
+        answers = [self.memory.direct_since(item, since) for item in promotable]
+        sound = _sound_statuses(answers)
+        if not sound:
+            return None
+        if None in answers and now < since + ANSWER_WAIT_S:
+            return None
+        return max(sound, key=lambda status: self._preference(facts, status))
+
+    def _preference(self, facts: GroupFacts, status: TargetStatus) -> tuple:
+        staying = not self._is_leaving(facts, status.target_id)
+        return staying, status.term, status.position, status.target_id
+
+    def _commit_candidate(self, facts: GroupFacts, status: TargetStatus) -> Propose:
+        view = facts.view
+        known = [direct.status.term for direct in self.memory.direct.values()]
+        previous = {**view.previous, view.term: view.term_start}
+        oldest = sorted(previous)[:-MAX_PREVIOUS_TERMS]
+        for term in oldest:
+            del previous[term]
+        new_view = msgspec.structs.replace(
+            view,
+            term=max([view.term, *known]) + 1,
+            primary=status.target_id,
+            # The promoted target's log starts here or later; all acknowledged
+            # writes lie at or before it.
+            term_start=status.position,
+            previous=previous,
+        )
+        return self._change(
+            facts,
+            new_view,
+            EventName.leases_out,
+            candidate=status.target_id,
+            term=new_view.term,
+        )
+
+    # Fenced, with a candidate.
+
+    def _promote(self, facts: GroupFacts, now: float) -> list[Action]:
+        view = facts.view
+        direct = self.memory.direct_since(view.primary, self.memory.changed_time)
+        if direct is not None and not direct.lost_log:
+            if _leads(direct.status, view):
+                return [self._serve(facts, direct.status)]
+            if direct.status.term > view.term:
+                return [self._commit_candidate(facts, direct.status)]
+        if self._has_failed(facts, now):
+            others = [item for item in view.promotable if item != view.primary]
+            kept = self._reachable(facts, others)
+            if kept:
+                return [
+                    self._commit_fence(
+                        facts,
+                        kept,
+                        EventName.group_fenced,
+                        primary=view.primary,
+                        reason="candidate_lost",
+                    )
+                ]
+        if not self.memory.may_ask("promote", view.primary, now, PROMOTE_SPACING_S):
+            return []
+        floor = self.memory.floors.get(view.primary)
+        order = OrderPromotion(view.primary, now, floor, view.term)
+        return [order, *self.memory.query([view.primary], now)]
+
+    def _has_failed(self, facts: GroupFacts, now: float) -> bool:
+        if facts.observations.is_unreachable(facts.view.primary, self.detection_s):
+            return True
+        return now >= self.memory.changed_time + 2 * self.detection_s
+
+    def _serve(self, facts: GroupFacts, status: TargetStatus) -> Propose:
+        new_view = msgspec.structs.replace(
+            facts.view, phase=GroupPhase.serving, term_start=status.term_start
+        )
+        return self._change(
+            facts,
+            new_view,
+            EventName.writes_accepted,
+            primary=new_view.primary,
+            term=new_view.term,
+            term_start=new_view.term_start,
+        )
+
+    # No view yet.
+
+    def _choose_first(self, facts: GroupFacts, now: float) -> list[Action]:
+        announced = frozenset(
+            item.target_id for item in facts.records.values() if not item.leaving
+        )
+        if announced != self.announced:
+            self.announced = announced
+            self.announced_since = now
+        if not announced or now < self.announced_since + self.detection_s:
+            return []
+        asked = sorted(announced)
+        since = self.announced_since
+        answers = [self.memory.direct_since(item, since) for item in asked]
+        known = _sound_statuses(answers)
+        waited_long = now >= since + FIRST_PRIMARY_WAIT_FACTOR * self.detection_s
+        primaries = [status for status in known if status.role is Role.primary]
+        if not primaries and not (known and waited_long):
+            return self.memory.query(asked, now)
+        if len(known) < len(asked) and not waited_long:
+            return self.memory.query(asked, now)
+        first = max(
+            primaries or known, key=lambda status: self._preference(facts, status)
+        )
+        return [self._commit_first(facts, first, known)]
+
+    def _commit_first(
+        self, facts: GroupFacts, first: TargetStatus, known: list[TargetStatus]
+    ) -> Propose:
+        view = GroupView(
+            group=facts.group,
+            term=max(status.term for status in known) + 1,
+            phase=GroupPhase.fenced,
+            primary=first.target_id,
+            term_start=first.position,
+            ack_set=[first.target_id],
+            promotable=[first.target_id],
+        )
+        return self._change(
+            facts, view, EventName.leases_out, candidate=first.target_id, term=view.term
+        )
+
+    # Shared steps.
+
+    def _is_leaving(self, facts: GroupFacts, target_id: str) -> bool:
+        record = facts.records.get(target_id)
+        return record is not None and record.leaving
+
+    def _reachable(self, facts: GroupFacts, target_ids: list[str]) -> list[str]:
+        return [
+            target_id
+            for target_id in target_ids
+            if not facts.observations.is_unreachable(target_id, self.detection_s)
+        ]
+
+    def _commit_fence(
+        self, facts: GroupFacts, kept: list[str], event: EventName, **fields: object
+    ) -> Propose:
+        new_view = msgspec.structs.replace(
+            facts.view,
+            phase=GroupPhase.fenced,
+            primary="",
+            ack_set=list(kept),
+            promotable=list(kept),
+        )
+        return self._change(facts, new_view, event, term=new_view.term, **fields)
+
+    def _change(
+        self, facts: GroupFacts, view: GroupView, event: EventName, **fields: object
+    ) -> Propose:
+        command = ChangeGroup(view, facts.changed_at, self.memory.floors_of(view))
+        return Propose(command, event, group=facts.group, **fields)
+
+
+def _leads(status: TargetStatus, view: GroupView) -> bool:
+    """Whether a target says that it is the primary of the view's term."""
+    return status.role is Role.primary and status.term == view.term
+
+
+def _sound_statuses(answers: list[DirectStatus | None]) -> list[TargetStatus]:
+    return [
+        answer.status
+        for answer in answers
+        if answer is not None and not answer.lost_log
+    ]
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -21,6 +21,7 @@
     target_leaving = "target_leaving"
     target_unreachable = "target_unreachable"
     target_reachable = "target_reachable"
+    target_forgotten = "target_forgotten"
     primary_lost = "primary_lost"
     group_fenced = "group_fenced"
     leases_out = "leases_out"
--- a/src/godwitwheel/wire/control.py
+++ b/src/godwitwheel/wire/control.py
@@ -99,11 +99,16 @@
     """Renews a proxy's lease, batched with all that it reports.
 
     :ivar incarnation: random number of this start of the process.
+    :ivar sequence: grows with every heartbeat of an incarnation. A proxy sends the
+        next one only once the last was answered or given up on, so that a late
+        reply is never acted on and a late heartbeat is told by its number.
     :ivar view_version: the view that the proxy already acts on; by sending it the
         proxy promises to acknowledge nothing under an older one.
     :ivar announcements: what targets announced to this proxy since its last
         heartbeat.
     :ivar held: database connections open or being opened, by target.
+    :ivar quotas: connections that it allows itself, by target: those of the last
+        reply or, once its lease ran out, no more than it holds.
     :ivar demand: connections that it could use now, by target.
     :ivar leaving: the proxy stops; its lease and connections are given back.
     """
@@ -119,6 +124,8 @@
     held: dict[str, int] = {}
     demand: dict[str, int] = {}
     leaving: bool = False
+    sequence: int = 0
+    quotas: dict[str, int] = {}
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True):
