--- /dev/null
+++ b/src/godwitwheel/control/executor.py
@@ -0,0 +1,139 @@
+"""Does what the leader's controllers ask for, each step in a task of its own."""
+
+from collections.abc import Callable
+
+from ..decisions.actions import (
+    Action,
+    Ask,
+    Note,
+    OrderFollow,
+    OrderPromotion,
+    Propose,
+    VerifyAnnouncement,
+)
+from ..decisions.leadership import Leadership
+from ..internal.loop import spawn
+from ..observe.events import EventName, record_event
+from ..targets.base import TargetAdmin
+from ..targets.errors import TargetError
+from ..wire.target import TargetStatus
+from .commands import Changed
+from .committer import Committer
+from .errors import ControlError
+from .state import ControlState
+
+ORDER_TIMEOUT_S = 0.4
+COMMIT_TIMEOUT_S = 5.0
+MAX_ASKS_IN_FLIGHT = 256
+
+
+class Executor:
+    """Runs the actions of one leadership.
+
+    :ivar on_progress: called when an action has brought something new.
+    :ivar asks_in_flight: questions and orders on their way.
+    """
+
+    __slots__ = (
+        "leadership",
+        "state",
+        "committer",
+        "admin",
+        "on_progress",
+        "asks_in_flight",
+    )
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        state: ControlState,
+        committer: Committer,
+        admin: TargetAdmin,
+        on_progress: Callable[[], None],
+    ):
+        self.leadership = leadership
+        self.state = state
+        self.committer = committer
+        self.admin = admin
+        self.on_progress = on_progress
+        self.asks_in_flight = 0
+
+    def start(self, action: Action) -> None:
+        """Starts an action; it goes on in a task."""
+        if isinstance(action, Note):
+            record(action)
+        elif isinstance(action, Propose):
+            spawn(self._propose, action)
+        elif self.asks_in_flight < MAX_ASKS_IN_FLIGHT:
+            self.asks_in_flight += 1
+            spawn(self._ask, action)
+
+    def _propose(self, action: Propose) -> None:
+        if action.cause is not None:
+            record(action.cause)
+        try:
+            changed = self.committer.commit(action.command, Changed, COMMIT_TIMEOUT_S)
+            if changed.applied:
+                record(action.note)
+        except ControlError:
+            # The controllers look at the committed state again and decide anew.
+            return
+        finally:
+            self.leadership.finish(action)
+            self.on_progress()
+
+    def _ask(self, action: Ask | VerifyAnnouncement) -> None:
+        try:
+            if isinstance(action, VerifyAnnouncement):
+                self._verify(action)
+            else:
+                self._send(action)
+        except TargetError:
+            # No answer is no evidence; the controllers ask again.
+            return
+        finally:
+            self.asks_in_flight -= 1
+            self.on_progress()
+
+    def _verify(self, action: VerifyAnnouncement) -> None:
+        status = self.admin.status(action.address, ORDER_TIMEOUT_S)
+        if status.target_id != action.target_id:
+            return
+        view = self.state.cluster.view
+        for change in self.leadership.confirm_announcement(status, view):
+            self.start(change)
+
+    def _send(self, action: Ask) -> None:
+        targets = self.state.cluster.view.targets
+        if action.target_id not in targets:
+            return
+        address = targets[action.target_id].address
+        status = self._exchange(action, address)
+        if status is None or status.target_id != action.target_id:
+            return
+        self.leadership.note_reply(action, status, self.state.cluster.view)
+
+    def _exchange(self, action: Ask, address: str) -> TargetStatus | None:
+        if isinstance(action, OrderPromotion):
+            status = self.admin.promote(address, action.term, ORDER_TIMEOUT_S)
+            record_event(
+                EventName.target_promoted,
+                target=action.target_id,
+                group=status.group,
+                term=status.term,
+                term_start=status.term_start,
+            )
+            return status
+        if not isinstance(action, OrderFollow):
+            return self.admin.status(address, ORDER_TIMEOUT_S)
+        primary = self.state.cluster.view.targets.get(action.primary_id)
+        if primary is None:
+            return None
+        return self.admin.follow(
+            address, action.term, action.primary_id, primary.address, ORDER_TIMEOUT_S
+        )
+
+
+def record(note: Note) -> None:
+    """Records a note as an event."""
+    record_event(note.event, **note.fields)
--- a/src/godwitwheel/decisions/actions.py
+++ b/src/godwitwheel/decisions/actions.py
@@ -10,20 +10,6 @@
     __slots__ = ()
 
 
-class Propose(Action):
-    """Commit a command, then record an event.
-
-    :ivar fields: fields of the event.
-    """
-
-    __slots__ = ("command", "event", "fields")
-
-    def __init__(self, command: Command, event: EventName, **fields: object):
-        self.command = command
-        self.event = event
-        self.fields = fields
-
-
 class Note(Action):
     """Record an event."""
 
@@ -34,6 +20,20 @@
         self.fields = fields
 
 
+class Propose(Action):
+    """Commit a command, then record an event if it was applied.
+
+    :ivar cause: recorded when the command is proposed.
+    """
+
+    __slots__ = ("command", "note", "cause")
+
+    def __init__(self, command: Command, note: Note, cause: Note | None = None):
+        self.command = command
+        self.note = note
+        self.cause = cause
+
+
 class VerifyAnnouncement(Action):
     """Ask the target at an announced address who it is."""
 
--- a/src/godwitwheel/decisions/insync.py
+++ b/src/godwitwheel/decisions/insync.py
@@ -17,7 +17,7 @@
 from ..observe.events import EventName
 from ..wire.control import GroupPhase, GroupView
 from ..wire.target import Role
-from .actions import Action, OrderFollow, Propose
+from .actions import Action, Note, OrderFollow, Propose
 from .groups import GroupFacts, GroupMemory
 
 FOLLOW_SPACING_S = 0.2
@@ -192,11 +192,11 @@
 
     def _change(self, facts: GroupFacts, view: GroupView, **fields: object) -> Propose:
         command = ChangeGroup(view, facts.changed_at, self.memory.floors_of(view))
-        return Propose(
-            command,
+        note = Note(
             EventName.ack_set_changed,
             group=facts.group,
             ack_set=view.ack_set,
             promotable=view.promotable,
             **fields,
         )
+        return Propose(command, note)
--- a/src/godwitwheel/decisions/membership.py
+++ b/src/godwitwheel/decisions/membership.py
@@ -98,15 +98,13 @@
         event = EventName.target_announced
         if claimed.leaving:
             event = EventName.target_leaving
-        return [
-            Propose(
-                PutTarget(claimed),
-                event,
-                target=claimed.target_id,
-                group=claimed.group,
-                address=claimed.address,
-            )
-        ]
+        note = Note(
+            event,
+            target=claimed.target_id,
+            group=claimed.group,
+            address=claimed.address,
+        )
+        return [Propose(PutTarget(claimed), note)]
 
     def _watch(
         self,
@@ -129,7 +127,8 @@
         limit_s = FORGET_LEAVING_S if record.leaving else FORGET_S
         if now < since + limit_s or _is_named(target_id, view):
             return []
-        return [Propose(RemoveTarget(target_id), EventName.target_forgotten, **fields)]
+        note = Note(EventName.target_forgotten, **fields)
+        return [Propose(RemoveTarget(target_id), note)]
 
 
 def record_of(status: TargetStatus) -> TargetRecord:
--- a/src/godwitwheel/decisions/promotion.py
+++ b/src/godwitwheel/decisions/promotion.py
@@ -20,7 +20,7 @@
 from ..observe.events import EventName
 from ..wire.control import GroupPhase, GroupView
 from ..wire.target import Role, TargetStatus
-from .actions import Action, OrderPromotion, Propose
+from .actions import Action, Note, OrderPromotion, Propose
 from .groups import DirectStatus, GroupFacts, GroupMemory
 
 PROMOTE_SPACING_S = 0.1
@@ -62,7 +62,7 @@
         view = facts.view
         lost = facts.observations.is_unreachable(view.primary, self.detection_s)
         if lost:
-            return [self._fence(facts, "unreachable")]
+            return self._fence(facts, "unreachable")
         if self._is_leaving(facts, view.primary):
             return self._hand_over(facts)
         return self._check_role(facts, now)
@@ -76,9 +76,9 @@
         direct = self.memory.direct_since(view.primary, self.memory.changed_time)
         if direct is not None:
             if direct.lost_log:
-                return [self._fence(facts, "log_lost")]
+                return self._fence(facts, "log_lost")
             if not _leads(direct.status, view):
-                return [self._fence(facts, "not_primary")]
+                return self._fence(facts, "not_primary")
         sighting = facts.observations.latest(view.primary)
         if sighting is None:
             return []
@@ -95,9 +95,9 @@
             and not self._is_leaving(facts, target_id)
             and facts.observations.is_reached(target_id, self.detection_s)
         ]
-        return [self._fence(facts, "leaving")] if successors else []
+        return self._fence(facts, "leaving") if successors else []
 
-    def _fence(self, facts: GroupFacts, reason: str) -> Propose:
+    def _fence(self, facts: GroupFacts, reason: str) -> list[Action]:
         view = facts.view
         others = [item for item in view.promotable if item != view.primary]
         kept = self._reachable(facts, others)
@@ -105,9 +105,7 @@
             # Each of them, the lost primary too, holds every acknowledged write:
             # the first that returns may serve.
             kept = view.promotable
-        return self._commit_fence(
-            facts, kept, EventName.group_fenced, primary=view.primary, reason=reason
-        )
+        return [self._commit_fence(facts, kept, reason)]
 
     # Fenced, no candidate yet.
 
@@ -115,7 +113,7 @@
         view = facts.view
         reachable = self._reachable(facts, view.promotable)
         if reachable and len(reachable) < len(view.promotable):
-            return [self._commit_fence(facts, reachable, EventName.ack_set_changed)]
+            return [self._commit_fence(facts, reachable, "replica_lost")]
         since = self.memory.all_acted_time
         if since is None:
             return []
@@ -164,7 +162,6 @@
             new_view,
             EventName.leases_out,
             candidate=status.target_id,
-            term=new_view.term,
         )
 
     # Fenced, with a candidate.
@@ -181,15 +178,7 @@
             others = [item for item in view.promotable if item != view.primary]
             kept = self._reachable(facts, others)
             if kept:
-                return [
-                    self._commit_fence(
-                        facts,
-                        kept,
-                        EventName.group_fenced,
-                        primary=view.primary,
-                        reason="candidate_lost",
-                    )
-                ]
+                return [self._commit_fence(facts, kept, "candidate_lost")]
         if not self.memory.may_ask("promote", view.primary, now, PROMOTE_SPACING_S):
             return []
         floor = self.memory.floors.get(view.primary)
@@ -210,7 +199,6 @@
             new_view,
             EventName.writes_accepted,
             primary=new_view.primary,
-            term=new_view.term,
             term_start=new_view.term_start,
         )
 
@@ -253,7 +241,7 @@
             promotable=[first.target_id],
         )
         return self._change(
-            facts, view, EventName.leases_out, candidate=first.target_id, term=view.term
+            facts, view, EventName.leases_out, candidate=first.target_id
         )
 
     # Shared steps.
@@ -269,23 +257,39 @@
             if not facts.observations.is_unreachable(target_id, self.detection_s)
         ]
 
-    def _commit_fence(
-        self, facts: GroupFacts, kept: list[str], event: EventName, **fields: object
-    ) -> Propose:
+    def _commit_fence(self, facts: GroupFacts, kept: list[str], reason: str) -> Propose:
+        view = facts.view
         new_view = msgspec.structs.replace(
-            facts.view,
+            view,
             phase=GroupPhase.fenced,
             primary="",
             ack_set=list(kept),
             promotable=list(kept),
         )
-        return self._change(facts, new_view, event, term=new_view.term, **fields)
+        cause = None
+        if view.primary:
+            cause = Note(
+                EventName.primary_lost,
+                group=facts.group,
+                primary=view.primary,
+                term=view.term,
+                reason=reason,
+            )
+        return self._change(
+            facts, new_view, EventName.group_fenced, cause, promotable=kept
+        )
 
     def _change(
-        self, facts: GroupFacts, view: GroupView, event: EventName, **fields: object
+        self,
+        facts: GroupFacts,
+        view: GroupView,
+        event: EventName,
+        cause: Note | None = None,
+        **fields: object,
     ) -> Propose:
         command = ChangeGroup(view, facts.changed_at, self.memory.floors_of(view))
-        return Propose(command, event, group=facts.group, **fields)
+        note = Note(event, group=facts.group, term=view.term, **fields)
+        return Propose(command, note, cause)
 
 
 def _leads(status: TargetStatus, view: GroupView) -> bool:
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -28,6 +28,7 @@
     target_promoted = "target_promoted"
     writes_accepted = "writes_accepted"
     ack_set_changed = "ack_set_changed"
+    token_key_made = "token_key_made"
     lease_lost = "lease_lost"
     lease_granted = "lease_granted"
     view_in_force = "view_in_force"
