Drop events that tests record outside a process log

test_observe failed once the log's tests ran before it: eliot hands everything recorded before its first destination to that one, so the file held their events. Not a fault of process_log: a process records nothing before it opens its log.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import re
 from pathlib import Path
 
+import eliot
 import pytest
 from hypothesis import HealthCheck, settings
 
@@ -17,6 +18,10 @@
 )
 settings.load_profile("repeatable")
 
+# eliot keeps what is recorded before its first destination and hands it to that
+# one: without this, a test's log begins with the events of the tests before it.
+eliot.add_destinations(lambda message: None)
+
 
 def known_red_ids() -> set[str]:
     """Reads the test ids: each entry has a line ``test: <id>``."""
