--- a/bench/topology.py
+++ b/bench/topology.py
@@ -92,6 +92,6 @@
         "small",
         ["carrasco", "melilla", "laguna"],
         ["hangars-carrasco"],
-        SERVICES / "ferreira",
+        SERVICES / "small",
         proxies=3,
     )
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -143,7 +143,7 @@
             headers[KEY_HEADER] = key
         body = encode(request.build(key, caller.name))
         sent_at = time.monotonic()
-        answer, ending, faults = self._exchange(proxy, body, headers)
+        answer, ending, faults = self.exchange(request, proxy, body, headers)
         record = _record(request, caller, key, proxy, due, sent_at, answer, ending)
         if faults:
             record.faults.extend(faults)
@@ -152,9 +152,10 @@
         self.records.append(record)
         return record
 
-    def _exchange(
-        self, proxy: str, body: bytes, headers: dict[str, str]
+    def exchange(
+        self, request: NamedRequest, proxy: str, body: bytes, headers: dict[str, str]
     ) -> tuple[CallerAnswer, Ending, list[str]]:
+        """Sends a request and returns the answer, how it ended, and its faults."""
         nothing = CallerAnswer(outcome="unknown")
         try:
             _, reply = self.client.exchange(
