--- /dev/null
+++ b/bench/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""The experiments of ``make bench``, one module each."""
