--- a/tests/cover/test_publish.py
+++ b/tests/cover/test_publish.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from godwitwheel.publish import control_client
-from godwitwheel.publish.collect import collect_services, find_files
+from godwitwheel.publish.collect import collect_services
 from godwitwheel.publish.control_client import ControlClient
 from godwitwheel.publish.errors import (
     ControlUnreachable,
@@ -235,7 +235,15 @@
     assert not publisher(control).wait_in_force(8, 0.0)
 
 
-def test_example_files_are_valid():
+@pytest.mark.parametrize(
+    "folder, services",
+    [
+        ("examples", {"hangar-ledger", "db-kit"}),
+        ("bench/services/ferreira", {"hangar-ledger", "crew-orders"}),
+        ("bench/services/small", {"hangar-ledger", "crew-orders"}),
+        ("bench/services/agency", {"db-kit", "delivery-tracking"}),
+    ],
+)
+def test_example_files_are_valid(folder, services):
     root = Path(__file__).parent.parent.parent
-    names = {read_service_file(path).name for path in find_files(root / "bench")}
-    assert names >= {"hangar-ledger", "db-kit"}
+    assert set(collect_services([str(root / folder)])) == services
