--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how the cost of each role grows with the size of the deployment."""
--- /dev/null
+++ b/bench/slopes/__main__.py
@@ -0,0 +1,83 @@
+"""``python -m bench.slopes``: prints every measurement and its slope."""
+
+from .control_slopes import (
+    claim_bytes,
+    claim_us,
+    configuration_bytes,
+    leader_bytes,
+    measure_heartbeats,
+    publish_us,
+    revision_bytes,
+)
+from .fit import Line
+from .proxy_slopes import heartbeat_us, http_exchange_us, probe_us, view_bytes
+
+PROXIES = [6, 30, 120, 330, 660]
+TARGETS = [9, 36, 90, 180]
+FIXED_PROXIES = 30
+FIXED_TARGETS = 9
+SERVICES = [2, 50, 200, 860]
+REVISIONS = [1_000, 4_000, 16_000, 50_000]
+CLAIMS = [2_000, 8_000, 32_000, 100_000]
+
+
+def show(title: str, unit: str, points: dict[int, float]) -> None:
+    """Prints one series and the line through it."""
+    line = Line(points)
+    values = "  ".join(f"{x}: {y:,.1f}" for x, y in points.items())
+    print(f"{title} [{unit}]")
+    print(f"    {values}")
+    print(
+        f"    {line.intercept:,.2f} + {line.slope:,.4f} each, "
+        f"worst deviation {line.worst:.0%}",
+        flush=True,
+    )
+
+
+def show_control() -> None:
+    """Measures the leader against proxies and targets."""
+    by_proxies = {n: measure_heartbeats(n, FIXED_TARGETS) for n in PROXIES}
+    by_targets = {n: measure_heartbeats(FIXED_PROXIES, n) for n in TARGETS}
+    for title, costs in (
+        (f"by proxies, {FIXED_TARGETS} targets", by_proxies),
+        (f"by targets, {FIXED_PROXIES} proxies", by_targets),
+    ):
+        for name, unit in (
+            ("heartbeat_us", "us"),
+            ("decide_us", "us"),
+            ("request_bytes", "bytes"),
+            ("reply_bytes", "bytes"),
+        ):
+            points = {n: getattr(cost, name) for n, cost in costs.items()}
+            show(f"leader: {name} {title}", unit, points)
+    memory = {n: leader_bytes(n, FIXED_TARGETS) for n in PROXIES}
+    show(f"leader: memory by proxies, {FIXED_TARGETS} targets", "bytes", memory)
+    memory = {n: leader_bytes(FIXED_PROXIES, n) for n in TARGETS}
+    show(f"leader: memory by targets, {FIXED_PROXIES} proxies", "bytes", memory)
+
+
+def show_configuration() -> None:
+    """Measures configurations, revisions and claims."""
+    sizes = {n: configuration_bytes(n) for n in SERVICES}
+    show("configuration: wire", "bytes", {n: size[0] for n, size in sizes.items()})
+    show("configuration: memory", "bytes", {n: size[1] for n, size in sizes.items()})
+    show("configuration: publish", "us", {n: publish_us(n) for n in SERVICES})
+    show("revisions: memory", "bytes", {n: revision_bytes(n) for n in REVISIONS})
+    sizes = {n: claim_bytes(n) for n in CLAIMS}
+    show("claims: memory", "bytes", {n: size[0] for n, size in sizes.items()})
+    show("claims: snapshot", "bytes", {n: size[1] for n, size in sizes.items()})
+    print(f"claims: applying a claim and its outcome: {claim_us():.1f} us")
+
+
+def show_proxy() -> None:
+    """Measures a proxy's own share against targets."""
+    show("proxy: heartbeat", "us", {n: heartbeat_us(n) for n in TARGETS})
+    show("proxy: view on the wire", "bytes", {n: view_bytes(n) for n in TARGETS})
+    print(f"proxy: one probe: {probe_us():.1f} us")
+    print(f"HTTP: one exchange, both ends: {http_exchange_us():.1f} us")
+
+
+if __name__ == "__main__":
+    show_control()
+    show_configuration()
+    show_proxy()
--- /dev/null
+++ b/bench/slopes/fit.py
@@ -0,0 +1,52 @@
+"""Timing, and least-squares lines through what was measured."""
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+REPEATS = 5
+
+
+class Line:
+    """``y = intercept + slope * x``.
+
+    :ivar worst: largest deviation of a measurement, as a share of its value.
+    """
+
+    __slots__ = ("intercept", "slope", "worst")
+
+    def __init__(self, points: dict[float, float]):
+        xs, ys = list(points), list(points.values())
+        self.slope, self.intercept = statistics.linear_regression(xs, ys)
+        self.worst = max(abs(self.at(x) - y) / y for x, y in points.items())
+
+    def at(self, x: float) -> float:
+        """Returns the line's value."""
+        return self.intercept + self.slope * x
+
+
+def processor_us(function: Callable[[], object], times: int) -> float:
+    """Returns the processor time of one call in microseconds, median of repeats."""
+    results = []
+    for _ in range(REPEATS):
+        start = time.process_time()
+        for _ in range(times):
+            function()
+        results.append((time.process_time() - start) / times * 1e6)
+    return statistics.median(results)
+
+
+def allocated_bytes(build: Callable[[], object]) -> int:
+    """Returns the memory that what ``build`` returns holds."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        kept = build()
+        gc.collect()
+        size, _ = tracemalloc.get_traced_memory()
+        del kept
+    finally:
+        tracemalloc.stop()
+    return size
