Bound the numbers, nesting and parameters that a message may hold

Fuzzing the handlers found four ways to a 500: a JSON nested too deep (RecursionError in the codec), and numbers of 400 digits as a watch's timeout, an observation's age and a claim's retention (OverflowError). The last one was reached while a committed command was being applied. Numbers are now bounded by their type; a parameter is a value that a column can hold. Negative counts of connections, terms and positions are refused by the same types.

--- a/src/godwitwheel/wire/caller.py
+++ b/src/godwitwheel/wire/caller.py
@@ -21,6 +21,8 @@
 
 import msgspec
 
+from .numbers import Count, SqlValue
+
 SESSION_HEADER = "Godwitwheel-Session"
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Godwitwheel-Deadline-Ms"
@@ -66,7 +68,7 @@
     """One SQL statement with its parameters."""
 
     sql: str
-    parameters: list[Any] = []
+    parameters: list[SqlValue] = []
 
 
 class CallerRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -104,7 +106,7 @@
     session: str = ""
     reason: Reason | None = None
     message: str = ""
-    retry_after_ms: int = 0
+    retry_after_ms: Count = 0
     served_by: str = ""
     from_replica: bool = False
     replayed: bool = False
--- a/src/godwitwheel/wire/codec.py
+++ b/src/godwitwheel/wire/codec.py
@@ -28,5 +28,5 @@
         decoder = _decoders[kind] = msgspec.json.Decoder(kind)
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise BadMessage(f"{kind.__name__}: {error}") from error
--- a/src/godwitwheel/wire/control.py
+++ b/src/godwitwheel/wire/control.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from .caller import CallerAnswer
+from .numbers import Age, Count
 from .service import Configuration, Service
 from .target import TargetStatus
 
@@ -48,11 +49,11 @@
     """
 
     group: str
-    term: int
+    term: Count
     phase: GroupPhase
     primary: str = ""
-    term_start: int = 0
-    previous: dict[int, int] = {}
+    term_start: Count = 0
+    previous: dict[Count, Count] = {}
     ack_set: list[str] = []
     promotable: list[str] = []
 
@@ -64,8 +65,8 @@
     group: str
     data_centre: str
     address: str
-    slots: int
-    connection_cap: int
+    slots: Count
+    connection_cap: Count
     leaving: bool = False
 
 
@@ -76,7 +77,7 @@
     :ivar token_key: hexadecimal key that signs session tokens.
     """
 
-    version: int = 0
+    version: Count = 0
     groups: dict[str, GroupView] = {}
     targets: dict[str, TargetRecord] = {}
     token_key: str = ""
@@ -91,7 +92,7 @@
     """
 
     target_id: str
-    answer_age_ms: int
+    answer_age_ms: Age
     status: TargetStatus | None = None
 
 
@@ -114,18 +115,18 @@
     """
 
     proxy_id: str
-    incarnation: int
+    incarnation: Count
     data_centre: str
     address: str
-    view_version: int
-    revision: int
+    view_version: Count
+    revision: Count
     announcements: list[TargetStatus] = []
     observations: list[TargetObservation] = []
-    held: dict[str, int] = {}
-    demand: dict[str, int] = {}
+    held: dict[str, Count] = {}
+    demand: dict[str, Count] = {}
     leaving: bool = False
-    sequence: int = 0
-    quotas: dict[str, int] = {}
+    sequence: Count = 0
+    quotas: dict[str, Count] = {}
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True):
@@ -137,27 +138,27 @@
     :ivar quotas: connections that the proxy may hold, by target.
     """
 
-    lease_ms: int
-    view_version: int
-    revision: int
+    lease_ms: Count
+    view_version: Count
+    revision: Count
     view: ClusterView | None = None
     configuration: Configuration | None = None
-    quotas: dict[str, int] = {}
+    quotas: dict[str, Count] = {}
 
 
 class Watch(msgspec.Struct, frozen=True):
     """Asks to be answered once the view or the configuration is newer."""
 
-    view_version: int
-    revision: int
-    timeout_ms: int
+    view_version: Count
+    revision: Count
+    timeout_ms: Count
 
 
 class WatchReply(msgspec.Struct, frozen=True):
     """The member's present versions; they grant nothing."""
 
-    view_version: int
-    revision: int
+    view_version: Count
+    revision: Count
 
 
 class ClaimStatus(enum.StrEnum):
@@ -191,7 +192,7 @@
     key: str
     digest: str
     attempt: str
-    retention_s: int
+    retention_s: Count
 
 
 class ClaimReply(msgspec.Struct, frozen=True):
@@ -227,7 +228,7 @@
     """
 
     publish_id: str
-    expected_revision: int
+    expected_revision: Count
     content_hash: str
     services: dict[str, Service]
 
@@ -249,17 +250,17 @@
     """
 
     status: PublishStatus
-    revision: int
+    revision: Count
     winner: str = ""
 
 
 class InForce(msgspec.Struct, frozen=True):
     """The committed revision, and the one that each live proxy acts on."""
 
-    revision: int
+    revision: Count
     publish_id: str
     content_hash: str
-    proxies: dict[str, int]
+    proxies: dict[str, Count]
 
 
 class NotLeading(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/wire/service.py
+++ b/src/godwitwheel/wire/service.py
@@ -5,6 +5,8 @@
 import msgspec
 import xxhash
 
+from .numbers import Count
+
 
 class Access(enum.StrEnum):
     """Whether a request may change data."""
@@ -24,7 +26,7 @@
 
     group: str
     access: Access
-    max_staleness_ms: int = 0
+    max_staleness_ms: Count = 0
     repeatable: bool = False
 
 
@@ -36,7 +38,7 @@
 
     name: str
     requests: dict[str, RequestRule]
-    key_retention_s: int = 86_400
+    key_retention_s: Count = 86_400
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -46,7 +48,7 @@
     :ivar content_hash: xxh3_128 of the services' JSON, in hexadecimal.
     """
 
-    revision: int = 0
+    revision: Count = 0
     content_hash: str = ""
     services: dict[str, Service] = {}
 
--- a/src/godwitwheel/wire/target.py
+++ b/src/godwitwheel/wire/target.py
@@ -27,6 +27,8 @@
 
 import msgspec
 
+from .numbers import Count
+
 
 class Role(enum.StrEnum):
     """What a target believes that it is."""
@@ -65,19 +67,19 @@
     data_centre: str
     address: str
     role: Role
-    term: int
-    position: int
-    term_start: int
-    slots: int
-    connection_cap: int
-    connections_open: int = 0
+    term: Count
+    position: Count
+    term_start: Count
+    slots: Count
+    connection_cap: Count
+    connections_open: Count = 0
     leaving: bool = False
 
 
 class SessionOpened(msgspec.Struct, frozen=True):
     """The TCP connection is now a database connection."""
 
-    term: int
+    term: Count
     role: Role
 
 
@@ -88,7 +90,7 @@
         from the expected one.
     """
 
-    request_id: int
+    request_id: Count
     sql: str
     parameters: list[Any] = []
     read_only: bool = False
@@ -102,9 +104,9 @@
         transaction, made.
     """
 
-    request_id: int
-    term: int
-    position: int
+    request_id: Count
+    term: Count
+    position: Count
     columns: list[str] = []
     rows: list[list[Any]] = []
     row_count: int = 0
@@ -113,16 +115,16 @@
 class TransactionStep(msgspec.Struct, frozen=True):
     """Begins, commits or rolls back; the path says which."""
 
-    request_id: int
+    request_id: Count
     read_only: bool = False
 
 
 class StepReply(msgspec.Struct, frozen=True):
     """The step was done; ``position`` after a commit is the commit's."""
 
-    request_id: int
-    term: int
-    position: int
+    request_id: Count
+    term: Count
+    position: Count
 
 
 class Promote(msgspec.Struct, frozen=True):
@@ -131,13 +133,13 @@
     Repeating it for a term that the target already leads is no error.
     """
 
-    term: int
+    term: Count
 
 
 class Follow(msgspec.Struct, frozen=True):
     """Replicate from ``primary_address`` under ``term``; drop a diverged tail."""
 
-    term: int
+    term: Count
     primary_id: str
     primary_address: str
 
