--- a/tests/cover/test_control_fuzz.py
+++ b/tests/cover/test_control_fuzz.py
@@ -3,14 +3,14 @@
 import json
 
 import pytest
-from godwitwheel.control.member import Member
-from godwitwheel.control.routes import control_routes
-from godwitwheel.control.state import ControlState
-from godwitwheel.decisions.leadership import LeadershipOptions
 from hypothesis import given, settings
 
 from godwitwheel.consensus.replicated import ReplicatedLog
 from godwitwheel.control import member as member_module
+from godwitwheel.control.member import Member
+from godwitwheel.control.routes import control_routes
+from godwitwheel.control.state import ControlState
+from godwitwheel.decisions.leadership import LeadershipOptions
 from godwitwheel.internal.clock import ManualClock
 from godwitwheel.internal.loop import sleep
 from godwitwheel.targets.base import TargetAdmin
--- a/tests/cover/test_proxy_fuzz.py
+++ b/tests/cover/test_proxy_fuzz.py
@@ -4,14 +4,14 @@
 import json
 
 import pytest
-from godwitwheel.proxy.pools import TargetPools
-from godwitwheel.proxy.process import Proxy
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from godwitwheel.blackboard import Blackboard, ProxyIdentity
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.observe.metrics import ProcessMetrics
+from godwitwheel.proxy.pools import TargetPools
+from godwitwheel.proxy.process import Proxy
 from godwitwheel.proxy.settings import ProxySettings
 from godwitwheel.targets.http_target import HttpTargetConnection
 from godwitwheel.wire.caller import (
@@ -89,6 +89,15 @@
 TOKENS = st.binary(max_size=40).map(lambda raw: raw.hex()) | HEADER_TEXT
 
 
+@pytest.mark.parametrize(
+    "parameter", [b"[[1]]", b"[{}]", b"[9223372036854775808]", b"[1e999]"]
+)
+def test_parameters_that_no_column_holds_are_refused(proxy, parameter):
+    response = respond(proxy, "/v1/request", REQUEST.replace(b"[1]", parameter))
+    assert response.status == 400
+    assert b"$.statements[0].parameters" in response.body or b"range" in response.body
+
+
 def test_caller_headers(proxy):
     @given(HEADERS, TOKENS, st.sampled_from(["stock", "order"]))
     def run(name, text, request):
