--- a/tests/nocover/test_binary.py
+++ b/tests/nocover/test_binary.py
@@ -11,7 +11,7 @@
 from tests.common.processes import WAIT_LIMIT_S
 from tools.build_binary import build
 
-SERVICES = Path(__file__).parent.parent.parent / "bench" / "services"
+SERVICES = Path(__file__).parent.parent.parent / "examples"
 
 
 @pytest.fixture(scope="module")
