--- a/bench/slopes/control_slopes.py
+++ b/bench/slopes/control_slopes.py
@@ -3,7 +3,6 @@
 import uuid
 
 from godwitwheel.control.commands import ClaimCommand, OutcomeCommand, PublishCommand
-
 from godwitwheel.internal.loop import sleep
 from godwitwheel.wire.caller import CallerAnswer, Outcome, StatementResult
 from godwitwheel.wire.codec import encode
--- a/bench/slopes/stand_ins.py
+++ b/bench/slopes/stand_ins.py
@@ -1,12 +1,11 @@
 """A control member on stand-ins: a log that commits at once, unreachable targets."""
 
+from godwitwheel.consensus.replicated import ReplicatedLog
 from godwitwheel.control.commands import Batch, ChangeGroup, PutTarget
 from godwitwheel.control.member import Member
 from godwitwheel.control.routes import control_routes
 from godwitwheel.control.state import ControlState
 from godwitwheel.decisions.leadership import LeadershipOptions
-
-from godwitwheel.consensus.replicated import ReplicatedLog
 from godwitwheel.internal.clock import ManualClock
 from godwitwheel.targets.base import TargetAdmin
 from godwitwheel.targets.errors import NotRun
