Refuse a publish that no service file could declare

Control took any services and any content hash from a publisher: a wrong hash would have made a later, different publish look unchanged. Red before: all seven cases of test_publishes_nothing_that_no_file_could_declare.

--- /dev/null
+++ b/src/godwitwheel/control/publish_check.py
@@ -0,0 +1,43 @@
+"""Checks a publish; its sender may be any program, not only our command."""
+
+from ..internal.errors import InvalidValue
+from ..internal.validation import check_between, check_name
+from ..wire.control import Publish
+from ..wire.errors import BadMessage
+from ..wire.service import Access, Service, hash_services
+
+MAX_PUBLISH_ID_CHARACTERS = 128
+
+
+def check_publish(publish: Publish) -> Publish:
+    """Returns the publish if it may be proposed.
+
+    :raises BadMessage: naming the first value at fault.
+    """
+    try:
+        length = len(publish.publish_id)
+        check_between(length, 1, MAX_PUBLISH_ID_CHARACTERS, "length of publish_id")
+        for name, service in publish.services.items():
+            _check_service(name, service)
+    except InvalidValue as error:
+        raise BadMessage(str(error)) from error
+    expected = hash_services(publish.services)
+    if publish.content_hash != expected:
+        raise BadMessage(
+            f"content_hash: got {publish.content_hash!r}, expected {expected!r}"
+        )
+    return publish
+
+
+def _check_service(name: str, service: Service) -> None:
+    check_name(name, "service")
+    if service.name != name:
+        raise InvalidValue(f"services.{name}.name: got {service.name!r}")
+    for request, rule in service.requests.items():
+        what = f"services.{name}.requests.{request}"
+        check_name(request, what)
+        check_name(rule.group, f"{what}.group")
+        if rule.access is Access.write and rule.max_staleness_ms:
+            raise InvalidValue(f"{what}.max_staleness_ms: expected 0 for a write")
+        if rule.access is Access.read and rule.repeatable:
+            raise InvalidValue(f"{what}.repeatable: expected false for a read")
--- a/src/godwitwheel/control/routes.py
+++ b/src/godwitwheel/control/routes.py
@@ -9,12 +9,14 @@
     Heartbeat,
     NotLeading,
     Publish,
+    PublishReply,
     RecordOutcome,
     Watch,
 )
 from ..wire.server import Handler, Request, Response
 from . import errors
 from .member import Member
+from .publish_check import check_publish
 
 MISDIRECTED = 421
 CONFLICT = 409
@@ -48,6 +50,9 @@
 
         return guarded(handler)
 
+    def publish(message: Publish) -> PublishReply:
+        return member.publish(check_publish(message))
+
     def in_force(request: Request) -> Response:
         return Response(member.in_force())
 
@@ -56,6 +61,6 @@
         ("POST", "/v1/watch"): posted(Watch, member.watch),
         ("POST", "/v1/claim"): posted(Claim, member.claim),
         ("POST", "/v1/outcome"): posted(RecordOutcome, member.record_outcome),
-        ("POST", "/v1/publish"): posted(Publish, member.publish),
+        ("POST", "/v1/publish"): posted(Publish, publish),
         ("GET", "/v1/in-force"): guarded(in_force),
     }
--- a/tests/cover/test_control_fuzz.py
+++ b/tests/cover/test_control_fuzz.py
@@ -144,3 +144,28 @@
         assert control.send("/v1/in-force", b"").status == 200
 
     run()
+
+
+BAD_SERVICES = [
+    {"other": SERVICES["kit"]},
+    {"Kit": Service("Kit", {})},
+    {"kit": Service("kit", {"": RequestRule("kits", Access.read)})},
+    {"kit": Service("kit", {"stock": RequestRule("", Access.read)})},
+    {"kit": Service("kit", {"stock": RequestRule("kits", Access.write, 5)})},
+]
+
+
+@pytest.mark.parametrize(
+    "publish",
+    [
+        *(Publish("id-1", 0, hash_services(bad), bad) for bad in BAD_SERVICES),
+        Publish("id-1", 0, "0" * 32, SERVICES),
+        Publish("", 0, hash_services(SERVICES), SERVICES),
+    ],
+)
+def test_publishes_nothing_that_no_file_could_declare(publish):
+    control = Control()
+    before = control.settle()
+    response = control.send("/v1/publish", encode(publish))
+    assert response.status == 400
+    assert control.settle() == before
