--- a/bench/relay.py
+++ b/bench/relay.py
@@ -27,6 +27,7 @@
 
 CALLER = "caller"
 CHUNK_BYTES = 64 * 1024
+LISTEN_BACKLOG = 1024
 
 
 class Relay:
@@ -80,6 +81,11 @@
         come.close()
 
 
+def _listen(address: str) -> socket.socket:
+    # A burst that overflows the backlog waits a second for its second SYN.
+    return eventlet.listen(split_address(address), backlog=LISTEN_BACKLOG)
+
+
 def _reset(end: socket.socket) -> None:
     linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
     end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -98,7 +104,7 @@
     for link in options.link:
         destination_id, listen, destination = link.split("=")
         relay = Relay(destination_id, destination, sources, links)
-        spawn(relay.accept_forever, eventlet.listen(split_address(listen)))
+        spawn(relay.accept_forever, _listen(listen))
 
     def set_links(request: Request) -> Response:
         links.replace(decode(request.body, SetLinks))
