Add random faults over real processes as an experiment

Ruled out: a simulator; the stand-ins and the relay cause the faults on real processes, and the ledger check is the oracle. Conclusion: kept as bench.experiments chaos, with the seed as an option.

--- /dev/null
+++ b/bench/experiment/chaos.py
@@ -0,0 +1,257 @@
+"""Random faults, one or two at once, under load; every answer is checked."""
+
+import random
+import time
+from abc import ABC, abstractmethod
+
+from matplotlib.axes import Axes
+
+from godwitwheel.internal.loop import sleep, spawn
+from godwitwheel.observe.events import EventName
+
+from ..deployment import Deployment
+from ..load_run import traffic_for
+from ..topology import ferreira
+from .base import Experiment
+from .failover import read_events
+
+RATE_PER_S = 90.0
+WARM_UP_S = 2.0
+SHORTEST_FAULT_S = 0.3
+LONGEST_FAULT_S = 3.0
+RECOVERY_LIMIT_S = 25.0
+RECOVERY_POLL_S = 0.3
+QUIET_S = 0.5
+LAGS_MS = (50, 400, 1500, 4000)
+VIEW_EVENTS = {
+    EventName.ack_set_changed,
+    EventName.group_fenced,
+    EventName.writes_accepted,
+}
+
+
+class Fault(ABC):
+    """One fault that begins and is taken back.
+
+    :ivar process_id: the process that it strikes.
+    """
+
+    __slots__ = ("process_id",)
+
+    def __init__(self, process_id: str):
+        self.process_id = process_id
+
+    @abstractmethod
+    def begin(self, deployment: Deployment) -> None:
+        """Causes the fault."""
+
+    @abstractmethod
+    def end(self, deployment: Deployment) -> None:
+        """Takes it back."""
+
+    def __str__(self) -> str:
+        return f"{type(self).__name__} {self.process_id}"
+
+
+class Killed(Fault):
+    """The process ends and comes back on its disk."""
+
+    __slots__ = ()
+
+    def begin(self, deployment: Deployment) -> None:
+        deployment.kill(self.process_id)
+
+    def end(self, deployment: Deployment) -> None:
+        deployment.restart(self.process_id)
+
+
+class DiskLost(Killed):
+    """The process ends and comes back on an empty disk."""
+
+    __slots__ = ()
+
+    def end(self, deployment: Deployment) -> None:
+        deployment.restart(self.process_id, lose_disk=True)
+
+
+class Frozen(Fault):
+    """The process stands still and goes on."""
+
+    __slots__ = ()
+
+    def begin(self, deployment: Deployment) -> None:
+        deployment.freeze(self.process_id)
+
+    def end(self, deployment: Deployment) -> None:
+        deployment.resume(self.process_id)
+
+
+class CutOff(Fault):
+    """The process's whole data centre is cut off."""
+
+    __slots__ = ()
+
+    def begin(self, deployment: Deployment) -> None:
+        data_centre = deployment.members[self.process_id].data_centre
+        deployment.cut_off(deployment.inside(data_centre))
+
+    def end(self, deployment: Deployment) -> None:
+        deployment.heal()
+
+
+class Isolated(CutOff):
+    """The process alone is cut off from all others; callers still reach it."""
+
+    __slots__ = ()
+
+    def begin(self, deployment: Deployment) -> None:
+        deployment.cut_off([self.process_id])
+
+
+class Lagging(Fault):
+    """The target applies what it receives late."""
+
+    __slots__ = ("lag_ms",)
+
+    def __init__(self, process_id: str, lag_ms: int):
+        super().__init__(process_id)
+        self.lag_ms = lag_ms
+
+    def begin(self, deployment: Deployment) -> None:
+        deployment.set_lag(self.process_id, self.lag_ms)
+
+    def end(self, deployment: Deployment) -> None:
+        deployment.set_lag(self.process_id, 0)
+
+
+KINDS = {
+    "target": (Killed, DiskLost, Frozen, CutOff, Isolated, Lagging),
+    "proxy": (Killed, Frozen, CutOff, Isolated),
+    "control": (Killed, DiskLost, Frozen, CutOff, Isolated),
+}
+
+
+def draw_fault(deployment: Deployment, rng: random.Random) -> Fault:
+    """Draws a kind of process, a process and what happens to it."""
+    kind = rng.choice(sorted(KINDS))
+    member = rng.choice(deployment.of_kind(kind))
+    process_id = member.process.process_id
+    if kind == "target" and rng.random() < 0.5:
+        process_id = deployment.primary_of(member.group) or process_id
+    fault = rng.choice(KINDS[kind])
+    if fault is Lagging:
+        return Lagging(process_id, rng.choice(LAGS_MS))
+    return fault(process_id)
+
+
+def draw_faults(deployment: Deployment, rng: random.Random) -> list[Fault]:
+    """Draws one or two faults that may hold at the same time.
+
+    Two strike different processes, and at most one of them cuts links, since a
+    new cut replaces the old one. Losing two disks of one kind at once is beyond
+    what any copy count of three can promise, so it is not drawn.
+    """
+    first = draw_fault(deployment, rng)
+    if rng.random() < 0.5:
+        return [first]
+    second = draw_fault(deployment, rng)
+    while (
+        second.process_id == first.process_id
+        or (isinstance(first, CutOff) and isinstance(second, CutOff))
+        or (isinstance(first, DiskLost) and isinstance(second, DiskLost))
+    ):
+        second = draw_fault(deployment, rng)
+    return [first, second]
+
+
+class Chaos(Experiment):
+    """Rounds of random faults; a seed draws the same faults again.
+
+    :ivar seed: of the faults and of the traffic.
+    """
+
+    name = "chaos"
+    seed = 1
+
+    def run(self) -> None:
+        rounds = 60 if self.is_long else 8
+        rng = random.Random(self.seed)
+        folder = self.folder / self.name
+        with Deployment(ferreira(), with_relay=True, folder=folder) as deployment:
+            traffic = traffic_for(deployment, seed=self.seed)
+            load = spawn(traffic.run, RATE_PER_S, float("inf"))
+            sleep(WARM_UP_S)
+            for number in range(rounds):
+                self.run_round(deployment, rng, number)
+            load.kill()
+            traffic.wait_for_answers()
+            verdict = self.check_answers(deployment, traffic.records)
+            most = self.check_caps(deployment)
+            self.rows.append(
+                {
+                    "round": "all",
+                    "seed": self.seed,
+                    "acknowledged": verdict.acknowledged,
+                    "unknown": verdict.unknown,
+                    "refused": verdict.refused,
+                    "replica_share": verdict.replica_share(),
+                    "most_connections": most,
+                }
+            )
+
+    def run_round(
+        self, deployment: Deployment, rng: random.Random, number: int
+    ) -> None:
+        """Causes the faults of one round, takes them back and waits."""
+        faults = draw_faults(deployment, rng)
+        text = ", ".join(str(fault) for fault in faults)
+        print(f"  round {number}: {text}", flush=True)
+        for fault in faults:
+            fault.begin(deployment)
+            sleep(rng.uniform(0.0, SHORTEST_FAULT_S))
+        sleep(rng.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S))
+        for fault in faults:
+            fault.end(deployment)
+        recovery_s = wait_until_whole(deployment)
+        if recovery_s is None:
+            self.add_fault("not whole again", f"round {number}: {text}")
+        self.rows.append({"round": number, "faults": text, "recovery_s": recovery_s})
+
+    def plot(self, axes: Axes) -> None:
+        rounds = [row for row in self.rows if row["round"] != "all"]
+        labels = [f"{row['round']}: {row['faults']}" for row in rounds]
+        axes.barh(labels, [row["recovery_s"] or RECOVERY_LIMIT_S for row in rounds])
+        axes.set_xlabel("s until every group has all its targets again")
+        axes.set_title("Random faults")
+
+
+def wait_until_whole(deployment: Deployment) -> float | None:
+    """Waits until every group serves with all targets promotable.
+
+    :returns: how long it took, in seconds; ``None`` if it did not happen.
+    """
+    began_at = time.monotonic()
+    while time.monotonic() < began_at + RECOVERY_LIMIT_S:
+        if is_whole(deployment):
+            took_s = time.monotonic() - began_at
+            sleep(QUIET_S)
+            return took_s
+        sleep(RECOVERY_POLL_S)
+    return None
+
+
+def is_whole(deployment: Deployment) -> bool:
+    """Whether the time line's last view of each group has all targets."""
+    promotable: dict[str, list[str]] = {}
+    serving: dict[str, bool] = {}
+    for event in read_events(deployment):
+        if event["message_type"] not in VIEW_EVENTS:
+            continue
+        group = event["group"]
+        promotable[group] = event.get("promotable", promotable.get(group, []))
+        serving[group] = event["message_type"] != EventName.group_fenced
+    return all(
+        serving.get(group)
+        and len(promotable[group]) == len(deployment.targets_of(group))
+        for group in deployment.topology.groups
+    )
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -22,13 +22,16 @@
 from matplotlib import pyplot  # noqa: E402
 
 from .experiment.base import Experiment  # noqa: E402
+from .experiment.chaos import Chaos  # noqa: E402
 from .experiment.costs import Costs  # noqa: E402
 from .experiment.failover import FailoverGap  # noqa: E402
 from .experiment.overload import Overload  # noqa: E402
 from .experiment.replica_share import ReplicaShare  # noqa: E402
 from .measurements import FOLDER, Measurement, commit, machine, save  # noqa: E402
 
-EXPERIMENTS = {kind.name: kind for kind in (FailoverGap, ReplicaShare, Overload, Costs)}
+EXPERIMENTS = {
+    kind.name: kind for kind in (FailoverGap, ReplicaShare, Overload, Costs, Chaos)
+}
 FIGURE_INCHES = (9, 5)
 
 
@@ -71,12 +74,14 @@
     """Runs the chosen experiments; logs are kept if one fails."""
     parser = argparse.ArgumentParser(prog="bench.experiments", description=__doc__)
     parser.add_argument("--long", action="store_true", help="more and longer runs")
+    parser.add_argument("--seed", type=int, default=1, help="of the random faults")
     parser.add_argument("--output", type=Path, default=FOLDER)
     parser.add_argument("names", nargs="*", metavar="NAME", help=", ".join(EXPERIMENTS))
     options = parser.parse_args()
     unknown = set(options.names) - set(EXPERIMENTS)
     if unknown:
         parser.error(f"no such experiment: {', '.join(sorted(unknown))}")
+    Chaos.seed = options.seed
     folder = Path(tempfile.mkdtemp(prefix="godwitwheel-bench-"))
     is_clean = True
     for name in options.names or EXPERIMENTS:
