Fill a log entry by size and refuse a command that none holds

The committer put up to 128 commands into one entry of at most 256 KiB. Beyond that the log's InvalidValue ended the committer's task: all 128 waited for a result that never came (128 outcomes of 3 KB are enough), and one large publish or answer took the others of its batch with it. A command that no entry holds is answered 413 at once.

--- a/bench/slopes/stand_ins.py
+++ b/bench/slopes/stand_ins.py
@@ -1,5 +1,6 @@
 """A control member on stand-ins: a log that commits at once, unreachable targets."""
 
+from godwitwheel.consensus.driver import MAX_COMMAND_BYTES
 from godwitwheel.consensus.replicated import ReplicatedLog
 from godwitwheel.control.commands import Batch, ChangeGroup, PutTarget
 from godwitwheel.control.member import Member
@@ -7,6 +8,7 @@
 from godwitwheel.control.state import ControlState
 from godwitwheel.decisions.leadership import LeadershipOptions
 from godwitwheel.internal.clock import ManualClock
+from godwitwheel.internal.errors import InvalidValue
 from godwitwheel.targets.base import TargetAdmin
 from godwitwheel.targets.errors import NotRun
 from godwitwheel.wire.codec import encode
@@ -32,6 +34,8 @@
         self.index = 0
 
     def propose(self, command: bytes, timeout_s: float) -> bytes:
+        if len(command) > MAX_COMMAND_BYTES:
+            raise InvalidValue(f"command of {len(command)} bytes")
         self.index += 1
         return self.state.apply(self.index, command)
 
@@ -91,8 +95,9 @@
         self.server = Server(routes, self.failures.append)
 
     def commit(self, *commands: object) -> None:
-        """Applies commands to the replicated state."""
-        self.log.propose(encode(Batch(list(commands))), 1.0)
+        """Applies commands to the replicated state, of whatever size."""
+        self.log.index += 1
+        self.state.apply(self.log.index, encode(Batch(list(commands))))
 
 
 def target_status(number: int) -> TargetStatus:
--- a/src/godwitwheel/control/commands.py
+++ b/src/godwitwheel/control/commands.py
@@ -94,12 +94,23 @@
     commands: list[Command]
 
 
+class EncodedBatch(msgspec.Struct, frozen=True):
+    """A :class:`Batch` of commands that are encoded already."""
+
+    commands: list[msgspec.Raw]
+
+
 class Results(msgspec.Struct, frozen=True):
     """One encoded result for each command of a batch."""
 
     results: list[msgspec.Raw]
 
 
+def encode_batch(commands: list[bytes]) -> bytes:
+    """Encodes a batch of encoded commands."""
+    return encode(EncodedBatch([msgspec.Raw(command) for command in commands]))
+
+
 def encode_results(results: list[object]) -> bytes:
     """Encodes the results of a batch."""
     return encode(Results([msgspec.Raw(encode(result)) for result in results]))
--- a/src/godwitwheel/control/committer.py
+++ b/src/godwitwheel/control/committer.py
@@ -6,20 +6,22 @@
 from ..consensus.replicated import ReplicatedLog
 from ..internal.loop import Event, spawn, wait_for
 from ..wire.codec import Message, decode, encode
-from .commands import Batch, Command, Results
-from .errors import NotLeading, Unsettled
+from .commands import Command, Results, encode_batch
+from .errors import NotLeading, TooLarge, Unsettled
 
 MAX_BATCH_COMMANDS = 128
+# An entry of the log holds 256 KiB, the brackets around the commands included.
+MAX_BATCH_BYTES = 250 * 1024
 MAX_BATCHES_IN_FLIGHT = 2
 COMMIT_LIMIT_S = 5.0
 
 
 class Pending:
-    """A command that waits for its result."""
+    """An encoded command that waits for its result."""
 
     __slots__ = ("command", "done")
 
-    def __init__(self, command: Command):
+    def __init__(self, command: bytes):
         self.command = command
         self.done = Event()
 
@@ -45,10 +47,16 @@
     ) -> Message:
         """Commits a command and returns its result.
 
+        :raises TooLarge: if no entry holds it; nothing was proposed.
         :raises NotLeading: if nothing was proposed.
         :raises Unsettled: if it may or may not be committed.
         """
-        pending = Pending(command)
+        encoded = encode(command)
+        if len(encoded) > MAX_BATCH_BYTES:
+            raise TooLarge(
+                f"got {len(encoded)} bytes, expected at most {MAX_BATCH_BYTES}"
+            )
+        pending = Pending(encoded)
         self.queue.append(pending)
         if self.in_flight < MAX_BATCHES_IN_FLIGHT:
             self.in_flight += 1
@@ -60,13 +68,23 @@
     def _send_batches(self) -> None:
         try:
             while self.queue:
-                size = min(len(self.queue), MAX_BATCH_COMMANDS)
-                self._send([self.queue.popleft() for _ in range(size)])
+                self._send(self._take_batch())
         finally:
             self.in_flight -= 1
 
+    def _take_batch(self) -> list[Pending]:
+        """Takes what fits into one entry, and at least one command."""
+        batch = [self.queue.popleft()]
+        size = len(batch[0].command)
+        while self.queue and len(batch) < MAX_BATCH_COMMANDS:
+            size += len(self.queue[0].command) + 1
+            if size > MAX_BATCH_BYTES:
+                break
+            batch.append(self.queue.popleft())
+        return batch
+
     def _send(self, batch: list[Pending]) -> None:
-        command = encode(Batch([pending.command for pending in batch]))
+        command = encode_batch([pending.command for pending in batch])
         try:
             result = self.log.propose(command, COMMIT_LIMIT_S)
         except NotLeader as error:
--- a/src/godwitwheel/control/errors.py
+++ b/src/godwitwheel/control/errors.py
@@ -15,5 +15,9 @@
     """Raised when a change may or may not take effect; sending it again is safe."""
 
 
+class TooLarge(ControlError):
+    """Raised when a change is larger than an entry of the log; nothing was changed."""
+
+
 class StaleHeartbeat(ControlError):
     """Raised for a heartbeat that a later one of the same process overtook."""
--- a/src/godwitwheel/control/routes.py
+++ b/src/godwitwheel/control/routes.py
@@ -20,6 +20,7 @@
 
 MISDIRECTED = 421
 CONFLICT = 409
+TOO_LARGE = 413
 UNAVAILABLE = 503
 
 
@@ -39,6 +40,8 @@
                 return Response(NotLeading(leader_address()), MISDIRECTED)
             except errors.StaleHeartbeat as error:
                 return Response(ControlProblem(str(error)), CONFLICT)
+            except errors.TooLarge as error:
+                return Response(ControlProblem(str(error)), TOO_LARGE)
             except errors.ControlError as error:
                 return Response(ControlProblem(str(error)), UNAVAILABLE)
 
--- /dev/null
+++ b/tests/cover/test_committer.py
@@ -0,0 +1,39 @@
+"""Commands of any size up to the limit are committed, however many come at once."""
+
+import pytest
+
+from bench.slopes.stand_ins import Control
+from godwitwheel.control.commands import OutcomeCommand, SetTokenKey
+from godwitwheel.control.committer import MAX_BATCH_BYTES
+from godwitwheel.control.errors import TooLarge
+from godwitwheel.internal.loop import spawn
+from godwitwheel.wire.caller import CallerAnswer, Outcome
+from godwitwheel.wire.control import OutcomeRecorded, RecordOutcome
+
+TIMEOUT_S = 5.0
+
+
+def outcome(size, number=0):
+    answer = CallerAnswer(Outcome.done, message="x" * size)
+    return OutcomeCommand(RecordOutcome("kit", f"key-{number}", "a", answer), 0.0)
+
+
+@pytest.mark.parametrize("size", [10, 3_000, 60_000, 240_000])
+def test_commits_many_large_commands_at_once(size):
+    committer = Control().member.committer
+    tasks = [
+        spawn(committer.commit, outcome(size, number), OutcomeRecorded, TIMEOUT_S)
+        for number in range(200)
+    ]
+    assert [task.wait() for task in tasks] == [OutcomeRecorded(False)] * 200
+    assert committer.committed == 200
+    assert committer.batches < 200 or size > MAX_BATCH_BYTES / 2
+
+
+def test_refuses_a_command_that_no_entry_holds_and_goes_on():
+    control = Control()
+    committer = control.member.committer
+    with pytest.raises(TooLarge):
+        committer.commit(outcome(300_000), OutcomeRecorded, TIMEOUT_S)
+    committer.commit(SetTokenKey("00"), object, TIMEOUT_S)
+    assert control.state.cluster.view.token_key == "00"
