Rest longer between calls to control while no member leads

Cause: every claim and every outcome to be recorded later called the members each 20 ms for up to 30 s. With a few hundred of them after a partition healed, some thousand calls a second kept the members too busy to elect a leader: proxies lost their leases again and again, and 3 of 7 trials never recovered within 10 s (20,000 open sockets in the relay). Ruled out: the relay's backlog (raised before, no change). The test counted 1,500 calls in 30 s before, at most 60 now.

--- a/src/godwitwheel/proxy/control_client.py
+++ b/src/godwitwheel/proxy/control_client.py
@@ -12,6 +12,7 @@
 MISDIRECTED = 421
 ATTEMPT_TIMEOUT_S = 0.2
 RETRY_PAUSE_S = 0.02
+MAX_RETRY_PAUSE_S = 0.64
 
 
 class ControlClient:
@@ -49,6 +50,7 @@
             taken effect.
         """
         deadline = self.clock.now() + timeout_s
+        pause_s = RETRY_PAUSE_S
         while True:
             remaining_s = deadline - self.clock.now()
             if remaining_s <= 0:
@@ -57,7 +59,10 @@
             try:
                 return self.call_once(path, message, reply, limit_s)
             except ControlUnavailable:
-                sleep(min(RETRY_PAUSE_S, remaining_s))
+                # Without a growing pause, calls that pile up while no member leads
+                # would keep the members too busy to elect one.
+                sleep(min(pause_s, remaining_s))
+                pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
 
     def call_once(
         self, path: str, message: object, reply: type[Message], timeout_s: float
