--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -25,6 +25,7 @@
 from .topology import Topology
 
 CALL_TIMEOUT_S = 2.0
+RELAY_TIMEOUT_S = 20.0
 READY_LIMIT_S = 30.0
 PUBLISH_TIMEOUT_S = 20.0
 
@@ -273,7 +274,7 @@
 
     def _set_links(self) -> None:
         links = SetLinks(self.cuts, self._latencies())
-        self.client.call(self.relay_control, "/links", links, dict, CALL_TIMEOUT_S)
+        self.client.call(self.relay_control, "/links", links, dict, RELAY_TIMEOUT_S)
 
     def _latencies(self) -> list[tuple[str, str, float]]:
         found = []
