--- /dev/null
+++ b/tests/cover/test_decisions.py
@@ -0,0 +1,77 @@
+"""Single cases that the fuzzing of several proxies reaches too seldom."""
+
+import pytest
+
+from godwitwheel.blackboard import Blackboard, Lease, PositionSample, ProxyIdentity
+from godwitwheel.decisions.acknowledgement import AnsweredWrite, Verdict, judge_write
+from godwitwheel.decisions.routing import (
+    RouteProblem,
+    eligible_for_read,
+    read_needs,
+    reply_covers,
+)
+from godwitwheel.decisions.sessions import (
+    LogPoint,
+    Session,
+    TokenProblem,
+    decode_token,
+    encode_token,
+)
+from tests.common.group_model import GROUP, TOKEN_KEY, ModelControl
+
+NOW = 50.0
+
+
+@pytest.fixture
+def board():
+    control = ModelControl(["t0", "t1", "t2"])
+    board = Blackboard(ProxyIdentity("p0", 1, "dc", "127.0.0.1:2"))
+    board.view = control.view
+    for target in control.targets.values():
+        target.log = list(range(10))
+        board.target_state(target.target_id).status = target.status()
+    board.group_samples(GROUP).append(PositionSample(1, 10, NOW - 0.1))
+    board.lease = Lease(NOW + 0.1)
+    return board
+
+
+def test_counts_no_holder_under_another_term(board):
+    write = AnsweredWrite("t0", 1, LogPoint(1, 10))
+    view = board.view.groups[GROUP]
+    seen = {"t1": LogPoint(0, 99)}
+    verdict = judge_write(write, view, board.lease, seen, NOW)
+    assert verdict is Verdict.wait
+
+
+def test_reads_at_a_promotable_target_without_a_token_only_under_a_lease(board):
+    needs = read_needs(GROUP, Session({}, is_complete=False), 1000)
+    assert eligible_for_read(needs, board, NOW) == ["t1"]
+    refusal = eligible_for_read(needs, board, NOW + 0.2)
+    assert refusal.reason is RouteProblem.no_lease
+
+
+@pytest.mark.parametrize("term, covered", [(1, False), (2, True)])
+def test_reply_of_an_older_term_never_covers_a_write(board, term, covered):
+    session = Session({GROUP: LogPoint(2, 5)}, is_complete=True)
+    needs = read_needs(GROUP, session, 1000)
+    view = board.view.groups[GROUP]
+    assert reply_covers(needs, LogPoint(term, 8), view) is covered
+
+
+def test_cut_off_replica_serves_its_session_within_the_bound_only(board):
+    session = Session({GROUP: LogPoint(1, 10)}, is_complete=True)
+    needs = read_needs(GROUP, session, 1000)
+    assert eligible_for_read(needs, board, NOW + 0.8) == ["t0", "t1", "t2"]
+    assert not eligible_for_read(needs, board, NOW + 1.0)
+
+
+def test_rejects_forged_tokens():
+    token = encode_token(Session({GROUP: LogPoint(1, 10)}, True), TOKEN_KEY)
+    assert decode_token(token, TOKEN_KEY).points == {GROUP: LogPoint(1, 10)}
+    refusals = {
+        decode_token(token, "00" * 16).reason,
+        decode_token(token[:-2] + "AA", TOKEN_KEY).reason,
+    }
+    assert refusals == {TokenProblem.forged}
+    for broken in ("", "1..", "2.a.b", "1.!.?", "x" * 9000, token + ".", "1.é.é"):
+        assert not decode_token(broken, TOKEN_KEY)
