--- a/bench/relay.py
+++ b/bench/relay.py
@@ -27,6 +27,7 @@
 
 CALLER = "caller"
 CHUNK_BYTES = 64 * 1024
+LISTEN_BACKLOG = 1024
 
 
 class Relay:
@@ -73,8 +74,16 @@
             self.links.hold_back(pair)
         except OSError:
             self.links.hold_back(pair)
-        for end in (come, go):
-            _close(end)
+        # Each end is closed by the task that reads it: the loop does not survive
+        # a close under another task's read.
+        _shut_down(come)
+        _shut_down(go)
+        come.close()
+
+
+def _listen(address: str) -> socket.socket:
+    # A burst that overflows the backlog waits a second for its second SYN.
+    return eventlet.listen(split_address(address), backlog=LISTEN_BACKLOG)
 
 
 def _reset(end: socket.socket) -> None:
@@ -83,10 +92,9 @@
     end.close()
 
 
-def _close(end: socket.socket) -> None:
+def _shut_down(end: socket.socket) -> None:
     with contextlib.suppress(OSError):
         end.shutdown(socket.SHUT_RDWR)
-    end.close()
 
 
 def serve(options: argparse.Namespace) -> None:
@@ -96,7 +104,7 @@
     for link in options.link:
         destination_id, listen, destination = link.split("=")
         relay = Relay(destination_id, destination, sources, links)
-        spawn(relay.accept_forever, eventlet.listen(split_address(listen)))
+        spawn(relay.accept_forever, _listen(listen))
 
     def set_links(request: Request) -> Response:
         links.replace(decode(request.body, SetLinks))
