--- a/src/godwitwheel/decisions/claims.py
+++ b/src/godwitwheel/decisions/claims.py
@@ -18,6 +18,7 @@
 MAX_CLAIMS = 200_000
 MAX_ANSWER_BYTES = 24 << 20
 RELEASED_KEPT_S = 60.0
+NO_ANSWER = msgspec.Raw(b"null")
 
 
 class ClaimRecord(msgspec.Struct):
@@ -29,7 +30,7 @@
     :ivar forget_at: when the record may be dropped; ``None`` for never.
     :ivar released_at: when the attempt said that it was not run, in seconds since
         the Unix epoch; ``None`` while an attempt holds the key.
-    :ivar answer: the encoded answer, once it is recorded.
+    :ivar answer: the encoded answer; ``NO_ANSWER`` until it is recorded.
     """
 
     service: str
@@ -39,7 +40,15 @@
     made_at: float | None
     forget_at: float | None
     released_at: float | None = None
-    answer: msgspec.Raw | None = None
+    answer: msgspec.Raw = NO_ANSWER
+
+    def has_answer(self) -> bool:
+        """Whether the outcome is recorded."""
+        return self.answer != NO_ANSWER
+
+    def answer_size(self) -> int:
+        """Returns the size of the recorded answer, in bytes."""
+        return len(self.answer) if self.has_answer() else 0
 
 
 class ClaimsSnapshot(msgspec.Struct):
@@ -113,7 +122,7 @@
         record = self.records.get((outcome.service, outcome.key))
         if record is None or record.attempt != outcome.attempt:
             return False
-        if record.answer is not None:
+        if record.has_answer():
             return True
         if outcome.answer.outcome is Outcome.not_run:
             self._release(record, now)
@@ -147,7 +156,10 @@
         """Replaces the whole table."""
         self.records = {(item.service, item.key): item for item in snapshot.records}
         self.horizons = dict(snapshot.horizons)
-        self.answer_bytes = sum(len(item.answer or b"") for item in snapshot.records)
+        for item in snapshot.records:
+            # A decoded Raw keeps the whole snapshot's bytes alive.
+            item.answer = item.answer.copy()
+        self.answer_bytes = sum(item.answer_size() for item in snapshot.records)
         self._forgettable = sorted(
             (item.forget_at, item.service, item.key)
             for item in snapshot.records
@@ -181,7 +193,7 @@
             return ClaimStatus.pending if same else ClaimStatus.granted
         if record.digest != claim.digest:
             return ClaimStatus.mismatch
-        if record.answer is not None:
+        if record.has_answer():
             return ClaimStatus.recorded
         same = record.attempt == claim.attempt
         return ClaimStatus.granted if same else ClaimStatus.pending
@@ -210,7 +222,7 @@
 
     def _drop(self, record: ClaimRecord) -> None:
         del self.records[(record.service, record.key)]
-        self.answer_bytes -= len(record.answer or b"")
+        self.answer_bytes -= record.answer_size()
 
 
 def key_time(key: str) -> float | None:
--- /dev/null
+++ b/tests/cover/test_promotion.py
@@ -0,0 +1,112 @@
+"""Promotion, leases and views together, against an oracle."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from godwitwheel.wire.control import GroupPhase
+from godwitwheel.wire.target import Role
+from tests.common.fake_group import FakeCell
+
+TARGETS = st.sampled_from(["t0", "t1", "t2"])
+FEW_TARGETS = st.sets(TARGETS, max_size=2)
+PROXIES = st.integers(0, 2)
+
+
+class PromotionMachine(RuleBasedStateMachine):
+    """Draws faults; all processes go on in a random order between them."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        self.rng = random.Random(seed)
+        self.cell = FakeCell()
+        self.cell.run(6.0, self.rng)
+        view = self.cell.view()
+        assert view.phase is GroupPhase.serving
+        assert sorted(view.promotable) == ["t0", "t1", "t2"]
+
+    @rule(
+        seconds=st.sampled_from([0.1, 0.5, 1.0, 2.0]), haste=st.sampled_from([0.2, 0.8])
+    )
+    def run(self, seconds, haste):
+        self.cell.run(seconds, self.rng, haste)
+
+    @rule(names=FEW_TARGETS)
+    def only_these_are_dead(self, names):
+        for name, target in self.cell.targets.items():
+            target.alive = name not in names
+
+    @rule(names=FEW_TARGETS, numbers=st.sets(PROXIES, max_size=1))
+    def only_these_are_cut_off(self, names, numbers):
+        for name, target in self.cell.targets.items():
+            target.side = int(name in names)
+        for number, proxy in enumerate(self.cell.proxies):
+            proxy.side = int(number in numbers)
+
+    @rule(numbers=st.sets(PROXIES, max_size=1))
+    def only_these_lose_replies(self, numbers):
+        for number, proxy in enumerate(self.cell.proxies):
+            proxy.deaf = number in numbers
+
+    @rule(names=FEW_TARGETS)
+    def only_these_leave(self, names):
+        for name, target in self.cell.targets.items():
+            target.leaving = name in names
+
+    @rule(reload=st.booleans())
+    def elect_another_leader(self, reload):
+        self.cell.elect(reload)
+
+    @rule(name=TARGETS, alone=st.booleans())
+    def lose_log(self, name, alone):
+        cell = self.cell
+        others = [item for item in cell.view().promotable if item != name]
+        if cell.view().phase is GroupPhase.serving and others and not cell.wiped:
+            cell.wiped.add(name)
+            cell.targets[name].wipe()
+            if alone:
+                for other in cell.targets.values():
+                    other.alive = other.target_id == name
+
+    @rule(heal=st.booleans())
+    def gets_a_primary_again(self, heal):
+        cell = self.cell
+        if heal:
+            for process in [*cell.targets.values(), *cell.proxies]:
+                process.side = 0
+            for proxy in cell.proxies:
+                proxy.deaf = False
+        connected = [item for item in cell.proxies if not item.side and not item.deaf]
+        for _ in range(12):
+            cell.run(0.5, self.rng)
+            if self.serves():
+                break
+        usable = [
+            name
+            for name in cell.view().promotable
+            if cell.targets[name].alive and not cell.targets[name].side
+            if name not in cell.wiped
+        ]
+        if connected and usable:
+            assert self.serves()
+
+    def serves(self):
+        view = self.cell.view()
+        if view.phase is not GroupPhase.serving:
+            return False
+        primary = self.cell.targets[view.primary]
+        leads = primary.role is Role.primary and primary.term == view.term
+        return leads and primary.alive and not primary.side
+
+
+def test_promotion_keeps_every_acknowledged_write_and_one_primary():
+    run_state_machine_as_test(
+        PromotionMachine, settings=settings(max_examples=80, stateful_step_count=30)
+    )
--- /dev/null
+++ b/tests/cover/test_quotas.py
@@ -0,0 +1,136 @@
+"""Connection quotas never add up to more than a target's cap."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from godwitwheel.decisions.quotas import QuotaTable, split
+from godwitwheel.wire.control import Heartbeat
+
+CAP = 15
+LEASE_S = 0.6
+STEP_S = 0.05
+PROXIES = st.integers(0, 3)
+
+
+class FakeProxy:
+    """Opens as many connections as its quota allows and its demand asks for."""
+
+    def __init__(self, name: str, incarnation: int):
+        self.name = (name, incarnation)
+        self.quota = 0
+        self.held = 0
+        self.demand = 0
+        self.lease_until = 0.0
+        self.connected = True
+
+    def step(self, now: float) -> None:
+        if now >= self.lease_until:
+            self.quota = min(self.quota, self.held)
+        self.held = min(self.demand, self.quota)
+
+
+class QuotaMachine(RuleBasedStateMachine):
+    """Proxies crash, get cut off, stop and return; leaders change."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.proxies = [FakeProxy(f"p{i}", 1) for i in range(4)]
+        self.stuck = []
+        self.elect()
+        self.run(4.0)
+
+    def elect(self):
+        self.table = QuotaTable(self.now + LEASE_S)
+        self.table.set_caps({"t": CAP}, self.now)
+        self.leases = {}
+
+    def beat(self, proxy, reply_arrives=True):
+        shares = self.table.targets["t"]
+        heartbeat = Heartbeat(
+            *proxy.name, "dc", "a:1", 0, 0, held={"t": proxy.held},
+            demand={"t": proxy.demand}, quotas={"t": proxy.quota},
+        )  # fmt: skip
+        self.table.note(heartbeat, self.now)
+        shares.observe_open(self.open(), self.now)
+        self.leases[proxy.name] = self.now + LEASE_S
+        quotas = self.table.quotas(proxy.name, self.now)
+        if reply_arrives:
+            proxy.quota = quotas["t"]
+            proxy.lease_until = self.now + LEASE_S
+
+    def open(self):
+        return sum(proxy.held for proxy in [*self.proxies, *self.stuck])
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0]))
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            for proxy in self.proxies:
+                proxy.step(self.now)
+                if proxy.connected and self.rng.random() < 0.4:
+                    self.beat(proxy, self.rng.random() < 0.8)
+                proxy.step(self.now)
+            for name, lease_until in list(self.leases.items()):
+                if self.now >= lease_until:
+                    del self.leases[name]
+                    self.table.lapse(name, self.now)
+            self.check()
+
+    def check(self):
+        bounds = sum(max(item.quota, item.held) for item in self.proxies + self.stuck)
+        assert bounds <= CAP, f"proxies may hold {bounds} of {CAP}"
+
+    @rule(number=PROXIES, demand=st.integers(0, 20))
+    def want(self, number, demand):
+        self.proxies[number].demand = demand
+
+    @rule(number=PROXIES, closes=st.booleans())
+    def crash_and_restart(self, number, closes):
+        """A VM that vanishes leaves its connections open at the target."""
+        old = self.proxies[number]
+        if not closes:
+            old.quota = old.demand = old.held
+            self.stuck.append(old)
+        name, incarnation = old.name
+        self.proxies[number] = FakeProxy(name, incarnation + 1)
+
+    @rule(number=PROXIES)
+    def cut_off_or_return(self, number):
+        self.proxies[number].connected ^= True
+
+    @rule()
+    def elect_another_leader(self):
+        self.elect()
+
+    @rule()
+    def share_comes_back(self):
+        """Once the target has closed what dead proxies left, all of it is used."""
+        self.stuck = []
+        for proxy in self.proxies:
+            proxy.connected = True
+            proxy.demand = 20
+        self.run(8.0)
+        assert self.open() == CAP
+
+
+def test_quotas_stay_within_the_cap():
+    run_state_machine_as_test(
+        QuotaMachine, settings=settings(max_examples=40, stateful_step_count=25)
+    )
+
+
+def test_split_meets_small_demands_first_and_spreads_the_rest():
+    demands = {("a", 1): 1, ("b", 1): 20, ("c", 1): 20}
+    assert split(15, demands) == {("a", 1): 1, ("b", 1): 7, ("c", 1): 7}
+    assert split(15, {("a", 1): 0, ("b", 1): 3}) == {("a", 1): 6, ("b", 1): 9}
