Keep a member that lost its log from following before it has left

A member of the acknowledgement set that came back with an empty log was ordered to follow at once. Its position then grew past the committed floor that shows the loss, so it could be promoted without all acknowledged writes.

--- a/src/godwitwheel/decisions/insync.py
+++ b/src/godwitwheel/decisions/insync.py
@@ -53,7 +53,7 @@
         view = facts.view
         orders = []
         for target_id in sorted(facts.records):
-            if target_id == view.primary:
+            if target_id == view.primary or self._must_leave_first(facts, target_id):
                 continue
             spacing_s = self._follow_spacing_s(facts, target_id, now)
             if spacing_s is None:
@@ -65,6 +65,17 @@
                 )
         return orders
 
+    def _must_leave_first(self, facts: GroupFacts, target_id: str) -> bool:
+        """Whether a member has less than before.
+
+        Following would let its position grow past what shows the loss, while it
+        still counts as one that holds every acknowledged write.
+        """
+        sighting = facts.observations.latest(target_id)
+        if sighting is None or target_id not in facts.view.ack_set:
+            return False
+        return self.memory.may_have_lost_log(sighting.status, facts.view)
+
     def _follow_spacing_s(
         self, facts: GroupFacts, target_id: str, now: float
     ) -> float | None:
--- a/tests/cover/test_promotion.py
+++ b/tests/cover/test_promotion.py
@@ -64,6 +64,22 @@
     def elect_another_leader(self, reload):
         self.cell.elect(reload)
 
+    @rule(number=PROXIES)
+    def lose_leader_and_primary_at_once(self, number):
+        self.only_these_are_cut_off({self.cell.view().primary}, {number})
+        self.cell.elect(reload=True)
+
+    @rule(number=PROXIES)
+    def primary_leaves_while_replies_get_lost(self, number):
+        self.only_these_lose_replies({number})
+        self.only_these_leave({self.cell.view().primary})
+
+    @rule(name=TARGETS)
+    def outdated_target_returns_alone(self, name):
+        self.only_these_are_dead({name})
+        self.cell.run(2.0, self.rng)
+        self.only_these_are_dead({item for item in self.cell.targets if item != name})
+
     @rule(name=TARGETS, alone=st.booleans())
     def lose_log(self, name, alone):
         cell = self.cell
