--- a/src/godwitwheel/consensus/core.py
+++ b/src/godwitwheel/consensus/core.py
@@ -60,6 +60,7 @@
         state = self.state
         if message.target != state.options.member_id:
             return
+        joining.note_address(self.joining, message)
         if isinstance(message, Hello):
             joining.receive_hello(state, self.joining, message, now)
             return
@@ -111,11 +112,11 @@
         """Asks that the leadership be confirmed from now on."""
         return reading.request_read(self.state)
 
-    def remove_member(self, member_id: str) -> bool:
+    def remove_member(self, member_id: str, now: float) -> bool:
         """Removes a member for good.
 
         :returns: whether the change was appended; the caller repeats it if another
-            change is open.
+            change is open or no quorum of the rest was heard lately.
         """
         state = self.state
         if member_id not in state.membership.members:
@@ -123,6 +124,8 @@
         if not joining.may_change_membership(state):
             return False
         membership = memberships.without_member(state.membership, member_id)
+        if not replication.hears_quorum(state, membership, now):
+            return False
         joining.change_membership(state, membership)
         return True
 
@@ -184,12 +187,12 @@
 
     def address_of(self, message: Message) -> str:
         """Returns where a message goes, or an empty string."""
-        record = self.state.membership.members.get(message.target)
         identity = message.target_identity
+        if identity in self.joining.heard_addresses:
+            return self.joining.heard_addresses[identity]
+        record = self.state.membership.members.get(message.target)
         if record is not None and identity in ("", record.identity):
             return record.address
-        if identity in self.joining.stranger_addresses:
-            return self.joining.stranger_addresses[identity]
         return self.state.options.founders.get(message.target, "")
 
 
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -150,7 +150,7 @@
 
         :returns: whether the change was proposed.
         """
-        proposed = self.core.remove_member(member_id)
+        proposed = self.core.remove_member(member_id, self.clock.now())
         self._wake()
         return proposed
 
--- a/src/godwitwheel/consensus/election.py
+++ b/src/godwitwheel/consensus/election.py
@@ -52,6 +52,7 @@
             member_id,
             record.identity,
             term=state.term + 1 if pre_vote else state.term,
+            source_address=state.options.address,
             pre_vote=pre_vote,
             last_index=state.log.last_index,
             last_term=state.log.last_term,
--- a/src/godwitwheel/consensus/joining.py
+++ b/src/godwitwheel/consensus/joining.py
@@ -11,27 +11,37 @@
     HelloReply,
     MemberRecord,
     Membership,
+    Message,
 )
 from .replication import append_as_leader
 from .state import MemberState
 
 FIRST_TERM = 1
-MAX_STRANGERS = 64
+MAX_HEARD_ADDRESSES = 64
 
 
 class Joining:
     """What a member knows of peers outside its membership.
 
     :ivar founders_seen: identities of founders that have no log either, by id.
-    :ivar stranger_addresses: addresses of members that said hello, by identity.
+    :ivar heard_addresses: addresses that peers gave in messages, by identity.
     """
 
-    __slots__ = ("next_hello", "founders_seen", "stranger_addresses")
+    __slots__ = ("next_hello", "founders_seen", "heard_addresses")
 
     def __init__(self):
         self.next_hello = 0.0
         self.founders_seen: dict[str, str] = {}
-        self.stranger_addresses: dict[str, str] = {}
+        self.heard_addresses: dict[str, str] = {}
+
+
+def note_address(joining: Joining, message: Message) -> None:
+    """Remembers where a peer can be answered."""
+    if not message.source_address:
+        return
+    if len(joining.heard_addresses) >= MAX_HEARD_ADDRESSES:
+        joining.heard_addresses.clear()
+    joining.heard_addresses[message.source_identity] = message.source_address
 
 
 def founder_ids(state: MemberState) -> list[str]:
@@ -53,7 +63,7 @@
                 Hello,
                 member_id,
                 "",
-                address=state.options.address,
+                source_address=state.options.address,
                 founders=founder_ids(state),
             )
 
@@ -99,9 +109,6 @@
     state: MemberState, joining: Joining, hello: Hello, now: float
 ) -> None:
     """Answers a member that introduces itself; a leader takes it in."""
-    if len(joining.stranger_addresses) >= MAX_STRANGERS:
-        joining.stranger_addresses.clear()
-    joining.stranger_addresses[hello.source_identity] = hello.address
     state.reply(
         hello,
         HelloReply,
@@ -145,10 +152,10 @@
     record = membership.members.get(member_id)
     if record is None:
         changed = memberships.with_learner(
-            membership, member_id, identity, hello.address
+            membership, member_id, identity, hello.source_address
         )
     elif record.identity == identity:
-        changed = memberships.with_address(membership, member_id, hello.address)
+        changed = memberships.with_address(membership, member_id, hello.source_address)
     elif _is_silent(state, member_id, now):
         # The old disk is lost. Its identity goes before the new one comes: the
         # two may never count as the same voter.
--- a/src/godwitwheel/consensus/messages.py
+++ b/src/godwitwheel/consensus/messages.py
@@ -73,6 +73,9 @@
 
     A member is meant by its id and its identity together: an empty disk under an
     old id is another member.
+
+    :ivar source_address: where to answer, if the target may not know it: a member
+        that lags does not know one that was added later.
     """
 
     cell: str
@@ -81,6 +84,7 @@
     target: str
     target_identity: str
     term: int
+    source_address: str = ""
 
 
 class VoteRequest(Message, tag="vote_request"):
@@ -154,7 +158,6 @@
         must not found a cell.
     """
 
-    address: str
     founders: list[str]
 
 
--- a/src/godwitwheel/consensus/replication.py
+++ b/src/godwitwheel/consensus/replication.py
@@ -8,6 +8,7 @@
     Entry,
     EntryKind,
     MemberRecord,
+    Membership,
     SnapshotPart,
     SnapshotReply,
 )
@@ -133,6 +134,7 @@
         Append,
         member_id,
         progress.identity,
+        source_address=state.options.address if progress.probing else "",
         previous_index=previous_index,
         previous_term=previous_term,
         entries=entries,
@@ -192,13 +194,21 @@
 
 def check_quorum(state: MemberState, now: float) -> None:
     """Steps down if no quorum was heard for longer than any election takes."""
+    if not hears_quorum(state, state.membership, now):
+        become_follower(state, now, state.term)
+
+
+def hears_quorum(state: MemberState, membership: Membership, now: float) -> bool:
+    """Whether a quorum of a membership answered within the longest election time.
+
+    A membership without such a quorum could neither commit nor be taken back.
+    """
     heard = {
         member_id: progress.heard_at for member_id, progress in state.progress.items()
     }
     heard[state.options.member_id] = now
-    quorum_heard_at = memberships.quorum_value(state.membership, heard)
-    if now - quorum_heard_at > 2 * state.options.election_timeout_s:
-        become_follower(state, now, state.term)
+    quorum_heard_at = memberships.quorum_value(membership, heard)
+    return now - quorum_heard_at <= 2 * state.options.election_timeout_s
 
 
 def _begin_transfer(
@@ -219,6 +229,7 @@
         SnapshotPart,
         member_id,
         progress.identity,
+        source_address=state.options.address,
         index=snapshot.index,
         last_term=snapshot.term,
         membership=snapshot.membership,
