Answer consensus messages in the reply of the request that brought them

A follower's answer was a request of its own, so each round took two HTTP exchanges in each direction.

--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -53,6 +53,8 @@
         "woken",
         "tasks",
         "failure",
+        "answering",
+        "answers",
     )
 
     def __init__(
@@ -80,6 +82,8 @@
         self.woken = Event()
         self.tasks: list[Task] = []
         self.failure: StorageError | None = None
+        self.answering = ""
+        self.answers: list[AnyMessage] = []
         if saved.snapshot is not None:
             state_machine.load_snapshot(saved.snapshot.data)
 
@@ -139,6 +143,20 @@
             self.core.receive(message, now)
         self._wake()
 
+    def exchange(self, messages: list[AnyMessage]) -> list[AnyMessage]:
+        """Takes messages of one peer, works at once and answers.
+
+        :returns: what this member has to say to that peer; it is synced.
+        """
+        if self.failure is not None or not messages:
+            return []
+        self.answering = messages[0].source_identity
+        self.handle(messages)
+        self._work_safely()
+        answers, self.answers = self.answers, []
+        self.answering = ""
+        return answers
+
     def tick(self) -> None:
         """Does what has become due."""
         self.core.tick(self.clock.now())
@@ -169,17 +187,21 @@
             self.woken = Event()
             # Tasks that are ready to propose get to do so before the sync.
             sleep()
-            try:
-                self.do_work()
-            except StorageError as error:
-                self._fail(error)
+            self._work_safely()
+
+    def _work_safely(self) -> None:
+        try:
+            self.do_work()
+        except StorageError as error:
+            self._fail(error)
 
     def _fail(self, error: StorageError) -> None:
         # Nothing may be promised any more: what the disk holds is not known.
         self.failure = error
         self.led_since = None
         self._abandon_proposals()
-        self.tasks[0].kill()
+        for task in self.tasks:
+            task.kill()
 
     def do_work(self) -> None:
         """Stores, sends and applies what has come up, without yielding.
@@ -217,6 +239,9 @@
     def _send(self, messages: list[AnyMessage]) -> None:
         batches: dict[tuple[str, str], list[AnyMessage]] = {}
         for message in messages:
+            if message.target_identity and message.target_identity == self.answering:
+                self.answers.append(message)
+                continue
             address = self.core.address_of(message)
             batches.setdefault((message.target, address), []).append(message)
         for (member_id, address), batch in batches.items():
--- a/src/godwitwheel/consensus/http_transport.py
+++ b/src/godwitwheel/consensus/http_transport.py
@@ -1,6 +1,7 @@
 """Carries messages between members as JSON over HTTP."""
 
 from collections import deque
+from collections.abc import Callable
 
 from ..internal.loop import Event, Task, spawn
 from ..wire.client import Client
@@ -17,14 +18,25 @@
 MAX_PACKET_MESSAGES = 64
 MAX_PACKET_BYTES = MAX_APPEND_BYTES
 
+MessagesHandler = Callable[[list[AnyMessage]], None]
+
 
 class PeerLink:
     """The queue towards one member, and the task that empties it."""
 
-    __slots__ = ("client", "address", "queue", "timeout_s", "woken", "task")
-
-    def __init__(self, client: Client, timeout_s: float):
+    __slots__ = (
+        "client",
+        "address",
+        "queue",
+        "timeout_s",
+        "on_messages",
+        "woken",
+        "task",
+    )
+
+    def __init__(self, client: Client, timeout_s: float, on_messages: MessagesHandler):
         self.client = client
+        self.on_messages = on_messages
         self.address = ""
         self.queue: deque[AnyMessage] = deque()
         self.timeout_s = timeout_s
@@ -49,12 +61,16 @@
     def _send_packet(self) -> None:
         body = encode(Packet(self._take_packet()))
         try:
-            self.client.exchange(
+            status, reply = self.client.exchange(
                 self.address, "POST", CONSENSUS_PATH, body, self.timeout_s
             )
+            answers = decode(reply, Packet).messages if status == 200 else []
         except WireError:
             # What waited behind a failure is stale; the leader sends anew.
             self.queue.clear()
+            return
+        if answers:
+            self.on_messages(answers)
 
     def _take_packet(self) -> list[AnyMessage]:
         taken = [self.queue.popleft()]
@@ -79,11 +95,13 @@
     """Owns one task and one bounded queue for every peer.
 
     :ivar timeout_s: limit for one exchange, in seconds.
+    :ivar on_messages: gets the messages with which peers answer.
     """
 
-    __slots__ = ("client", "timeout_s", "links")
+    __slots__ = ("client", "timeout_s", "on_messages", "links")
 
     def __init__(self, timeout_s: float = 0.5):
+        self.on_messages: MessagesHandler = lambda messages: None
         self.client = Client()
         self.timeout_s = timeout_s
         self.links: dict[str, PeerLink] = {}
@@ -100,7 +118,9 @@
     def send(self, member_id: str, address: str, messages: list[AnyMessage]) -> None:
         link = self.links.get(member_id)
         if link is None:
-            link = self.links[member_id] = PeerLink(self.client, self.timeout_s)
+            link = self.links[member_id] = PeerLink(
+                self.client, self.timeout_s, self.on_messages
+            )
         link.put(address, messages)
 
 
@@ -108,7 +128,7 @@
     """Returns the route by which messages of other members reach a log."""
 
     def receive(request: Request) -> Response:
-        log.handle(decode(request.body, Packet).messages)
-        return Response()
+        messages = decode(request.body, Packet).messages
+        return Response(Packet(log.exchange(messages)))
 
     return {("POST", CONSENSUS_PATH): receive}
--- a/src/godwitwheel/consensus/messages.py
+++ b/src/godwitwheel/consensus/messages.py
@@ -181,6 +181,9 @@
 
 
 class Packet(msgspec.Struct, frozen=True):
-    """The body of ``POST /v1/consensus``."""
+    """The body of ``POST /v1/consensus`` and of its reply.
+
+    The reply carries what the peer has to say when it has handled the request.
+    """
 
     messages: list[AnyMessage]
--- a/src/godwitwheel/consensus/running.py
+++ b/src/godwitwheel/consensus/running.py
@@ -37,4 +37,5 @@
         log = ConsensusLog(
             options, state_machine, storage, transport, clock, rng, snapshot_entries
         )
+        transport.on_messages = log.handle
         yield stack.enter_context(log)
--- a/src/godwitwheel/wire/control.py
+++ b/src/godwitwheel/wire/control.py
@@ -9,7 +9,7 @@
 ``POST /v1/outcome``     :class:`RecordOutcome`      :class:`OutcomeRecorded`
 ``POST /v1/publish``     :class:`Publish`            :class:`PublishReply`
 ``GET /v1/in-force``     none                        :class:`InForce`
-``POST /v1/consensus``   consensus messages          none
+``POST /v1/consensus``   consensus messages          the peer's messages
 =======================  ==========================  =====================
 
 A member that does not lead answers 421 with a :class:`NotLeading`.
