Send a leader's appends before its own sync

An append promises nothing: the leader counts its own entries only once they are synced, and its term was synced before. The followers now sync at the same time as the leader.

--- a/src/godwitwheel/consensus/core.py
+++ b/src/godwitwheel/consensus/core.py
@@ -129,18 +129,36 @@
         joining.change_membership(state, membership)
         return True
 
+    def take_appends(self, now: float) -> list[Append]:
+        """Returns a leader's appends, which may be sent before its own sync.
+
+        They promise nothing: the leader counts its own entries only once they are
+        synced, and its term has been.
+        """
+        state = self.state
+        if not state.is_leader() or state.work.hard_state is not None:
+            return []
+        self._lead(now)
+        messages = state.work.messages
+        state.work.messages = [m for m in messages if not isinstance(m, Append)]
+        return [m for m in messages if isinstance(m, Append)]
+
+    def _lead(self, now: float) -> None:
+        state = self.state
+        if now >= state.next_heartbeat:
+            reading.begin_round(state)
+            replication.send_heartbeats(state, now)
+        elif reading.begin_round(state):
+            replication.send_round(state, now)
+        else:
+            replication.send_new_entries(state, now)
+        reading.finish_reads(state)
+
     def take_work(self, now: float) -> Work:
         """Returns what has come up; the caller does all of it in its order."""
         state = self.state
         if state.is_leader():
-            if now >= state.next_heartbeat:
-                reading.begin_round(state)
-                replication.send_heartbeats(state, now)
-            elif reading.begin_round(state):
-                replication.send_round(state, now)
-            else:
-                replication.send_new_entries(state, now)
-            reading.finish_reads(state)
+            self._lead(now)
         work = state.work
         state.work = Work()
         if work.snapshot is not None:
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -187,8 +187,20 @@
             self.woken = Event()
             # Tasks that are ready to propose get to do so before the sync.
             sleep()
+            if self.send_appends():
+                # The messages leave while this member syncs.
+                sleep()
             self._work_safely()
 
+    def send_appends(self) -> bool:
+        """Sends what a leader may send before its own sync.
+
+        :returns: whether anything was sent.
+        """
+        appends = self.core.take_appends(self.clock.now())
+        self._send(appends)
+        return bool(appends)
+
     def _work_safely(self) -> None:
         try:
             self.do_work()
--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -194,6 +194,7 @@
     def work(self) -> None:
         """Does the pending work; a disk that fails crashes the member."""
         try:
+            self.log.send_appends()
             self.log.do_work()
         except Crash:
             self.crash()
@@ -208,6 +209,7 @@
     :ivar leaders: the leader of each term.
     :ivar cut: pairs of members that don't reach each other.
     :ivar paused: members that stand still, as a suspended VM does.
+    :ivar drops: says whether the network loses a message.
     """
 
     def __init__(self, size: int = 3, seed: int = 1, snapshot_entries: int = 4096):
@@ -220,6 +222,7 @@
         self.leaders: dict[int, str] = {}
         self.cut: set[frozenset[str]] = set()
         self.paused: set[str] = set()
+        self.drops = lambda message: False
         self.founders = [f"m{number}" for number in range(size)]
         self.members = {name: Member(self, name) for name in self.founders}
         for member in self.members.values():
@@ -256,7 +259,7 @@
         member = self.members.get(address)
         if member not in self.running():
             return
-        if frozenset((source, address)) in self.cut:
+        if frozenset((source, address)) in self.cut or self.drops(message):
             return
         member.log.handle([message])
         member.work()
@@ -314,6 +317,17 @@
         self.step_until(serves)
         return self.leader()
 
+    def elect(self, member: Member) -> None:
+        """Has a member be the only one that asks for votes."""
+        self.clock.advance(3 * ELECTION_TIMEOUT_S)
+        for other in self.running():
+            other.state.election_deadline = self.clock.now() + 60
+        for _ in range(3):
+            if not member.state.is_leader():
+                member.state.election_deadline = 0.0
+                self.step()
+        assert member.state.is_leader()
+
     def commit(self, command: str) -> int:
         """Commits a command and returns its index."""
         leader = self.serving_leader()
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -1,6 +1,7 @@
 """Failures that the replicated log has to survive, one at a time."""
 
-from godwitwheel.consensus import core, replication
+from godwitwheel.consensus import core, log, replication
+from godwitwheel.consensus.messages import Append
 from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member
 
 
@@ -108,7 +109,7 @@
 
 
 def test_promotes_a_learner_only_once_it_has_caught_up():
-    cell = Cell(snapshot_entries=50)
+    cell = Cell()
     leader = cell.serving_leader()
     for number in range(300):
         leader.log.core.propose(b"c%d" % number)
@@ -117,7 +118,18 @@
     lost.crash()
     lost.replace_disk()
     lost.start()
-    cell.step_until(lambda: lost.storage.identity in cell.voters())
+    identity = lost.storage.identity
+    cell.drops = lambda message: (
+        isinstance(message, Append)
+        and (message.target_identity == identity and message.entries)
+    )
+    cell.step(40)
+    assert identity in {
+        record.identity for record in leader.state.membership.members.values()
+    }
+    assert identity not in cell.voters()
+    cell.drops = lambda message: False
+    cell.step_until(lambda: identity in cell.voters())
     assert len(lost.log.state_machine.commands) == 300
 
 
@@ -173,7 +185,7 @@
 def test_lagging_member_answers_a_leader_that_was_added_later():
     cell = Cell()
     leader = cell.serving_leader()
-    away, other = (member for member in cell.running() if member is not leader)
+    away = next(member for member in cell.running() if member is not leader)
     cell.isolate(away.member_id)
     added = cell.members["m3"] = Member(cell, "m3", join=True)
     added.start()
@@ -181,7 +193,48 @@
     leader.crash()
     cell.cut.clear()
     cell.step(4)
-    other.state.election_deadline = cell.clock.now() + 60
-    cell.step_until(added.state.is_leader)
+    cell.elect(added)
     cell.commit("after")
     cell.step_until(lambda: away.log.state_machine.commands == cell.committed)
+
+
+def test_commits_no_entry_of_an_earlier_term_by_counting_copies(monkeypatch):
+    monkeypatch.setattr(log, "MAX_APPEND_ENTRIES", 1)
+    cell = Cell(size=5)
+    first, second, third, _, last = cell.members.values()
+    if cell.serving_leader() is not first:
+        cell.elect(first)
+    cell.step(4)
+    # Only the second member gets the entry of the first leader.
+    cell.isolate(first.member_id, second.member_id)
+    first.log.core.propose(b"copied")
+    cell.step(4)
+    first.crash()
+    cell.cut.clear()
+    cell.isolate(second.member_id)
+    # The last member leads next, but nobody gets its entry.
+    cell.drops = lambda message: isinstance(message, Append)
+    cell.elect(last)
+    last.crash()
+    cell.cut.clear()
+    # The first leads again: the old entry reaches a majority, its new one nobody.
+    first.start()
+
+    def drops(message):
+        if not isinstance(message, Append):
+            return False
+        has_new = any(entry.term == first.state.term for entry in message.entries)
+        held = cell.members[message.target].state.log.last_index
+        return has_new and held >= message.previous_index
+
+    cell.drops = drops
+    cell.elect(first)
+    cell.step(10)
+    copied = first.state.log.last_index - 1
+    assert third.state.log.term_at(copied) == first.state.log.term_at(copied)
+    first.crash()
+    cell.drops = lambda message: False
+    last.start()
+    cell.elect(last)
+    cell.commit("after")
+    assert "copied" not in cell.committed.values()
