--- /dev/null
+++ b/tests/cover/test_quota_split.py
@@ -0,0 +1,66 @@
+"""What proxies may hold together never exceeds a target's cap."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from godwitwheel.decisions.quotas import QuotaTable
+from godwitwheel.wire.control import Heartbeat
+
+CAP = 15
+TARGET = "t1"
+PROXIES = [f"p{number}" for number in range(5)]
+
+
+class QuotaMachine(RuleBasedStateMachine):
+    """Proxies report, open, close, lose replies and lose their leases."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.table = QuotaTable(self.now)
+        self.table.set_caps({TARGET: CAP}, self.now)
+        self.allowed = dict.fromkeys(PROXIES, 0)
+        self.held = dict.fromkeys(PROXIES, 0)
+
+    @rule(seconds=st.sampled_from([0.0, 0.01, 0.15, 0.6]))
+    def wait(self, seconds):
+        self.now += seconds
+        self.table.observe_open(TARGET, sum(self.held.values()), self.now)
+
+    @rule()
+    def rest(self):
+        for _ in range(6):
+            self.wait(0.3)
+
+    @rule(proxy=st.sampled_from(PROXIES), demand=st.integers(0, 40), lost=st.booleans())
+    def beat(self, proxy, demand, lost):
+        heartbeat = Heartbeat(
+            *(proxy, 1, "dc", "127.0.0.1:1", 0, 0),
+            held={TARGET: self.held[proxy]},
+            demand={TARGET: demand},
+            quotas={TARGET: self.allowed[proxy]},
+        )
+        self.table.note(heartbeat, self.now)
+        quota = self.table.quotas((proxy, 1), self.now)[TARGET]
+        if not lost:
+            self.allowed[proxy] = quota
+
+    @rule(proxy=st.sampled_from(PROXIES), wanted=st.integers(0, CAP))
+    def open_or_close(self, proxy, wanted):
+        grown = min(wanted, max(self.allowed[proxy], self.held[proxy]))
+        self.held[proxy] = grown
+
+    @rule(proxy=st.sampled_from(PROXIES))
+    def lapse(self, proxy):
+        self.allowed[proxy] = min(self.allowed[proxy], self.held[proxy])
+        self.table.lapse((proxy, 1), self.now)
+
+    @invariant()
+    def sum_is_within_cap(self):
+        together = sum(max(self.allowed[p], self.held[p]) for p in PROXIES)
+        assert together <= CAP
+
+
+TestQuotas = QuotaMachine.TestCase
+TestQuotas.settings = settings(max_examples=120, stateful_step_count=60)
