--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -1,9 +1,19 @@
 """``python -m bench.slopes``: prints every measurement and its slope."""
 
-from .fit import Line
-from .leader_slopes import LeaderLoad, leader_bytes
-from .proxy_slopes import heartbeat_us, http_exchange_us, probe_us, view_bytes
-from .state_slopes import (
+from godwitwheel.internal.loop import patch_standard_library
+
+patch_standard_library()
+
+from .fit import Line  # noqa: E402
+from .leader_slopes import LeaderLoad, leader_bytes  # noqa: E402
+from .proxy_slopes import (  # noqa: E402
+    heartbeat_us,
+    http_exchange_us,
+    http_overhead_bytes,
+    probe_us,
+    view_bytes,
+)
+from .state_slopes import (  # noqa: E402
     claim_bytes,
     claim_us,
     configuration_bytes,
@@ -74,6 +84,7 @@
     show("proxy: heartbeat", "us", {n: heartbeat_us(n) for n in TARGETS})
     show("proxy: view on the wire", "bytes", {n: view_bytes(n) for n in TARGETS})
     print(f"proxy: one probe: {probe_us():.1f} us")
+    print(f"HTTP: added to an exchange's bodies: {http_overhead_bytes()} bytes")
     print(f"HTTP: one exchange, both ends: {http_exchange_us():.1f} us")
 
 
--- a/bench/slopes/proxy_slopes.py
+++ b/bench/slopes/proxy_slopes.py
@@ -1,16 +1,22 @@
 """What a proxy pays for control, and what an exchange over HTTP costs."""
 
-from godwitwheel.internal.loop import sleep
+import contextlib
+import socket
+
+from godwitwheel.internal.loop import sleep, spawn
+from godwitwheel.internal.validation import split_address
 from godwitwheel.targets.http_target import HttpTargetAdmin
 from godwitwheel.wire.client import Client
 from godwitwheel.wire.codec import decode, encode
 from godwitwheel.wire.control import ClusterView, Watch, WatchReply
+from godwitwheel.wire.errors import NoReply
 from godwitwheel.wire.server import Request, Response, Server
 
 from .fit import processor_us
 from .stand_ins import Control, commit_targets, heartbeat, target_status
 
 EXCHANGES = 1_000
+RECEIVE_BYTES = 65_536
 TIMEOUT_S = 5.0
 
 
@@ -48,6 +54,31 @@
         return processor_us(one, EXCHANGES)
 
 
+def http_overhead_bytes() -> int:
+    """Returns what HTTP adds to the bodies of an exchange, TCP and IP apart."""
+    requests = []
+
+    def keep_request(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        requests.append(connection.recv(RECEIVE_BYTES))
+        connection.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener, Client() as client:
+        keeper = spawn(keep_request, listener)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with contextlib.suppress(NoReply):
+            client.exchange(address, "POST", "/v1/heartbeat", b"{}", TIMEOUT_S)
+        keeper.wait()
+    server = Server({("POST", "/v1/heartbeat"): lambda request: Response({})}, print)
+    with (
+        server.listening("127.0.0.1:0"),
+        socket.create_connection(split_address(server.address)) as connection,
+    ):
+        connection.sendall(requests[0])
+        reply = connection.recv(RECEIVE_BYTES)
+    return len(requests[0]) - len(b"{}") + len(reply) - len(b"{}")
+
+
 def probe_us() -> float:
     """Returns the processor time of a probe, with the target's side in it."""
     status = target_status(0)
