--- a/src/godwitwheel/decisions/quotas.py
+++ b/src/godwitwheel/decisions/quotas.py
@@ -13,7 +13,6 @@
 from .leases import HolderName
 
 SETTLE_S = 0.5
-SPLIT_SPACING_S = 0.05
 EVIDENCE_WINDOW_S = 0.5
 DEMAND_WINDOW_S = 2.0
 HISTORY_S = 3.0
@@ -72,19 +71,9 @@
     :ivar unaccounted: connections that proxies without a lease may hold.
     :ivar disturbed_at: when that number last grew.
     :ivar opened: the target's own counts.
-    :ivar parts: the latest split of the cap by demand; ``room`` keeps the sum of
-        what is given within the cap, however old the split is.
     """
 
-    __slots__ = (
-        "cap",
-        "unaccounted",
-        "disturbed_at",
-        "shares",
-        "opened",
-        "parts",
-        "split_at",
-    )
+    __slots__ = ("cap", "unaccounted", "disturbed_at", "shares", "opened")
 
     def __init__(self, cap: int, disturbed_at: float):
         self.cap = cap
@@ -92,8 +81,6 @@
         self.disturbed_at = disturbed_at
         self.shares: dict[HolderName, Share] = {}
         self.opened: deque[Sample] = deque()
-        self.parts: dict[HolderName, int] = {}
-        self.split_at = 0.0
 
     def room(self) -> int:
         """Returns the connections that nobody may hold."""
@@ -146,21 +133,15 @@
     def quota(self, name: HolderName, now: float) -> int:
         """Returns the quota to send to a live proxy, and counts it as given."""
         share = self.shares[name]
-        fair = self._fair_part(name, now)
+        demands = {
+            other: item.recent_demand(now) for other, item in self.shares.items()
+        }
+        fair = split(self.cap, demands)[name]
         if fair > share.bound:
             share.bound += min(fair - share.bound, self.room())
             return share.bound
         return fair
 
-    def _fair_part(self, name: HolderName, now: float) -> int:
-        if name not in self.parts or now >= self.split_at + SPLIT_SPACING_S:
-            demands = {
-                other: item.recent_demand(now) for other, item in self.shares.items()
-            }
-            self.parts = split(self.cap, demands)
-            self.split_at = now
-        return self.parts[name]
-
     def _set_aside(self, count: int, now: float) -> None:
         if count:
             self.unaccounted = min(self.unaccounted + count, self.cap)
@@ -192,7 +173,6 @@
                 self.targets[target_id] = TargetShares(cap, start)
             elif known.cap != cap:
                 known.cap = cap
-                known.parts = {}
 
     def note(self, heartbeat: Heartbeat, now: float) -> None:
         """Takes in a proxy's heartbeat."""
