--- a/src/godwitwheel/cli/main.py
+++ b/src/godwitwheel/cli/main.py
@@ -9,10 +9,8 @@
 
 from ..internal.errors import GodwitwheelError
 from ..internal.loop import patch_standard_library
+from .exit_status import EXIT_FAILED, EXIT_INVALID
 
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_INVALID = 2
 UNREPLACED_LOCKS = "RLock(s) were not greened"
 
 
--- a/src/godwitwheel/cli/publish_command.py
+++ b/src/godwitwheel/cli/publish_command.py
@@ -6,18 +6,18 @@
 
 from ..internal.sentinel import not_set
 from .command import Command
+from .exit_status import (
+    EXIT_CONFLICT,
+    EXIT_DONE,
+    EXIT_ID_REUSED,
+    EXIT_INVALID,
+    EXIT_NOT_IN_FORCE,
+    EXIT_UNKNOWN,
+)
 from .options import Option
 from .processes import CONTROL, LOG_FILE
 from .values import number_between, parse_name, whole_number_from
 
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_INVALID = 2
-EXIT_CONFLICT = 3
-EXIT_ID_REUSED = 4
-EXIT_NOT_IN_FORCE = 5
-EXIT_UNKNOWN = 6
-
 
 class PublishCommand(Command):
     """Exit status: 0 in force at every live proxy; 1 no leader found or refused,
