Report quotas and a sequence number with heartbeats; stop opening without lease

The leader can't tell otherwise whether a lowered quota has arrived. A proxy without a lease opens no further connection but in its own data centre, which nobody else reaches when it is cut off.

--- a/src/godwitwheel/proxy/control_link.py
+++ b/src/godwitwheel/proxy/control_link.py
@@ -30,9 +30,10 @@
 
     :ivar due: wakes the heartbeat loop before its interval is over.
     :ivar had_lease: whether the lease held at the last check.
+    :ivar sequence: number of the last heartbeat.
     """
 
-    __slots__ = ("context", "control", "interval_s", "due", "had_lease")
+    __slots__ = ("context", "control", "interval_s", "due", "had_lease", "sequence")
 
     def __init__(
         self, context: ProxyContext, control: ControlClient, interval_s: float
@@ -42,6 +43,7 @@
         self.interval_s = interval_s
         self.due = ChangeSignal()
         self.had_lease = False
+        self.sequence = 0
 
     def run_heartbeats(self) -> None:
         """Sends a heartbeat each interval, counted from the sending."""
@@ -136,13 +138,30 @@
         if has_lease is self.had_lease:
             return
         self.had_lease = has_lease
+        if not has_lease:
+            self._lower_quotas()
         event = EventName.lease_granted if has_lease else EventName.lease_lost
         record_event(event, view_version=context.blackboard.view.version)
         context.authority_changed()
 
+    def _lower_quotas(self) -> None:
+        """Opens nothing more, as control may give the rest to others by now.
+
+        Targets of the own data centre are excepted: when it is cut off, nobody else
+        reaches them, and their replicas have to be read all the same.
+        """
+        board = self.context.blackboard
+        self.context.pools.report()
+        for target_id, quota in board.quotas.items():
+            record = board.view.targets.get(target_id)
+            if record is None or record.data_centre != board.identity.data_centre:
+                board.quotas[target_id] = min(quota, board.held.get(target_id, 0))
+        self.context.pools.apply_quotas()
+
     def _heartbeat(self, leaving: bool) -> Heartbeat:
         board = self.context.blackboard
         identity = board.identity
+        self.sequence += 1
         self.context.pools.report()
         return Heartbeat(
             proxy_id=identity.proxy_id,
@@ -156,6 +175,8 @@
             held=board.held,
             demand=board.demand,
             leaving=leaving,
+            sequence=self.sequence,
+            quotas=board.quotas,
         )
 
     def _observations(self) -> list[TargetObservation]:
