Measure a replica's lag only as far as its primary was seen

While a primary was silent its replicas' lag grew, so with a detection time above the allowed lag they left the promotable set before the primary counted as lost, and nobody could replace it. The new test fails with the old measure.

--- a/src/godwitwheel/decisions/groups.py
+++ b/src/godwitwheel/decisions/groups.py
@@ -171,21 +171,28 @@
         floor = self.floors.get(status.target_id)
         return floor is not None and is_below(status, floor, view)
 
-    def lag_s(self, target_id: str, facts: GroupFacts, now: float) -> float:
+    def lag_s(self, target_id: str, facts: GroupFacts) -> float:
         """Returns how old the primary's newest position is that a replica holds.
 
+        Time counts only as far as the primary was seen: a replica of a silent
+        primary does not fall behind.
+
         :returns: seconds; since the view's last change for a replica that has not
             followed its term yet, 0 if nothing is known.
         """
         sighting = facts.observations.latest(target_id)
         if sighting is None or not self.samples:
             return 0.0
+        newest = self.samples[-1]
         if sighting.status.term != facts.view.term:
-            return now - self.changed_time
+            return max(newest.sampled_at - self.changed_time, 0.0)
+        if sighting.status.position >= newest.position:
+            return 0.0
+        seen_until = min(sighting.sampled_at, newest.sampled_at)
         for sample in reversed(self.samples):
             if sample.position <= sighting.status.position:
-                return max(sighting.sampled_at - sample.sampled_at, 0.0)
-        return max(sighting.sampled_at - self.samples[0].sampled_at, 0.0)
+                return max(seen_until - sample.sampled_at, 0.0)
+        return max(seen_until - self.samples[0].sampled_at, 0.0)
 
     def floors_of(self, view: GroupView) -> dict[str, Floor]:
         """Returns what is known of the members of ``ack_set``, to be committed."""
--- a/src/godwitwheel/decisions/insync.py
+++ b/src/godwitwheel/decisions/insync.py
@@ -55,7 +55,7 @@
         for target_id in sorted(facts.records):
             if target_id == view.primary or self._must_leave_first(facts, target_id):
                 continue
-            spacing_s = self._follow_spacing_s(facts, target_id, now)
+            spacing_s = self._follow_spacing_s(facts, target_id)
             if spacing_s is None:
                 continue
             if self.memory.may_ask("follow", target_id, now, spacing_s):
@@ -76,9 +76,7 @@
             return False
         return self.memory.may_have_lost_log(sighting.status, facts.view)
 
-    def _follow_spacing_s(
-        self, facts: GroupFacts, target_id: str, now: float
-    ) -> float | None:
+    def _follow_spacing_s(self, facts: GroupFacts, target_id: str) -> float | None:
         """Returns how often to order a target to follow; ``None`` for never."""
         sighting = facts.observations.latest(target_id)
         direct = self.memory.direct_since(target_id, self.memory.changed_time)
@@ -87,7 +85,7 @@
         status = direct.status if sighting is None else sighting.status
         if status.term < facts.view.term or status.role is Role.primary:
             return FOLLOW_SPACING_S
-        if self.memory.lag_s(target_id, facts, now) > self.in_sync_lag_s:
+        if self.memory.lag_s(target_id, facts) > self.in_sync_lag_s:
             return FOLLOW_AGAIN_SPACING_S
         return None
 
@@ -105,7 +103,7 @@
     def _change_sets(self, facts: GroupFacts, now: float) -> list[Action]:
         view = facts.view
         replicas = [item for item in view.ack_set if item != view.primary]
-        unfit = [item for item in replicas if self._is_unfit(facts, item, now)]
+        unfit = [item for item in replicas if self._is_unfit(facts, item)]
         for target_id in unfit:
             self.memory.back_off_until[target_id] = now + BACK_OFF_S
         if any(item in view.promotable for item in unfit):
@@ -144,7 +142,7 @@
             return False
         return direct.status.position >= position
 
-    def _is_unfit(self, facts: GroupFacts, target_id: str, now: float) -> bool:
+    def _is_unfit(self, facts: GroupFacts, target_id: str) -> bool:
         record = facts.records.get(target_id)
         if record is None or record.leaving:
             return True
@@ -153,7 +151,7 @@
             return True
         if facts.observations.is_unreachable(target_id, self.detection_s):
             return True
-        return self.memory.lag_s(target_id, facts, now) > self.in_sync_lag_s
+        return self.memory.lag_s(target_id, facts) > self.in_sync_lag_s
 
     def _join(self, facts: GroupFacts, now: float) -> list[Action]:
         view = facts.view
@@ -183,7 +181,7 @@
             return False
         if facts.observations.is_unreachable(target_id, self.detection_s):
             return False
-        lag_s = self.memory.lag_s(target_id, facts, now)
+        lag_s = self.memory.lag_s(target_id, facts)
         return lag_s <= self.in_sync_lag_s / 2
 
     def _shrink_promotable(self, facts: GroupFacts, unfit: list[str]) -> Propose:
--- a/tests/common/fake_group.py
+++ b/tests/common/fake_group.py
@@ -166,7 +166,8 @@
     :ivar pending: actions on their way, each with the leadership that began it.
     """
 
-    def __init__(self):
+    def __init__(self, options: LeadershipOptions = OPTIONS):
+        self.options = options
         self.now = 100.0
         self.index = 0
         self.state = ControlState()
@@ -188,7 +189,7 @@
             snapshot = self.state.take_snapshot()
             self.state = ControlState()
             self.state.load_snapshot(snapshot)
-        self.leadership = Leadership(self.now, OPTIONS, "ab")
+        self.leadership = Leadership(self.now, self.options, "ab")
 
     def view(self):
         return self.state.cluster.view.groups.get(GROUP)
--- a/tests/cover/test_promotion.py
+++ b/tests/cover/test_promotion.py
@@ -11,6 +11,7 @@
     run_state_machine_as_test,
 )
 
+from godwitwheel.decisions.leadership import LeadershipOptions
 from godwitwheel.wire.control import GroupPhase
 from godwitwheel.wire.target import Role
 from tests.common.fake_group import FakeCell
@@ -69,6 +70,17 @@
         self.only_these_are_cut_off({self.cell.view().primary}, {number})
         self.cell.elect(reload=True)
 
+    @rule()
+    def primary_and_then_the_candidate_die(self):
+        view = self.cell.view()
+        dead = {view.primary}
+        for _ in range(80):
+            self.only_these_are_dead(dead)
+            self.cell.run(0.02, self.rng)
+            view = self.cell.view()
+            if view.phase is GroupPhase.fenced and view.primary:
+                dead.add(view.primary)
+
     @rule(number=PROXIES)
     def primary_leaves_while_replies_get_lost(self, number):
         self.only_these_lose_replies({number})
@@ -126,3 +138,14 @@
     run_state_machine_as_test(
         PromotionMachine, settings=settings(max_examples=80, stateful_step_count=30)
     )
+
+
+def test_replicas_of_a_silent_primary_do_not_count_as_lagging():
+    slow_detection = LeadershipOptions(1.2, 0.01, 1.5, 0.4)
+    cell = FakeCell(slow_detection)
+    rng = random.Random(1)
+    cell.run(10.0, rng)
+    cell.targets["t0"].side = 1
+    cell.run(5.0, rng)
+    assert cell.view().phase is GroupPhase.serving
+    assert cell.view().primary in ("t1", "t2")
