--- a/src/godwitwheel/control/member.py
+++ b/src/godwitwheel/control/member.py
@@ -5,6 +5,7 @@
 from ..consensus.replicated import ReplicatedLog
 from ..decisions.leadership import Leadership, LeadershipOptions
 from ..internal.clock import Clock
+from ..internal.loop import sleep, wait_for
 from ..internal.signals import ChangeSignal
 from ..observe.events import EventName, record_event
 from ..targets.base import TargetAdmin
@@ -30,6 +31,8 @@
 from .state import ControlState, claim_reply
 
 TICK_S = 0.02
+# Events that come close together are decided about once.
+DECISION_SPACING_S = 0.003
 CONFIRM_TIMEOUT_S = 0.2
 COMMIT_TIMEOUT_S = 2.0
 CLAIM_HOLD_S = 0.1
@@ -90,8 +93,10 @@
     def run_controllers(self) -> None:
         """Decides after every event, and at least once a tick."""
         while True:
+            awaited = self.woken.event
             self.decide_once()
-            self.woken.wait(TICK_S)
+            sleep(DECISION_SPACING_S)
+            wait_for(awaited, TICK_S)
 
     def decide_once(self) -> None:
         """Takes in whether this member leads, and does what is to be done."""
--- a/src/godwitwheel/decisions/quotas.py
+++ b/src/godwitwheel/decisions/quotas.py
@@ -16,6 +16,7 @@
 EVIDENCE_WINDOW_S = 0.5
 DEMAND_WINDOW_S = 2.0
 HISTORY_S = 3.0
+SPLIT_INTERVAL_S = 0.1
 
 
 class Sample:
@@ -71,9 +72,19 @@
     :ivar unaccounted: connections that proxies without a lease may hold.
     :ivar disturbed_at: when that number last grew.
     :ivar opened: the target's own counts.
+    :ivar fair: the last split; it is made anew only every ``SPLIT_INTERVAL_S``, so
+        that the work for a heartbeat does not grow with the number of proxies.
     """
 
-    __slots__ = ("cap", "unaccounted", "disturbed_at", "shares", "opened")
+    __slots__ = (
+        "cap",
+        "unaccounted",
+        "disturbed_at",
+        "shares",
+        "opened",
+        "fair",
+        "split_at",
+    )
 
     def __init__(self, cap: int, disturbed_at: float):
         self.cap = cap
@@ -81,6 +92,8 @@
         self.disturbed_at = disturbed_at
         self.shares: dict[HolderName, Share] = {}
         self.opened: deque[Sample] = deque()
+        self.fair: dict[HolderName, int] = {}
+        self.split_at = 0.0
 
     def room(self) -> int:
         """Returns the connections that nobody may hold."""
@@ -133,15 +146,21 @@
     def quota(self, name: HolderName, now: float) -> int:
         """Returns the quota to send to a live proxy, and counts it as given."""
         share = self.shares[name]
-        demands = {
-            other: item.recent_demand(now) for other, item in self.shares.items()
-        }
-        fair = split(self.cap, demands)[name]
+        fair = self._fair_parts(name, now)[name]
         if fair > share.bound:
             share.bound += min(fair - share.bound, self.room())
             return share.bound
         return fair
 
+    def _fair_parts(self, name: HolderName, now: float) -> dict[HolderName, int]:
+        if name not in self.fair or now >= self.split_at + SPLIT_INTERVAL_S:
+            demands = {
+                other: item.recent_demand(now) for other, item in self.shares.items()
+            }
+            self.fair = split(self.cap, demands)
+            self.split_at = now
+        return self.fair
+
     def _set_aside(self, count: int, now: float) -> None:
         if count:
             self.unaccounted = min(self.unaccounted + count, self.cap)
--- a/tests/cover/test_promotion.py
+++ b/tests/cover/test_promotion.py
@@ -149,3 +149,14 @@
     cell.run(5.0, rng)
     assert cell.view().phase is GroupPhase.serving
     assert cell.view().primary in ("t1", "t2")
+
+
+def test_replaces_a_primary_that_lost_its_log():
+    cell = FakeCell()
+    rng = random.Random(1)
+    cell.run(6.0, rng)
+    cell.wiped.add("t0")
+    cell.targets["t0"].wipe()
+    cell.run(3.0, rng)
+    assert cell.view().phase is GroupPhase.serving
+    assert cell.view().primary in ("t1", "t2")
