Count no vote of a proxy that no target answers; split the choice of a first primary

Under a load of 30 on 10 processors all targets of three groups counted as lost at once, because the proxies themselves had stalled, and every group was fenced. A proxy that no target answers now has no say about any of them. The new test fails without that. The choice of a group's first primary moved to a module of its own.

--- a/src/godwitwheel/decisions/insync.py
+++ b/src/godwitwheel/decisions/insync.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
-from ..control.commands import ChangeGroup
 from ..observe.events import EventName
 from ..wire.control import GroupPhase, GroupView
 from ..wire.target import Role
-from .actions import Action, Note, OrderFollow, Propose
+from .actions import Action, OrderFollow, Propose
+from .candidates import propose_view
 from .groups import GroupFacts, GroupMemory
 
 FOLLOW_SPACING_S = 0.2
@@ -200,12 +200,12 @@
         return self._change(facts, new_view, joined=caught_up)
 
     def _change(self, facts: GroupFacts, view: GroupView, **fields: object) -> Propose:
-        command = ChangeGroup(view, facts.changed_at, self.memory.floors_of(view))
-        note = Note(
+        return propose_view(
+            facts,
+            self.memory,
+            view,
             EventName.ack_set_changed,
-            group=facts.group,
             ack_set=view.ack_set,
             promotable=view.promotable,
             **fields,
         )
-        return Propose(command, note)
--- a/src/godwitwheel/decisions/observations.py
+++ b/src/godwitwheel/decisions/observations.py
@@ -34,14 +34,16 @@
     """The latest heartbeat of one proxy.
 
     :ivar sightings: by target.
+    :ivar least_silent_s: silence of the target that answered last, in seconds.
     """
 
-    __slots__ = ("heartbeat", "received_at", "sightings")
+    __slots__ = ("heartbeat", "received_at", "sightings", "least_silent_s")
 
     def __init__(self, heartbeat: Heartbeat, received_at: float):
         self.heartbeat = heartbeat
         self.received_at = received_at
         self.sightings: dict[str, Sighting] = {}
+        self.least_silent_s = 0.0
 
 
 class Observations:
@@ -70,6 +72,9 @@
             report.sightings[observation.target_id] = _sighting(
                 observation, before, received_at
             )
+        report.least_silent_s = min(
+            (sighting.silent_s for sighting in report.sightings.values()), default=0.0
+        )
         self.reports[name] = report
         return True
 
@@ -89,10 +94,14 @@
         """Whether most live proxies have had no answer for ``silence_s``.
 
         A proxy that reports nothing of the target counts as one that reaches it.
+        So does one that no target has answered: it was stalled or is itself cut
+        off, which says nothing of the target.
         """
-        silent = sum(
-            sighting.silent_s >= silence_s for sighting in self.sightings(target_id)
-        )
+        silent = 0
+        for report in self.reports.values():
+            sighting = report.sightings.get(target_id)
+            if sighting is not None and report.least_silent_s < silence_s:
+                silent += sighting.silent_s >= silence_s
         return 2 * silent > len(self.reports)
 
     def is_reached(self, target_id: str, silence_s: float) -> bool:
--- a/src/godwitwheel/decisions/promotion.py
+++ b/src/godwitwheel/decisions/promotion.py
@@ -16,16 +16,16 @@
 
 import msgspec
 
-from ..control.commands import ChangeGroup
 from ..observe.events import EventName
 from ..wire.control import GroupPhase, GroupView
 from ..wire.target import Role, TargetStatus
 from .actions import Action, Note, OrderPromotion, Propose
-from .groups import DirectStatus, GroupFacts, GroupMemory
+from .candidates import is_leaving, preference, propose_view, sound_statuses
+from .first_primary import FirstPrimaryController
+from .groups import GroupFacts, GroupMemory
 
 PROMOTE_SPACING_S = 0.1
 ANSWER_WAIT_S = 0.15
-FIRST_PRIMARY_WAIT_FACTOR = 5.0
 MAX_PREVIOUS_TERMS = 32
 
 
@@ -33,23 +33,20 @@
     """Decides about the primary of one group.
 
     :ivar detection_s: silence after which a target counts as lost, in seconds.
-    :ivar announced: the targets that are there before the first view.
-    :ivar announced_since: when that set last changed, in seconds of the clock.
     """
 
-    __slots__ = ("detection_s", "memory", "announced", "announced_since")
+    __slots__ = ("detection_s", "memory", "first_primary")
 
     def __init__(self, memory: GroupMemory, detection_s: float):
         self.memory = memory
         self.detection_s = detection_s
-        self.announced: frozenset[str] = frozenset()
-        self.announced_since = 0.0
+        self.first_primary = FirstPrimaryController(memory, detection_s)
 
     def decide(self, facts: GroupFacts, now: float) -> list[Action]:
         """Returns the next steps; none if the primary serves well."""
         view = facts.view
         if view is None:
-            return self._choose_first(facts, now)
+            return self.first_primary.decide(facts, now)
         if view.phase is GroupPhase.serving:
             return self._fence_if_needed(facts, now)
         if not view.primary:
@@ -63,7 +60,7 @@
         lost = facts.observations.is_unreachable(view.primary, self.detection_s)
         if lost:
             return self._fence(facts, "unreachable")
-        if self._is_leaving(facts, view.primary):
+        if is_leaving(facts, view.primary):
             return self._hand_over(facts)
         return self._check_role(facts, now)
 
@@ -92,7 +89,7 @@
             target_id
             for target_id in facts.view.promotable
             if target_id != facts.view.primary
-            and not self._is_leaving(facts, target_id)
+            and not is_leaving(facts, target_id)
             and facts.observations.is_reached(target_id, self.detection_s)
         ]
         return self._fence(facts, "leaving") if successors else []
@@ -130,16 +127,12 @@
         """
         promotable = facts.view.promotable
         answers = [self.memory.direct_since(item, since) for item in promotable]
-        sound = _sound_statuses(answers)
+        sound = sound_statuses(answers)
         if not sound:
             return None
         if None in answers and now < since + ANSWER_WAIT_S:
             return None
-        return max(sound, key=lambda status: self._preference(facts, status))
-
-    def _preference(self, facts: GroupFacts, status: TargetStatus) -> tuple:
-        staying = not self._is_leaving(facts, status.target_id)
-        return staying, status.term, status.position, status.target_id
+        return max(sound, key=lambda status: preference(facts, status))
 
     def _commit_candidate(self, facts: GroupFacts, status: TargetStatus) -> Propose:
         view = facts.view
@@ -157,8 +150,9 @@
             term_start=status.position,
             previous=previous,
         )
-        return self._change(
+        return propose_view(
             facts,
+            self.memory,
             new_view,
             EventName.leases_out,
             candidate=status.target_id,
@@ -194,62 +188,17 @@
         new_view = msgspec.structs.replace(
             facts.view, phase=GroupPhase.serving, term_start=status.term_start
         )
-        return self._change(
+        return propose_view(
             facts,
+            self.memory,
             new_view,
             EventName.writes_accepted,
             primary=new_view.primary,
             term_start=new_view.term_start,
         )
 
-    # No view yet.
-
-    def _choose_first(self, facts: GroupFacts, now: float) -> list[Action]:
-        announced = frozenset(
-            item.target_id for item in facts.records.values() if not item.leaving
-        )
-        if announced != self.announced:
-            self.announced = announced
-            self.announced_since = now
-        if not announced or now < self.announced_since + self.detection_s:
-            return []
-        asked = sorted(announced)
-        since = self.announced_since
-        answers = [self.memory.direct_since(item, since) for item in asked]
-        known = _sound_statuses(answers)
-        waited_long = now >= since + FIRST_PRIMARY_WAIT_FACTOR * self.detection_s
-        primaries = [status for status in known if status.role is Role.primary]
-        if not primaries and not (known and waited_long):
-            return self.memory.query(asked, now)
-        if len(known) < len(asked) and not waited_long:
-            return self.memory.query(asked, now)
-        first = max(
-            primaries or known, key=lambda status: self._preference(facts, status)
-        )
-        return [self._commit_first(facts, first, known)]
-
-    def _commit_first(
-        self, facts: GroupFacts, first: TargetStatus, known: list[TargetStatus]
-    ) -> Propose:
-        view = GroupView(
-            group=facts.group,
-            term=max(status.term for status in known) + 1,
-            phase=GroupPhase.fenced,
-            primary=first.target_id,
-            term_start=first.position,
-            ack_set=[first.target_id],
-            promotable=[first.target_id],
-        )
-        return self._change(
-            facts, view, EventName.leases_out, candidate=first.target_id
-        )
-
     # Shared steps.
 
-    def _is_leaving(self, facts: GroupFacts, target_id: str) -> bool:
-        record = facts.records.get(target_id)
-        return record is not None and record.leaving
-
     def _reachable(self, facts: GroupFacts, target_ids: list[str]) -> list[str]:
         return [
             target_id
@@ -275,31 +224,11 @@
                 term=view.term,
                 reason=reason,
             )
-        return self._change(
-            facts, new_view, EventName.group_fenced, cause, promotable=kept
+        return propose_view(
+            facts, self.memory, new_view, EventName.group_fenced, cause, promotable=kept
         )
 
-    def _change(
-        self,
-        facts: GroupFacts,
-        view: GroupView,
-        event: EventName,
-        cause: Note | None = None,
-        **fields: object,
-    ) -> Propose:
-        command = ChangeGroup(view, facts.changed_at, self.memory.floors_of(view))
-        note = Note(event, group=facts.group, term=view.term, **fields)
-        return Propose(command, note, cause)
-
 
 def _leads(status: TargetStatus, view: GroupView) -> bool:
     """Whether a target says that it is the primary of the view's term."""
     return status.role is Role.primary and status.term == view.term
-
-
-def _sound_statuses(answers: list[DirectStatus | None]) -> list[TargetStatus]:
-    return [
-        answer.status
-        for answer in answers
-        if answer is not None and not answer.lost_log
-    ]
--- a/tests/cover/test_promotion.py
+++ b/tests/cover/test_promotion.py
@@ -160,3 +160,15 @@
     cell.run(3.0, rng)
     assert cell.view().phase is GroupPhase.serving
     assert cell.view().primary in ("t1", "t2")
+
+
+def test_proxies_that_no_target_answers_fence_no_group():
+    cell = FakeCell()
+    rng = random.Random(1)
+    cell.run(6.0, rng)
+    for side in (1, 0):
+        for target in cell.targets.values():
+            target.side = side
+        cell.run(2.0, rng)
+        view = cell.view()
+        assert (view.phase, view.term) == (GroupPhase.serving, 1)
