Bound the log's memory by bytes as well as by entries

Compaction now also starts at 16 MiB and keeps at most 4 MiB of trailing entries. A test drives a member with large commands, another one a member whose disk fails.

--- a/src/godwitwheel/consensus/core.py
+++ b/src/godwitwheel/consensus/core.py
@@ -27,6 +27,7 @@
 from .state import ConsensusOptions, MemberState, ReadRequest, SavedState, Work
 
 TRAILING_ENTRIES = 1024
+TRAILING_BYTES = 4 * 1024 * 1024
 
 
 class Consensus:
@@ -200,7 +201,9 @@
         state = self.state
         state.snapshot = snapshot
         state.memberships.compact(snapshot.index, snapshot.membership)
-        base_index = max(snapshot.index - TRAILING_ENTRIES, state.log.base_index)
+        base_index = state.log.trailing_base(
+            snapshot.index, TRAILING_ENTRIES, TRAILING_BYTES
+        )
         state.log.compact(base_index, state.log.term_at(base_index))
 
     def address_of(self, message: Message) -> str:
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -17,6 +17,7 @@
 
 MAX_COMMAND_BYTES = MAX_APPEND_BYTES
 SNAPSHOT_ENTRIES = 4096
+MAX_LOG_BYTES = 16 * 1024 * 1024
 
 
 class Proposal:
@@ -318,7 +319,9 @@
     def _write_snapshot(self) -> None:
         state = self.core.state
         covered = state.snapshot.index if state.snapshot is not None else 0
-        if state.applied_index - covered < self.snapshot_entries:
+        waiting = state.applied_index - covered
+        is_large = waiting > 0 and state.log.size_bytes > MAX_LOG_BYTES
+        if waiting < self.snapshot_entries and not is_large:
             return
         snapshot = self.core.make_snapshot(self.state_machine.take_snapshot())
         self.core.compact(snapshot)
--- a/src/godwitwheel/consensus/log.py
+++ b/src/godwitwheel/consensus/log.py
@@ -12,9 +12,10 @@
 
     :ivar base_index: index of the last dropped entry, 0 if none was dropped.
     :ivar base_term: term of that entry.
+    :ivar size_bytes: memory that the entries take, about.
     """
 
-    __slots__ = ("base_index", "base_term", "entries")
+    __slots__ = ("base_index", "base_term", "entries", "size_bytes")
 
     def __init__(
         self,
@@ -25,6 +26,7 @@
         self.base_index = base_index
         self.base_term = base_term
         self.entries = entries if entries is not None else []
+        self.size_bytes = _size_of(self.entries)
 
     @property
     def last_index(self) -> int:
@@ -54,7 +56,7 @@
         batch = self.between(first, first + MAX_APPEND_ENTRIES - 1)
         size = 0
         for count, entry in enumerate(batch):
-            size += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            size += _size_of([entry])
             if size > MAX_APPEND_BYTES and count:
                 return batch[:count]
         return batch
@@ -62,25 +64,46 @@
     def append(self, entry: Entry) -> None:
         """Appends the entry that follows the last one."""
         self.entries.append(entry)
+        self.size_bytes += _size_of([entry])
 
     def truncate_from(self, index: int) -> None:
         """Drops ``index`` and all later entries."""
-        del self.entries[max(index - self.base_index - 1, 0) :]
+        position = max(index - self.base_index - 1, 0)
+        self.size_bytes -= _size_of(self.entries[position:])
+        del self.entries[position:]
 
     def compact(self, index: int, term: int) -> None:
         """Drops entries up to ``index``, whose term is ``term``."""
         if index <= self.base_index:
             return
-        if self.term_at(index) == term:
-            del self.entries[: index - self.base_index]
-        else:
-            self.entries.clear()
+        agrees = self.term_at(index) == term
+        count = index - self.base_index if agrees else len(self.entries)
+        self.size_bytes -= _size_of(self.entries[:count])
+        del self.entries[:count]
         self.base_index = index
         self.base_term = term
 
+    def trailing_base(self, index: int, entries: int, size_bytes: int) -> int:
+        """Returns up to where to compact so that some entries up to ``index`` stay.
+
+        :param entries: how many may stay.
+        :param size_bytes: how much memory they may take.
+        """
+        base_index = index
+        while base_index > max(index - entries, self.base_index):
+            size_bytes -= _size_of(self.between(base_index, base_index))
+            if size_bytes < 0:
+                break
+            base_index -= 1
+        return base_index
+
     def first_index_of_term(self, index: int) -> int:
         """Returns the first held index with the same term as ``index``."""
         term = self.term_at(index)
         while index > self.base_index + 1 and self.term_at(index - 1) == term:
             index -= 1
         return index
+
+
+def _size_of(entries: list[Entry]) -> int:
+    return sum(len(entry.data) + ENTRY_OVERHEAD_BYTES for entry in entries)
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -1,7 +1,10 @@
 """Failures that the replicated log has to survive, one at a time."""
 
-from godwitwheel.consensus import core, log, replication
-from godwitwheel.consensus.messages import Append
+import pytest
+
+from godwitwheel.consensus import core, driver, log, replication
+from godwitwheel.consensus.errors import NotLeader
+from godwitwheel.consensus.messages import Append, VoteRequest
 from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member
 
 
@@ -238,3 +241,40 @@
     cell.elect(last)
     cell.commit("after")
     assert "copied" not in cell.committed.values()
+
+
+def test_compacts_a_log_of_few_but_large_commands(monkeypatch):
+    monkeypatch.setattr(driver, "MAX_LOG_BYTES", 4000)
+    monkeypatch.setattr(core, "TRAILING_BYTES", 2000)
+    cell = Cell()
+    for number in range(20):
+        cell.commit(f"{number:01000}")
+        for member in cell.running():
+            assert member.state.log.size_bytes < 6000
+    cell.members["m0"].crash()
+    cell.members["m0"].start()
+    cell.commit("after")
+
+
+def test_failed_disk_ends_all_promises():
+    cell = Cell()
+    leader = cell.serving_leader()
+    leader.log.core.propose(b"never synced")
+    leader.storage.crash_at = "before"
+    request = VoteRequest(
+        cell="",
+        source="",
+        source_identity="",
+        target="",
+        target_identity="",
+        term=0,
+        pre_vote=True,
+        last_index=0,
+        last_term=0,
+    )
+    assert leader.log.exchange([request]) == []
+    assert leader.log.failure is not None
+    for call in (leader.log.confirm_leadership, lambda s: leader.log.propose(b"", s)):
+        with pytest.raises(NotLeader):
+            call(1.0)
+    assert leader.log.leading_since() is None
