--- a/src/godwitwheel/consensus/core.py
+++ b/src/godwitwheel/consensus/core.py
@@ -24,7 +24,8 @@
     VoteReply,
     VoteRequest,
 )
-from .state import ConsensusOptions, MemberState, ReadRequest, SavedState, Work
+from .state import ConsensusOptions, MemberState
+from .work import ReadRequest, SavedState, Work
 
 TRAILING_ENTRIES = 1024
 TRAILING_BYTES = 4 * 1024 * 1024
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -11,9 +11,10 @@
 from .log import MAX_APPEND_BYTES
 from .messages import AnyMessage, Entry, EntryKind
 from .replicated import ReplicatedLog, StateMachine
-from .state import ConsensusOptions, Work
+from .state import ConsensusOptions
 from .storage import Storage
 from .transport import Transport
+from .work import Work
 
 MAX_COMMAND_BYTES = MAX_APPEND_BYTES
 SNAPSHOT_ENTRIES = 4096
--- a/src/godwitwheel/consensus/file_storage.py
+++ b/src/godwitwheel/consensus/file_storage.py
@@ -30,8 +30,9 @@
     read_records,
     unframe,
 )
-from .state import SavedState
+from .replay import is_overtaken, replay, start_at_snapshot
 from .storage import Storage
+from .work import SavedState
 
 IDENTITY_BYTES = 8
 IDENTITY_FILE = "identity"
@@ -157,13 +158,13 @@
             raise CorruptLog(f"{path} is missing beside an identity")
         data = path.read_bytes()
         records, sound_bytes = read_records(data)
-        saved = _replay(identity, snapshot, records)
+        saved = replay(identity, snapshot, records)
         self._open_log(sound_bytes)
         if sound_bytes < len(data):
             os.ftruncate(self.log_fd, sound_bytes)
             os.fsync(self.log_fd)
-        if _is_overtaken(saved):
-            _start_at_snapshot(saved)
+        if is_overtaken(saved):
+            start_at_snapshot(saved)
             start = LogStart(saved.base_index, saved.base_term)
             self._replace_log(start, [HardStateRecord(saved.hard_state)])
         return saved
@@ -201,56 +202,6 @@
         view = view[os.write(fd, view) :]
 
 
-def _replay(
-    identity: str, snapshot: Snapshot | None, records: list[Record]
-) -> SavedState:
-    if not records or not isinstance(records[0], LogStart):
-        raise CorruptLog("the log does not begin with its start")
-    start = records[0]
-    covered = snapshot.index if snapshot is not None else 0
-    if start.base_index > covered:
-        raise CorruptLog(f"no snapshot covers the entries up to {start.base_index}")
-    saved = SavedState(
-        identity,
-        snapshot=snapshot,
-        base_index=start.base_index,
-        base_term=start.base_term,
-    )
-    for record in records[1:]:
-        _replay_record(saved, record)
-    return saved
-
-
-def _replay_record(saved: SavedState, record: Record) -> None:
-    if isinstance(record, HardStateRecord):
-        saved.hard_state = record.hard_state
-    elif isinstance(record, EntryRecord):
-        position = record.entry.index - saved.base_index - 1
-        if not 0 <= position <= len(saved.entries):
-            raise CorruptLog(f"entry {record.entry.index} follows a gap")
-        saved.entries[position:] = [record.entry]
-
-
-def _is_overtaken(saved: SavedState) -> bool:
-    """Whether the log does not reach the snapshot or disagrees with it.
-
-    A crash between the renaming of a snapshot and that of its log leaves that.
-    """
-    snapshot = saved.snapshot
-    if snapshot is None or snapshot.index == saved.base_index:
-        return False
-    position = snapshot.index - saved.base_index - 1
-    if position >= len(saved.entries):
-        return True
-    return saved.entries[position].term != snapshot.term
-
-
-def _start_at_snapshot(saved: SavedState) -> None:
-    saved.entries = []
-    saved.base_index = saved.snapshot.index
-    saved.base_term = saved.snapshot.term
-
-
 def _is_empty_log(path: Path) -> bool:
     """Whether a file is the log of an interrupted creation."""
     records, _ = read_records(path.read_bytes())
--- a/src/godwitwheel/consensus/reading.py
+++ b/src/godwitwheel/consensus/reading.py
@@ -1,7 +1,8 @@
 """Confirms a leader by rounds of its quorum, so that reads are linearizable."""
 
 from . import membership as memberships
-from .state import MemberState, ReadRequest
+from .state import MemberState
+from .work import ReadRequest
 
 
 def request_read(state: MemberState) -> ReadRequest:
--- /dev/null
+++ b/src/godwitwheel/consensus/replay.py
@@ -0,0 +1,61 @@
+"""Builds the stored state from a snapshot and the records of the log."""
+
+from .errors import CorruptLog
+from .messages import Snapshot
+from .records import EntryRecord, HardStateRecord, LogStart, Record
+from .work import SavedState
+
+
+def replay(
+    identity: str, snapshot: Snapshot | None, records: list[Record]
+) -> SavedState:
+    """Builds the state from the records of a log, the first of which starts it.
+
+    :raises CorruptLog: if the records leave a gap.
+    """
+    if not records or not isinstance(records[0], LogStart):
+        raise CorruptLog("the log does not begin with its start")
+    start = records[0]
+    covered = snapshot.index if snapshot is not None else 0
+    if start.base_index > covered:
+        raise CorruptLog(f"no snapshot covers the entries up to {start.base_index}")
+    saved = SavedState(
+        identity,
+        snapshot=snapshot,
+        base_index=start.base_index,
+        base_term=start.base_term,
+    )
+    for record in records[1:]:
+        _replay_record(saved, record)
+    return saved
+
+
+def _replay_record(saved: SavedState, record: Record) -> None:
+    if isinstance(record, HardStateRecord):
+        saved.hard_state = record.hard_state
+    elif isinstance(record, EntryRecord):
+        position = record.entry.index - saved.base_index - 1
+        if not 0 <= position <= len(saved.entries):
+            raise CorruptLog(f"entry {record.entry.index} follows a gap")
+        saved.entries[position:] = [record.entry]
+
+
+def is_overtaken(saved: SavedState) -> bool:
+    """Whether the log does not reach the snapshot or disagrees with it.
+
+    A crash between the renaming of a snapshot and that of its log leaves that.
+    """
+    snapshot = saved.snapshot
+    if snapshot is None or snapshot.index == saved.base_index:
+        return False
+    position = snapshot.index - saved.base_index - 1
+    if position >= len(saved.entries):
+        return True
+    return saved.entries[position].term != snapshot.term
+
+
+def start_at_snapshot(saved: SavedState) -> None:
+    """Replaces the entries by the snapshot alone."""
+    saved.entries = []
+    saved.base_index = saved.snapshot.index
+    saved.base_term = saved.snapshot.term
--- a/src/godwitwheel/consensus/replication.py
+++ b/src/godwitwheel/consensus/replication.py
@@ -1,4 +1,4 @@
-"""A leader's side of replication: appends, commits and snapshots."""
+"""A leader's side of replication: appends, acknowledgements and commits."""
 
 from . import membership as memberships
 from .election import become_follower
@@ -9,14 +9,13 @@
     EntryKind,
     MemberRecord,
     Membership,
-    SnapshotPart,
     SnapshotReply,
 )
-from .progress import Progress, SnapshotTransfer
+from .progress import Progress
 from .state import MemberState
+from .transfer import begin_transfer, resend_late_part, send_part
 
 MAX_UNACKNOWLEDGED_ENTRIES = 4096
-SNAPSHOT_PART_BYTES = 256 * 1024
 
 
 def append_as_leader(state: MemberState, kind: EntryKind, data: bytes) -> Entry:
@@ -63,7 +62,8 @@
         progress = progress_of(state, member_id, record, now)
         progress.catch_up_index = state.commit_index
         if progress.transfer is not None:
-            _resend_part(state, member_id, progress, now)
+            if not resend_late_part(state, member_id, progress, now):
+                _send_append(state, member_id, progress, [])
         elif _is_silent(state, progress, now):
             # A peer that may be down gets no entries until it answers.
             progress.probing = True
@@ -103,7 +103,7 @@
     if progress.transfer is not None:
         return False
     if state.log.term_at(progress.next_index - 1) is None:
-        _begin_transfer(state, member_id, progress, now)
+        begin_transfer(state, member_id, progress, now)
         return True
     sent = False
     while _may_send(state, progress):
@@ -211,44 +211,6 @@
     return now - quorum_heard_at <= 2 * state.options.election_timeout_s
 
 
-def _begin_transfer(
-    state: MemberState, member_id: str, progress: Progress, now: float
-) -> None:
-    progress.transfer = SnapshotTransfer(state.snapshot, now)
-    _send_part(state, member_id, progress, now)
-
-
-def _send_part(
-    state: MemberState, member_id: str, progress: Progress, now: float
-) -> None:
-    transfer = progress.transfer
-    transfer.sent_at = now
-    snapshot = transfer.snapshot
-    end = transfer.offset + SNAPSHOT_PART_BYTES
-    state.send(
-        SnapshotPart,
-        member_id,
-        progress.identity,
-        source_address=state.options.address,
-        index=snapshot.index,
-        last_term=snapshot.term,
-        membership=snapshot.membership,
-        offset=transfer.offset,
-        total_bytes=len(snapshot.data),
-        data=snapshot.data[transfer.offset : end],
-        round=state.round,
-    )
-
-
-def _resend_part(
-    state: MemberState, member_id: str, progress: Progress, now: float
-) -> None:
-    if now - progress.transfer.sent_at > state.options.election_timeout_s:
-        _send_part(state, member_id, progress, now)
-    else:
-        _send_append(state, member_id, progress, [])
-
-
 def receive_snapshot_reply(
     state: MemberState, reply: SnapshotReply, now: float
 ) -> None:
@@ -261,4 +223,4 @@
         return
     if reply.received_bytes != transfer.offset:
         transfer.offset = reply.received_bytes
-        _send_part(state, reply.source, progress, now)
+        send_part(state, reply.source, progress, now)
--- a/src/godwitwheel/consensus/storage.py
+++ b/src/godwitwheel/consensus/storage.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from .messages import Entry, HardState, Snapshot
-from .state import SavedState
+from .work import SavedState
 
 
 class Storage(ABC):
--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -16,9 +16,10 @@
     VoteRequest,
 )
 from godwitwheel.consensus.replicated import StateMachine
-from godwitwheel.consensus.state import ConsensusOptions, SavedState
+from godwitwheel.consensus.state import ConsensusOptions
 from godwitwheel.consensus.storage import Storage
 from godwitwheel.consensus.transport import Transport
+from godwitwheel.consensus.work import SavedState
 from godwitwheel.internal.clock import ManualClock
 
 ELECTION_TIMEOUT_S = 0.5
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitwheel.consensus import core, driver, log, replication
+from godwitwheel.consensus import core, driver, log, transfer
 from godwitwheel.consensus.errors import NotLeader
 from godwitwheel.consensus.messages import Append, VoteRequest
 from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member
@@ -137,7 +137,7 @@
 
 
 def test_far_behind_member_catches_up_by_snapshot(monkeypatch):
-    monkeypatch.setattr(replication, "SNAPSHOT_PART_BYTES", 500)
+    monkeypatch.setattr(transfer, "SNAPSHOT_PART_BYTES", 500)
     monkeypatch.setattr(core, "TRAILING_ENTRIES", 10)
     cell = Cell(snapshot_entries=50)
     leader = cell.serving_leader()
--- a/tests/cover/test_consensus_machine.py
+++ b/tests/cover/test_consensus_machine.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 from pytest import MonkeyPatch
 
-from godwitwheel.consensus import core, log, replication
+from godwitwheel.consensus import core, log, transfer
 from tests.common.cell import Cell, Member
 
 MAX_MEMBERS = 5
@@ -29,7 +29,7 @@
     def found(self, size, seed, snapshot_entries, append_entries):
         self.patches.setattr(log, "MAX_APPEND_ENTRIES", append_entries)
         self.patches.setattr(core, "TRAILING_ENTRIES", append_entries)
-        self.patches.setattr(replication, "SNAPSHOT_PART_BYTES", 100)
+        self.patches.setattr(transfer, "SNAPSHOT_PART_BYTES", 100)
         self.cell = Cell(size, seed, snapshot_entries)
         self.cell.serving_leader()
 
