--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -388,7 +388,7 @@
     """Waits for a confirmed leadership and compares it with what was known."""
 
     def __init__(self, member: Member):
-        self.member = member
+        self.done = False
         self.state = member.state
         self.floor = max(member.cell.committed, default=0)
         self.highest_term = max(member.cell.leaders, default=0)
@@ -398,6 +398,7 @@
 
     def send(self) -> None:
         """Called by the log when the read is confirmed and applied, or refused."""
+        self.done = True
         if self.request.confirmed:
             assert self.term >= self.highest_term, "a deposed leader was confirmed"
             assert self.state.applied_index >= self.floor, "the read went back"
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -1,11 +1,13 @@
 """Failures that the replicated log has to survive, one at a time."""
 
+import json
+
 import pytest
 
 from godwitwheel.consensus import core, driver, log, transfer
 from godwitwheel.consensus.errors import NotLeader
-from godwitwheel.consensus.messages import Append, VoteRequest
-from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member
+from godwitwheel.consensus.messages import Append, SnapshotPart, VoteRequest
+from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member, ReadProbe
 
 
 def test_commits_on_every_member():
@@ -278,3 +280,58 @@
         with pytest.raises(NotLeader):
             call(1.0)
     assert leader.log.leading_since() is None
+
+
+def test_new_leader_reads_and_changes_nothing_before_its_first_entry_commits():
+    cell = Cell(size=5)
+    old = cell.serving_leader()
+    cell.commit("known to the old leader only")
+    old.crash()
+    cell.drops = lambda message: isinstance(message, Append) and bool(message.entries)
+    new = cell.running()[0]
+    cell.elect(new)
+    probe = ReadProbe(new)
+    new.work()
+    cell.step(6)
+    assert probe.request.confirmed
+    assert not probe.done
+    assert not new.log.remove_member(old.member_id)
+    cell.drops = lambda message: False
+    cell.step(4)
+    assert probe.done
+    assert new.log.remove_member(old.member_id)
+
+
+def test_snapshot_leaves_acknowledged_entries_after_it():
+    cell = Cell()
+    leader = cell.serving_leader()
+    cell.step(4)
+    behind = next(member for member in cell.running() if member is not leader)
+    cell.drops = lambda message: (
+        isinstance(message, Append)
+        and message.target == behind.member_id
+        and message.commit_index > behind.state.commit_index
+    )
+    first = leader.log.core.propose(b"first")
+    last = leader.log.core.propose(b"last")
+    cell.step(4)
+    assert behind.state.commit_index < first.index
+    assert leader.state.progress[behind.member_id].match_index == last.index
+    data = json.dumps({first.index: "first"}).encode()
+    leader.state.send(
+        SnapshotPart,
+        behind.member_id,
+        behind.state.identity,
+        index=first.index,
+        last_term=first.term,
+        membership=leader.state.membership,
+        offset=0,
+        total_bytes=len(data),
+        data=data,
+        round=0,
+    )
+    cell.settle()
+    assert behind.state.snapshot.index == first.index
+    behind.crash()
+    behind.start()
+    assert behind.state.log.last_index == last.index
