Keep a second task out of a pass of work

With the standard library patched, writing an event to a full pipe yields to the loop. If that happens within apply, an arriving request started a second pass, which applied the same entries again. A focused test was red without the guard.

--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -55,6 +55,7 @@
         "woken",
         "tasks",
         "failure",
+        "is_working",
         "answering",
         "answers",
     )
@@ -84,6 +85,7 @@
         self.woken = Event()
         self.tasks: list[Task] = []
         self.failure: StorageError | None = None
+        self.is_working = False
         self.answering = ""
         self.answers: list[AnyMessage] = []
         if saved.snapshot is not None:
@@ -218,10 +220,22 @@
             task.kill()
 
     def do_work(self) -> None:
-        """Stores, sends and applies what has come up, without yielding.
+        """Stores, sends and applies what has come up.
+
+        Does nothing while another task is at it: an event log on a full pipe makes
+        that task yield in between. It or the next pass takes up what is new.
 
         :raises StorageError: if the storage fails; the member must stop.
         """
+        if self.is_working:
+            return
+        self.is_working = True
+        try:
+            self._do_work()
+        finally:
+            self.is_working = False
+
+    def _do_work(self) -> None:
         work = self.core.take_work(self.clock.now())
         while not work.is_empty():
             self._store(work)
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -335,3 +335,20 @@
     behind.crash()
     behind.start()
     assert behind.state.log.last_index == last.index
+
+
+def test_applies_once_although_another_task_works_in_between():
+    cell = Cell(size=1)
+    leader = cell.serving_leader()
+    machine = leader.log.state_machine
+    apply = machine.apply
+
+    def apply_and_yield(index, command):
+        leader.log.do_work()
+        return apply(index, command)
+
+    machine.apply = apply_and_yield
+    for number in range(3):
+        leader.log.core.propose(b"c%d" % number)
+    cell.step(2)
+    assert list(machine.commands.values()) == ["c0", "c1", "c2"]
