Send claims and outcomes to control through a few places, under a lease only

Now at most 16 calls of a proxy run at once, outcomes left for later go one after the other, and nothing is called without a lease, since whoever can't renew it can't reach the leader.

A key whose claim was not answered is 'unknown' now, not 'not_run': an earlier sending of it may have run, and a caller that believes otherwise books again under a new key.

A stop waits up to 2 s for outcomes that are still to be recorded.

--- a/src/godwitwheel/proxy/answers.py
+++ b/src/godwitwheel/proxy/answers.py
@@ -51,9 +51,16 @@
     )
 
 
-def unknown(reason: Reason, message: str = "") -> CallerAnswer:
+def unknown(
+    reason: Reason, message: str = "", retry_after_s: float = 0.0
+) -> CallerAnswer:
     """Answers that the request may or may not have run."""
-    return CallerAnswer(Outcome.unknown, reason=reason, message=message)
+    return CallerAnswer(
+        Outcome.unknown,
+        reason=reason,
+        message=message,
+        retry_after_ms=round(retry_after_s * 1000),
+    )
 
 
 def done(
--- a/src/godwitwheel/proxy/context.py
+++ b/src/godwitwheel/proxy/context.py
@@ -5,7 +5,7 @@
 from ..blackboard import Blackboard
 from ..decisions.retry_budget import RetryBudget
 from ..internal.clock import Clock
-from .change_signal import GroupSignals
+from .change_signal import ChangeSignal, GroupSignals
 from .in_flight import WritesInFlight
 from .metrics import ProxyMetrics
 from .pools import TargetPools
@@ -15,6 +15,7 @@
     """Collaborators of the executors; wiring builds it once.
 
     :ivar signals: woken when the view, the lease or a position changes.
+    :ivar lease_signal: woken when the lease is granted or lost.
     :ivar in_flight: writes that a primary is working on.
     """
 
@@ -23,6 +24,7 @@
         "clock",
         "pools",
         "signals",
+        "lease_signal",
         "in_flight",
         "metrics",
         "retry_budget",
@@ -41,6 +43,7 @@
         self.clock = clock
         self.pools = pools
         self.signals = GroupSignals()
+        self.lease_signal = ChangeSignal()
         self.in_flight = WritesInFlight(blackboard)
         self.metrics = metrics
         self.retry_budget = RetryBudget()
@@ -50,3 +53,4 @@
         """Wakes and interrupts what a new view or a lost lease concerns."""
         self.in_flight.interrupt_revoked(self.clock.now())
         self.signals.notify_all()
+        self.lease_signal.notify()
--- a/src/godwitwheel/proxy/keyed.py
+++ b/src/godwitwheel/proxy/keyed.py
@@ -6,28 +6,26 @@
 import xxhash
 
 from ..decisions.sessions import decode_token, merge_sessions
-from ..internal.loop import sleep, spawn
+from ..internal.loop import sleep
 from ..wire.caller import CallerAnswer, Outcome, Reason
 from ..wire.codec import encode
 from ..wire.control import (
     Claim,
     ClaimReply,
     ClaimStatus,
-    OutcomeRecorded,
     RecordOutcome,
 )
 from .answers import not_run, unknown
+from .claim_link import ClaimLink
 from .context import ProxyContext
-from .control_client import ControlClient
 from .errors import ControlUnavailable
 from .work import Work
 from .writes import WriteExecutor
 
 ATTEMPT_BYTES = 12
-MAX_CLAIM_WAIT_S = 2.0
-RECORD_LIMIT_S = 30.0
 RECORD_ANSWER_LIMIT_S = 1.0
 PENDING_POLL_S = 0.05
+CLAIM_RETRY_S = 0.5
 
 CLAIM_REASONS = {
     ClaimStatus.mismatch: Reason.key_reused,
@@ -39,13 +37,11 @@
 class KeyedWrites:
     """Runs each key at most once, whichever proxies its resends reach."""
 
-    __slots__ = ("context", "control", "writes")
+    __slots__ = ("context", "claims", "writes")
 
-    def __init__(
-        self, context: ProxyContext, control: ControlClient, writes: WriteExecutor
-    ):
+    def __init__(self, context: ProxyContext, claims: ClaimLink, writes: WriteExecutor):
         self.context = context
-        self.control = control
+        self.claims = claims
         self.writes = writes
 
     def run(self, work: Work) -> CallerAnswer:
@@ -60,10 +56,10 @@
         try:
             reply = self._claim(claim, work)
         except ControlUnavailable as error:
-            # The claim may be committed; this attempt will never use it.
-            answer = not_run(Reason.claim_unavailable, str(error))
-            self._record_later(claim, answer)
-            return answer
+            # The claim may be committed; this attempt will never use it. An
+            # earlier sending of the key may have run, so this is not ``not_run``.
+            self._record_later(claim, not_run(Reason.claim_unavailable))
+            return unknown(Reason.claim_unavailable, str(error), CLAIM_RETRY_S)
         if reply.status is ClaimStatus.recorded:
             return self._replay(reply.answer, work)
         if reply.status is ClaimStatus.pending:
@@ -75,9 +71,7 @@
     def _claim(self, claim: Claim, work: Work) -> ClaimReply:
         clock = self.context.clock
         while True:
-            remaining_s = work.remaining_s(clock.now())
-            limit_s = min(remaining_s, MAX_CLAIM_WAIT_S)
-            reply = self.control.call("/v1/claim", claim, ClaimReply, limit_s)
+            reply = self.claims.claim(claim, work.deadline)
             if reply.status is not ClaimStatus.pending:
                 return reply
             if work.remaining_s(clock.now()) <= PENDING_POLL_S:
@@ -112,23 +106,16 @@
         The write is safe by now, so that a record that can't be made in time
         changes nothing of the answer; a resend is then told ``unknown``.
         """
-        remaining_s = work.remaining_s(self.context.clock.now())
-        limit_s = min(max(remaining_s, 0.0), RECORD_ANSWER_LIMIT_S)
-        outcome = self._outcome(claim, answer)
+        now = self.context.clock.now()
+        deadline = min(work.deadline, now + RECORD_ANSWER_LIMIT_S)
         try:
-            self.control.call("/v1/outcome", outcome, OutcomeRecorded, limit_s)
+            self.claims.record(self._outcome(claim, answer), deadline)
         except ControlUnavailable:
             self._record_later(claim, answer)
         return answer
 
     def _record_later(self, claim: Claim, answer: CallerAnswer) -> None:
-        spawn(self._record_patiently, self._outcome(claim, answer))
-
-    def _record_patiently(self, outcome: RecordOutcome) -> None:
-        try:
-            self.control.call("/v1/outcome", outcome, OutcomeRecorded, RECORD_LIMIT_S)
-        except ControlUnavailable:
-            return
+        self.claims.record_later(self._outcome(claim, answer))
 
     def _outcome(self, claim: Claim, answer: CallerAnswer) -> RecordOutcome:
         return RecordOutcome(claim.service, claim.key, claim.attempt, answer)
--- a/src/godwitwheel/proxy/process.py
+++ b/src/godwitwheel/proxy/process.py
@@ -18,6 +18,7 @@
 from ..wire.server import Server
 from .announce_api import AnnounceApi
 from .caller_api import CallerApi
+from .claim_link import ClaimLink
 from .context import ProxyContext
 from .control_client import ControlClient
 from .control_link import ControlLink
@@ -35,12 +36,13 @@
 STOP_CHECK_S = 0.05
 DRAIN_POLL_S = 0.02
 QUIET_BEFORE_STOP_S = 0.2
+FLUSH_LIMIT_S = 2.0
 
 
 class Proxy:
     """The parts of one proxy, wired together."""
 
-    __slots__ = ("settings", "context", "link", "prober", "api", "server")
+    __slots__ = ("settings", "context", "link", "prober", "claims", "api", "server")
 
     def __init__(
         self,
@@ -62,12 +64,13 @@
         self.link = ControlLink(self.context, control, settings.heartbeat_interval_s)
         positions = PositionKeeper(self.context, HttpTargetAdmin(client))
         self.prober = Prober(positions, settings.probe_interval_s)
+        self.claims = ClaimLink(self.context, control)
         writes = WriteExecutor(self.context, positions)
         self.api = CallerApi(
             self.context,
             ReadExecutor(self.context, positions),
             writes,
-            KeyedWrites(self.context, control, writes),
+            KeyedWrites(self.context, self.claims, writes),
         )
         self.server = self._server(process_metrics)
 
@@ -86,6 +89,7 @@
                 self.link.run_heartbeats,
                 self.link.run_watch,
                 self.link.run_lease_check,
+                self.claims.run_recorder,
                 self.prober.run,
                 self._run_state_metrics,
             )
@@ -159,6 +163,7 @@
         wait_for_stop()
         record_event(EventName.process_stopping, in_flight=proxy.api.in_flight)
         is_drained = proxy.drain()
+        proxy.claims.flush(FLUSH_LIMIT_S)
     proxy.link.say_farewell()
     record_event(EventName.process_stopped, drained=is_drained)
     return 0 if is_drained else 1
