--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -6,7 +6,7 @@
 
 from godwitwheel.consensus import core, driver, log, transfer
 from godwitwheel.consensus.errors import NotLeader
-from godwitwheel.consensus.messages import Append, SnapshotPart, VoteRequest
+from godwitwheel.consensus.messages import Append, Hello, SnapshotPart, VoteRequest
 from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member, ReadProbe
 
 
@@ -352,3 +352,56 @@
         leader.log.core.propose(b"c%d" % number)
     cell.step(2)
     assert list(machine.commands.values()) == ["c0", "c1", "c2"]
+
+
+def test_takes_back_a_membership_that_was_never_committed():
+    cell = Cell(size=4)
+    old = cell.serving_leader()
+    cell.step(2)
+    cell.isolate(old.member_id)
+    removed = next(member for member in cell.running() if member is not old)
+    assert old.log.remove_member(removed.member_id)
+    old.work()
+    cell.step_until(lambda: cell.leader() is not old and not old.state.is_leader())
+    assert removed.member_id not in old.state.membership.members
+    cell.cut.clear()
+    cell.commit("after")
+    cell.step(4)
+    assert len({str(member.state.membership) for member in cell.running()}) == 1
+    assert removed.member_id in old.state.membership.members
+
+
+def test_removed_member_and_strangers_stay_outside():
+    cell = Cell(size=4)
+    leader = cell.serving_leader()
+    removed = next(member for member in cell.running() if member is not leader)
+    assert leader.log.remove_member(removed.member_id)
+    cell.step(4)
+    hello = Hello(
+        cell="",
+        source=removed.member_id,
+        source_identity=removed.storage.identity,
+        source_address=removed.member_id,
+        target=leader.member_id,
+        target_identity="",
+        term=0,
+        founders=[],
+    )
+    cell.in_flight.append((removed.member_id, leader.member_id, hello))
+    cell.step(100)
+    assert removed.member_id not in leader.state.membership.members
+    term = leader.state.term
+    request = VoteRequest(
+        cell="another",
+        source=leader.member_id,
+        source_identity=leader.storage.identity,
+        target=removed.member_id,
+        target_identity=removed.storage.identity,
+        term=term + 5,
+        pre_vote=False,
+        last_index=1000,
+        last_term=term + 5,
+    )
+    cell.in_flight.append((leader.member_id, removed.member_id, request))
+    cell.step(20)
+    assert removed.state.term == cell.leader().state.term == term
--- a/tests/cover/test_consensus_files.py
+++ b/tests/cover/test_consensus_files.py
@@ -48,6 +48,16 @@
     assert load(tmp_path).entries[2:] == [entry(3, 2), entry(4, 2)]
 
 
+def test_forgets_sound_records_behind_a_torn_one(tmp_path):
+    sizes = fill(tmp_path, [[entry(1), entry(2)], [entry(3), entry(4)]])
+    whole = bytearray((tmp_path / "log").read_bytes())
+    whole[sizes[1]] ^= 0x41
+    (tmp_path / "log").write_bytes(bytes(whole))
+    # The new batch ends just where the old one's last record begins.
+    fill(tmp_path, [[entry(3)]])
+    assert load(tmp_path).entries == [entry(1), entry(2), entry(3)]
+
+
 def test_refuses_a_damaged_record_that_was_synced(tmp_path):
     sizes = fill(tmp_path, [[entry(1), entry(2)], [entry(3)]])
     whole = (tmp_path / "log").read_bytes()
--- a/tests/cover/test_consensus_machine.py
+++ b/tests/cover/test_consensus_machine.py
@@ -165,6 +165,7 @@
         for member in self.cell.running():
             if member.storage.identity in self.cell.voters():
                 assert member.log.state_machine.commands == self.cell.committed
+                assert member.state.membership == self.cell.leader().state.membership
 
 
 CellMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=50)
