--- a/src/godwitwheel/consensus/core.py
+++ b/src/godwitwheel/consensus/core.py
@@ -24,9 +24,11 @@
     VoteReply,
     VoteRequest,
 )
-from .state import ConsensusOptions, MemberState, ReadRequest, SavedState, Work
+from .state import ConsensusOptions, MemberState
+from .work import ReadRequest, SavedState, Work
 
 TRAILING_ENTRIES = 1024
+TRAILING_BYTES = 4 * 1024 * 1024
 
 
 class Consensus:
@@ -60,6 +62,7 @@
         state = self.state
         if message.target != state.options.member_id:
             return
+        joining.note_address(self.joining, message)
         if isinstance(message, Hello):
             joining.receive_hello(state, self.joining, message, now)
             return
@@ -111,11 +114,11 @@
         """Asks that the leadership be confirmed from now on."""
         return reading.request_read(self.state)
 
-    def remove_member(self, member_id: str) -> bool:
+    def remove_member(self, member_id: str, now: float) -> bool:
         """Removes a member for good.
 
         :returns: whether the change was appended; the caller repeats it if another
-            change is open.
+            change is open or no quorum of the rest was heard lately.
         """
         state = self.state
         if member_id not in state.membership.members:
@@ -123,21 +126,41 @@
         if not joining.may_change_membership(state):
             return False
         membership = memberships.without_member(state.membership, member_id)
+        if not replication.hears_quorum(state, membership, now):
+            return False
         joining.change_membership(state, membership)
         return True
 
+    def take_appends(self, now: float) -> list[Append]:
+        """Returns a leader's appends, which may be sent before its own sync.
+
+        They promise nothing: the leader counts its own entries only once they are
+        synced, and its term has been.
+        """
+        state = self.state
+        if not state.is_leader() or state.work.hard_state is not None:
+            return []
+        self._lead(now)
+        messages = state.work.messages
+        state.work.messages = [m for m in messages if not isinstance(m, Append)]
+        return [m for m in messages if isinstance(m, Append)]
+
+    def _lead(self, now: float) -> None:
+        state = self.state
+        if now >= state.next_heartbeat:
+            reading.begin_round(state)
+            replication.send_heartbeats(state, now)
+        elif reading.begin_round(state):
+            replication.send_round(state, now)
+        else:
+            replication.send_new_entries(state, now)
+        reading.finish_reads(state)
+
     def take_work(self, now: float) -> Work:
         """Returns what has come up; the caller does all of it in its order."""
         state = self.state
         if state.is_leader():
-            if now >= state.next_heartbeat:
-                reading.begin_round(state)
-                replication.send_heartbeats(state, now)
-            elif reading.begin_round(state):
-                replication.send_round(state, now)
-            else:
-                replication.send_new_entries(state, now)
-            reading.finish_reads(state)
+            self._lead(now)
         work = state.work
         state.work = Work()
         if work.snapshot is not None:
@@ -179,17 +202,19 @@
         state = self.state
         state.snapshot = snapshot
         state.memberships.compact(snapshot.index, snapshot.membership)
-        base_index = max(snapshot.index - TRAILING_ENTRIES, state.log.base_index)
+        base_index = state.log.trailing_base(
+            snapshot.index, TRAILING_ENTRIES, TRAILING_BYTES
+        )
         state.log.compact(base_index, state.log.term_at(base_index))
 
     def address_of(self, message: Message) -> str:
         """Returns where a message goes, or an empty string."""
-        record = self.state.membership.members.get(message.target)
         identity = message.target_identity
+        if identity in self.joining.heard_addresses:
+            return self.joining.heard_addresses[identity]
+        record = self.state.membership.members.get(message.target)
         if record is not None and identity in ("", record.identity):
             return record.address
-        if identity in self.joining.stranger_addresses:
-            return self.joining.stranger_addresses[identity]
         return self.state.options.founders.get(message.target, "")
 
 
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -11,12 +11,14 @@
 from .log import MAX_APPEND_BYTES
 from .messages import AnyMessage, Entry, EntryKind
 from .replicated import ReplicatedLog, StateMachine
-from .state import ConsensusOptions, Work
+from .state import ConsensusOptions
 from .storage import Storage
 from .transport import Transport
+from .work import Work
 
 MAX_COMMAND_BYTES = MAX_APPEND_BYTES
 SNAPSHOT_ENTRIES = 4096
+MAX_LOG_BYTES = 16 * 1024 * 1024
 
 
 class Proposal:
@@ -53,6 +55,9 @@
         "woken",
         "tasks",
         "failure",
+        "is_working",
+        "answering",
+        "answers",
     )
 
     def __init__(
@@ -80,6 +85,9 @@
         self.woken = Event()
         self.tasks: list[Task] = []
         self.failure: StorageError | None = None
+        self.is_working = False
+        self.answering = ""
+        self.answers: list[AnyMessage] = []
         if saved.snapshot is not None:
             state_machine.load_snapshot(saved.snapshot.data)
 
@@ -139,6 +147,20 @@
             self.core.receive(message, now)
         self._wake()
 
+    def exchange(self, messages: list[AnyMessage]) -> list[AnyMessage]:
+        """Takes messages of one peer, works at once and answers.
+
+        :returns: what this member has to say to that peer; it is synced.
+        """
+        if self.failure is not None or not messages:
+            return []
+        self.answering = messages[0].source_identity
+        self.handle(messages)
+        self._work_safely()
+        answers, self.answers = self.answers, []
+        self.answering = ""
+        return answers
+
     def tick(self) -> None:
         """Does what has become due."""
         self.core.tick(self.clock.now())
@@ -150,7 +172,7 @@
 
         :returns: whether the change was proposed.
         """
-        proposed = self.core.remove_member(member_id)
+        proposed = self.core.remove_member(member_id, self.clock.now())
         self._wake()
         return proposed
 
@@ -169,23 +191,51 @@
             self.woken = Event()
             # Tasks that are ready to propose get to do so before the sync.
             sleep()
-            try:
-                self.do_work()
-            except StorageError as error:
-                self._fail(error)
+            if self.send_appends():
+                # The messages leave while this member syncs.
+                sleep()
+            self._work_safely()
+
+    def send_appends(self) -> bool:
+        """Sends what a leader may send before its own sync.
+
+        :returns: whether anything was sent.
+        """
+        appends = self.core.take_appends(self.clock.now())
+        self._send(appends)
+        return bool(appends)
+
+    def _work_safely(self) -> None:
+        try:
+            self.do_work()
+        except StorageError as error:
+            self._fail(error)
 
     def _fail(self, error: StorageError) -> None:
         # Nothing may be promised any more: what the disk holds is not known.
         self.failure = error
         self.led_since = None
         self._abandon_proposals()
-        self.tasks[0].kill()
+        for task in self.tasks:
+            task.kill()
 
     def do_work(self) -> None:
-        """Stores, sends and applies what has come up, without yielding.
+        """Stores, sends and applies what has come up.
+
+        Does nothing while another task is at it: an event log on a full pipe makes
+        that task yield in between. It or the next pass takes up what is new.
 
         :raises StorageError: if the storage fails; the member must stop.
         """
+        if self.is_working:
+            return
+        self.is_working = True
+        try:
+            self._do_work()
+        finally:
+            self.is_working = False
+
+    def _do_work(self) -> None:
         work = self.core.take_work(self.clock.now())
         while not work.is_empty():
             self._store(work)
@@ -217,6 +267,9 @@
     def _send(self, messages: list[AnyMessage]) -> None:
         batches: dict[tuple[str, str], list[AnyMessage]] = {}
         for message in messages:
+            if message.target_identity and message.target_identity == self.answering:
+                self.answers.append(message)
+                continue
             address = self.core.address_of(message)
             batches.setdefault((message.target, address), []).append(message)
         for (member_id, address), batch in batches.items():
@@ -281,7 +334,9 @@
     def _write_snapshot(self) -> None:
         state = self.core.state
         covered = state.snapshot.index if state.snapshot is not None else 0
-        if state.applied_index - covered < self.snapshot_entries:
+        waiting = state.applied_index - covered
+        is_large = waiting > 0 and state.log.size_bytes > MAX_LOG_BYTES
+        if waiting < self.snapshot_entries and not is_large:
             return
         snapshot = self.core.make_snapshot(self.state_machine.take_snapshot())
         self.core.compact(snapshot)
--- a/src/godwitwheel/consensus/replication.py
+++ b/src/godwitwheel/consensus/replication.py
@@ -1,4 +1,4 @@
-"""A leader's side of replication: appends, commits and snapshots."""
+"""A leader's side of replication: appends, acknowledgements and commits."""
 
 from . import membership as memberships
 from .election import become_follower
@@ -8,14 +8,14 @@
     Entry,
     EntryKind,
     MemberRecord,
-    SnapshotPart,
+    Membership,
     SnapshotReply,
 )
-from .progress import Progress, SnapshotTransfer
+from .progress import Progress
 from .state import MemberState
+from .transfer import begin_transfer, resend_late_part, send_part
 
 MAX_UNACKNOWLEDGED_ENTRIES = 4096
-SNAPSHOT_PART_BYTES = 256 * 1024
 
 
 def append_as_leader(state: MemberState, kind: EntryKind, data: bytes) -> Entry:
@@ -62,7 +62,8 @@
         progress = progress_of(state, member_id, record, now)
         progress.catch_up_index = state.commit_index
         if progress.transfer is not None:
-            _resend_part(state, member_id, progress, now)
+            if not resend_late_part(state, member_id, progress, now):
+                _send_append(state, member_id, progress, [])
         elif _is_silent(state, progress, now):
             # A peer that may be down gets no entries until it answers.
             progress.probing = True
@@ -102,7 +103,7 @@
     if progress.transfer is not None:
         return False
     if state.log.term_at(progress.next_index - 1) is None:
-        _begin_transfer(state, member_id, progress, now)
+        begin_transfer(state, member_id, progress, now)
         return True
     sent = False
     while _may_send(state, progress):
@@ -133,6 +134,7 @@
         Append,
         member_id,
         progress.identity,
+        source_address=state.options.address if progress.probing else "",
         previous_index=previous_index,
         previous_term=previous_term,
         entries=entries,
@@ -192,50 +194,21 @@
 
 def check_quorum(state: MemberState, now: float) -> None:
     """Steps down if no quorum was heard for longer than any election takes."""
-    heard = {
-        member_id: progress.heard_at for member_id, progress in state.progress.items()
-    }
-    heard[state.options.member_id] = now
-    quorum_heard_at = memberships.quorum_value(state.membership, heard)
-    if now - quorum_heard_at > 2 * state.options.election_timeout_s:
+    if not hears_quorum(state, state.membership, now):
         become_follower(state, now, state.term)
 
 
-def _begin_transfer(
-    state: MemberState, member_id: str, progress: Progress, now: float
-) -> None:
-    progress.transfer = SnapshotTransfer(state.snapshot, now)
-    _send_part(state, member_id, progress, now)
-
-
-def _send_part(
-    state: MemberState, member_id: str, progress: Progress, now: float
-) -> None:
-    transfer = progress.transfer
-    transfer.sent_at = now
-    snapshot = transfer.snapshot
-    end = transfer.offset + SNAPSHOT_PART_BYTES
-    state.send(
-        SnapshotPart,
-        member_id,
-        progress.identity,
-        index=snapshot.index,
-        last_term=snapshot.term,
-        membership=snapshot.membership,
-        offset=transfer.offset,
-        total_bytes=len(snapshot.data),
-        data=snapshot.data[transfer.offset : end],
-        round=state.round,
-    )
-
+def hears_quorum(state: MemberState, membership: Membership, now: float) -> bool:
+    """Whether a quorum of a membership answered within the longest election time.
 
-def _resend_part(
-    state: MemberState, member_id: str, progress: Progress, now: float
-) -> None:
-    if now - progress.transfer.sent_at > state.options.election_timeout_s:
-        _send_part(state, member_id, progress, now)
-    else:
-        _send_append(state, member_id, progress, [])
+    A membership without such a quorum could neither commit nor be taken back.
+    """
+    heard = {
+        member_id: progress.heard_at for member_id, progress in state.progress.items()
+    }
+    heard[state.options.member_id] = now
+    quorum_heard_at = memberships.quorum_value(membership, heard)
+    return now - quorum_heard_at <= 2 * state.options.election_timeout_s
 
 
 def receive_snapshot_reply(
@@ -250,4 +223,4 @@
         return
     if reply.received_bytes != transfer.offset:
         transfer.offset = reply.received_bytes
-        _send_part(state, reply.source, progress, now)
+        send_part(state, reply.source, progress, now)
