--- a/src/godwitwheel/observe/log.py
+++ b/src/godwitwheel/observe/log.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import os
-import stat
 import sys
 import time
 from collections import deque
@@ -25,17 +24,19 @@
 _FLAGS = os.O_WRONLY | os.O_APPEND | os.O_NONBLOCK | os.O_CLOEXEC
 
 
-def _reopen(descriptor: int) -> int:
-    """Returns a non-blocking descriptor of the same open file.
+def reopen(descriptor: int) -> int:
+    """Returns a non-blocking descriptor of what is open, which the caller owns.
 
-    A second open of a pipe leaves the mode of the first alone, which other
-    processes may share. A socket can't be opened a second time.
+    A second open leaves the mode of the first alone, which other processes may
+    share. A socket can't be opened again, nor what belongs to another user; then
+    the mode of the shared one is changed.
     """
-    if stat.S_ISSOCK(os.fstat(descriptor).st_mode):
+    try:
+        return os.open(f"/proc/self/fd/{descriptor}", _FLAGS)
+    except OSError:
         copy = os.dup(descriptor)
         os.set_blocking(copy, False)
         return copy
-    return os.open(f"/proc/self/fd/{descriptor}", _FLAGS)
 
 
 def open_log(path: str) -> int:
@@ -46,7 +47,7 @@
     """
     try:
         if not path:
-            return _reopen(sys.stderr.fileno())
+            return reopen(sys.stderr.fileno())
         return os.open(path, _FLAGS | os.O_CREAT, FILE_MODE)
     except OSError as error:
         raise LogUnavailable(f"log file {path!r}: {error.strerror}") from error
--- a/tests/cover/test_observe.py
+++ b/tests/cover/test_observe.py
@@ -3,13 +3,14 @@
 import io
 import json
 import os
+import socket
 
 import pytest
 
 from godwitwheel.observe.errors import LogUnavailable
 from godwitwheel.observe.events import EventName, record_event
 from godwitwheel.observe.health import observe_routes
-from godwitwheel.observe.log import MAX_PENDING_BYTES, LineWriter, process_log
+from godwitwheel.observe.log import MAX_PENDING_BYTES, LineWriter, process_log, reopen
 from godwitwheel.observe.metrics import ProcessMetrics
 from godwitwheel.wire.server import Server
 
@@ -57,6 +58,20 @@
     os.close(end)
 
 
+def test_reopens_a_pipe_without_changing_it_and_a_socket_by_its_copy():
+    reader, end = os.pipe()
+    here, there = socket.socketpair()
+    with here, there:
+        for descriptor in (end, here.fileno()):
+            with LineWriter(reopen(descriptor)) as writer:
+                assert not os.get_blocking(writer.descriptor)
+                writer.write(b"line\n")
+        assert os.read(reader, 10) == there.recv(10) == b"line\n"
+    assert os.get_blocking(end)
+    os.close(reader)
+    os.close(end)
+
+
 def test_refuses_a_log_file_that_cannot_be_opened(tmp_path):
     with pytest.raises(LogUnavailable, match="No such file"):
         process_log(str(tmp_path / "none" / "x.log"), "p1", "proxy", "dc").__enter__()
