Read at targets that answer probes, if there are any

A target that answered no probe for 0.5 s now comes after those that did and after an answering primary; if none answers, all stay eligible, so that slow probes alone refuse nothing.

--- a/src/godwitwheel/decisions/routing.py
+++ b/src/godwitwheel/decisions/routing.py
@@ -10,6 +10,9 @@
 from .sessions import LogPoint, Session, covers
 from .staleness import staleness_s
 
+# Several probe intervals; longer silences of a busy target are rare.
+ANSWERING_WINDOW_S = 0.5
+
 
 class RouteProblem(enum.Enum):
     """Why no target is eligible."""
@@ -66,16 +69,28 @@
     if view is None:
         return Refusal(RouteProblem.unknown_group, needs.group)
     replicas = eligible_replicas(needs, blackboard, view, now)
-    if replicas:
-        return replicas
+    answering = [name for name in replicas if is_answering(name, blackboard, now)]
+    if answering:
+        return answering
     primary = route_write(needs.group, blackboard, now)
-    if primary:
+    if primary and (not replicas or is_answering(primary, blackboard, now)):
         return [primary]
+    if replicas:
+        return replicas
     if primary.reason is RouteProblem.no_lease and needs.is_floor_known:
         return Refusal(RouteProblem.no_fresh_replica, needs.group)
     return primary
 
 
+def is_answering(target_id: str, blackboard: Blackboard, now: float) -> bool:
+    """Whether a target has answered a probe lately.
+
+    A read sent to one that is cut off or frozen would wait for its deadline.
+    """
+    state = blackboard.targets.get(target_id)
+    return state is not None and now - state.answered_at <= ANSWERING_WINDOW_S
+
+
 def eligible_replicas(
     needs: ReadNeeds, blackboard: Blackboard, view: GroupView, now: float
 ) -> list[str]:
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -30,6 +30,7 @@
     for target in control.targets.values():
         target.log = list(range(10))
         board.target_state(target.target_id).status = target.status()
+        board.target_state(target.target_id).answered_at = NOW
     board.group_samples(GROUP).append(PositionSample(1, 10, NOW - 0.1))
     board.lease = Lease(NOW + 0.1)
     return board
@@ -65,6 +66,29 @@
     assert not eligible_for_read(needs, board, NOW + 1.0)
 
 
+@pytest.mark.parametrize(
+    "silent, expected",
+    [
+        (["t1"], ["t0", "t2"]),
+        (["t0", "t2"], ["t1"]),
+        (["t0", "t1", "t2"], ["t0", "t1", "t2"]),
+    ],
+)
+def test_reads_at_targets_that_answer_if_there_are_any(board, silent, expected):
+    board.lease = Lease(NOW)
+    session = Session({GROUP: LogPoint(1, 10)}, is_complete=True)
+    for target_id in silent:
+        board.targets[target_id].answered_at = NOW - 0.6
+    assert eligible_for_read(read_needs(GROUP, session, 1000), board, NOW) == expected
+
+
+def test_reads_at_the_primary_if_no_replica_answers(board):
+    needs = read_needs(GROUP, Session({}, is_complete=True), 1000)
+    for target_id in ("t1", "t2"):
+        board.targets[target_id].answered_at = NOW - 0.6
+    assert eligible_for_read(needs, board, NOW) == ["t0"]
+
+
 def test_rejects_forged_tokens():
     token = encode_token(Session({GROUP: LogPoint(1, 10)}, True), TOKEN_KEY)
     assert decode_token(token, TOKEN_KEY).points == {GROUP: LogPoint(1, 10)}
