--- a/bench/experiment/overload.py
+++ b/bench/experiment/overload.py
@@ -7,8 +7,7 @@
 
 from ..deployment import Deployment
 from ..direct import DirectTraffic
-from ..load import LoadProcesses, ended, latency_ms
-from ..load_run import mix_of
+from ..load import MIXES, LoadProcesses, ended, latency_ms
 from ..records import Ending, RequestKind, RequestRecord
 from ..topology import Topology, agency, ferreira
 from ..workload import Mix
@@ -16,6 +15,7 @@
 
 MULTIPLES = (0.5, 1.0, 1.5, 2.0, 3.0)
 STATEMENT_MS = 40.0
+MIX_NAMES = {"ferreira": "ferreira-single", "agency": "agency"}
 PAUSE_S = 1.0
 
 
@@ -32,14 +32,14 @@
                 self._run_multiples(deployment, topology)
 
     def _run_multiples(self, deployment: Deployment, topology: Topology) -> None:
-        capacity = capacity_per_s(topology, mix_of(deployment))
+        capacity = capacity_per_s(topology, mix_of(topology))
         seconds = 20.0 if self.is_long else 4.0
         everything: list[RequestRecord] = []
         for multiple in MULTIPLES:
             rate = multiple * capacity
             with LoadProcesses(
                 deployment.proxy_addresses(),
-                topology.name,
+                MIX_NAMES[topology.name],
                 topology.groups,
                 rate,
                 seconds,
@@ -73,7 +73,7 @@
         }
         with Client() as client:
             cap = topology.connection_cap
-            traffic = DirectTraffic(primaries, cap, mix_of(deployment), client)
+            traffic = DirectTraffic(primaries, cap, mix_of(topology), client)
             traffic.run(rate, seconds)
             traffic.wait_for_answers()
         row = summarize(traffic.records, rate, seconds)
@@ -93,6 +93,11 @@
         axes.legend()
 
 
+def mix_of(topology: Topology) -> Mix:
+    """Returns the requests that the experiment sends."""
+    return MIXES[MIX_NAMES[topology.name]](topology.groups)
+
+
 def capacity_per_s(topology: Topology, mix: Mix) -> float:
     """Returns the requests a second that the slots can do, reads at any target."""
     per_target = topology.slots / (topology.statement_ms / 1000)
--- a/bench/measurements.py
+++ b/bench/measurements.py
@@ -17,6 +17,8 @@
 
     :ivar command: command line that repeats it.
     :ivar commit: revision that was measured, with ``+`` if files were changed.
+    :ivar load_average: of the last minute before it began; other work on the
+        machine lengthens every figure.
     :ivar faults: wrong answers found; the run failed if there are any.
     :ivar rows: the figures; units are in the names.
     """
@@ -25,6 +27,7 @@
     command: str
     commit: str
     machine: str
+    load_average: float
     faults: dict[str, list[str]]
     rows: list[dict[str, float | int | str | None]]
 
