--- a/src/godwitwheel/proxy/claim_link.py
+++ b/src/godwitwheel/proxy/claim_link.py
@@ -1,13 +1,15 @@
-"""Claims and outcomes on their way to control, few at a time.
+"""Claims and outcomes on their way to control.
 
 Hundreds of requests that each call control by themselves keep a member that has
-just recovered too busy to lead. So calls share a few places, and none is made
-without a lease: whoever can't renew its lease can't reach the leader either.
+just recovered too busy to lead. So none is made without a lease: whoever can't
+renew its lease can't reach the leader either. Outcomes that nobody waits for go
+one after the other.
 """
 
 from collections import deque
 
-from ..internal.loop import Semaphore, sleep
+from ..internal.loop import sleep
+from ..observe.events import EventName, record_event
 from ..wire.codec import Message
 from ..wire.control import (
     Claim,
@@ -17,11 +19,9 @@
 )
 from .context import ProxyContext
 from .control_client import ControlClient
-from .errors import ControlUnavailable
+from .errors import ControlRefused, ControlUnavailable
 
-MAX_CALLS_AT_ONCE = 16
 ATTEMPT_TIMEOUT_S = 0.3
-RETRY_PAUSE_S = 0.05
 MAX_WAIT_WITHOUT_LEASE_S = 2.0
 RECORD_LIMIT_S = 30.0
 RECORD_PAUSE_S = 0.1
@@ -48,12 +48,11 @@
     :ivar unrecorded: outcomes to be recorded in the background, oldest first.
     """
 
-    __slots__ = ("context", "control", "places", "unrecorded")
+    __slots__ = ("context", "control", "unrecorded")
 
     def __init__(self, context: ProxyContext, control: ControlClient):
         self.context = context
         self.control = control
-        self.places = Semaphore(MAX_CALLS_AT_ONCE)
         self.unrecorded: deque[UnrecordedOutcome] = deque(maxlen=MAX_UNRECORDED)
 
     def claim(self, claim: Claim, deadline: float) -> ClaimReply:
@@ -97,6 +96,8 @@
         try:
             if now < first.until:
                 self.record(first.outcome, now + ATTEMPT_TIMEOUT_S)
+        except ControlRefused as error:
+            record_event(EventName.handler_failed, error=str(error))
         except ControlUnavailable:
             return False
         if self.unrecorded and self.unrecorded[0] is first:
@@ -106,27 +107,9 @@
     def _call(
         self, path: str, message: object, reply: type[Message], deadline: float
     ) -> Message:
-        clock = self.context.clock
-        if not self.places.acquire(timeout=max(deadline - clock.now(), 0.0)):
-            raise ControlUnavailable(f"{path}: too many calls wait")
-        try:
-            return self._call_with_place(path, message, reply, deadline)
-        finally:
-            self.places.release()
-
-    def _call_with_place(
-        self, path: str, message: object, reply: type[Message], deadline: float
-    ) -> Message:
-        clock = self.context.clock
-        while True:
-            self._await_lease(path, deadline)
-            limit_s = min(ATTEMPT_TIMEOUT_S, deadline - clock.now())
-            try:
-                return self.control.call_once(path, message, reply, limit_s)
-            except ControlUnavailable:
-                if clock.now() + RETRY_PAUSE_S >= deadline:
-                    raise
-                sleep(RETRY_PAUSE_S)
+        self._await_lease(path, deadline)
+        remaining_s = deadline - self.context.clock.now()
+        return self.control.call(path, message, reply, remaining_s, ATTEMPT_TIMEOUT_S)
 
     def _await_lease(self, path: str, deadline: float) -> None:
         """Waits for a lease; a proxy without one for long is told at once."""
--- a/src/godwitwheel/proxy/control_client.py
+++ b/src/godwitwheel/proxy/control_client.py
@@ -8,7 +8,7 @@
 from ..wire.codec import Message, decode
 from ..wire.control import NotLeading
 from ..wire.errors import BadMessage, ErrorReply, NoReply, NotSent, WireError
-from .errors import ControlUnavailable
+from .errors import ControlRefused, ControlUnavailable
 
 MISDIRECTED = 421
 ATTEMPT_TIMEOUT_S = 0.5
@@ -64,6 +64,7 @@
     ) -> Message:
         """Calls the leader, waiting for the heartbeats to find it.
 
+        :raises ControlRefused: if the leader refused the call as it is.
         :raises ControlUnavailable: if none answered in time; an attempt may still
             have taken effect.
         """
@@ -82,6 +83,7 @@
                 with self.room:
                     return self.client.call(address, path, message, reply, limit_s)
             except WireError as error:
+                _raise_if_refused(address, error)
                 self._note_refusal(address, error)
                 sleep(min(pause_s, remaining_s))
                 pause_s = min(2 * pause_s, MAX_RETRY_PAUSE_S)
@@ -91,6 +93,7 @@
     ) -> Message:
         """Calls the member that is thought to lead, and no other.
 
+        :raises ControlRefused: if the leader refused the call as it is.
         :raises ControlUnavailable: if it did not answer as leader; the next call
             goes to another.
         """
@@ -101,6 +104,7 @@
             self.blackboard.control_leader = ""
             raise ControlUnavailable(f"{address}: {error}") from error
         except ErrorReply as error:
+            _raise_if_refused(address, error)
             self.blackboard.control_leader = _leader_hint(error)
             raise ControlUnavailable(f"{address}: {error}") from error
         self.blackboard.control_leader = address
@@ -123,6 +127,14 @@
         return self.addresses[self.turn % len(self.addresses)]
 
 
+def _raise_if_refused(address: str, error: WireError) -> None:
+    """Tells a refusal of one call from a member that does not lead."""
+    if not isinstance(error, ErrorReply) or error.status == MISDIRECTED:
+        return
+    if 400 <= error.status < 500:
+        raise ControlRefused(f"{address}: {error}") from error
+
+
 def _leader_hint(error: ErrorReply) -> str:
     if error.status != MISDIRECTED:
         return ""
--- a/src/godwitwheel/proxy/errors.py
+++ b/src/godwitwheel/proxy/errors.py
@@ -37,3 +37,7 @@
 
     The call may have taken effect.
     """
+
+
+class ControlRefused(ControlUnavailable):
+    """Raised when the leader refused a call as it is; repeating it is no use."""
--- a/tests/cover/test_control_client.py
+++ b/tests/cover/test_control_client.py
@@ -6,7 +6,7 @@
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.proxy import control_client
-from godwitwheel.proxy.errors import ControlUnavailable
+from godwitwheel.proxy.errors import ControlRefused, ControlUnavailable
 from godwitwheel.wire.codec import encode
 from godwitwheel.wire.control import NotLeading, OutcomeRecorded
 from godwitwheel.wire.errors import ErrorReply
@@ -21,6 +21,7 @@
 
     def __init__(self):
         self.leader = ""
+        self.status = control_client.MISDIRECTED
         self.calls = 0
         self.in_flight = 0
         self.most_in_flight = 0
@@ -33,7 +34,7 @@
         self.in_flight -= 1
         if address == self.leader:
             return OutcomeRecorded(True)
-        raise ErrorReply(control_client.MISDIRECTED, encode(NotLeading("")))
+        raise ErrorReply(self.status, encode(NotLeading("")))
 
 
 @pytest.fixture
@@ -76,3 +77,12 @@
     with pytest.raises(ControlUnavailable):
         client.call("/v1/outcome", {}, OutcomeRecorded, SHORT_S)
     assert (members.calls, client.blackboard.control_leader) == (1, "")
+
+
+def test_leader_that_refuses_one_call_stays_the_leader(client, members):
+    client.blackboard.control_leader = "a"
+    members.status = 413
+    for call in (client.call, client.call_once):
+        with pytest.raises(ControlRefused):
+            call("/v1/outcome", {}, OutcomeRecorded, LONG_S)
+    assert (members.calls, client.blackboard.control_leader) == (2, "a")
