--- a/src/godwitwheel/decisions/insync.py
+++ b/src/godwitwheel/decisions/insync.py
@@ -31,11 +31,10 @@
     :ivar in_sync_lag_s: lag beyond which a replica leaves, in seconds.
     """
 
-    __slots__ = ("memory", "detection_s", "in_sync_lag_s")
+    __slots__ = ("memory", "in_sync_lag_s")
 
-    def __init__(self, memory: GroupMemory, detection_s: float, in_sync_lag_s: float):
+    def __init__(self, memory: GroupMemory, in_sync_lag_s: float):
         self.memory = memory
-        self.detection_s = detection_s
         self.in_sync_lag_s = in_sync_lag_s
 
     def decide(self, facts: GroupFacts, now: float) -> list[Action]:
@@ -149,7 +148,7 @@
         direct = self.memory.direct.get(target_id)
         if direct is not None and direct.lost_log:
             return True
-        if facts.observations.is_unreachable(target_id, self.detection_s):
+        if facts.observations.is_unreachable(target_id):
             return True
         return self.memory.lag_s(target_id, facts) > self.in_sync_lag_s
 
@@ -179,7 +178,7 @@
             return False
         if sighting.status.role is not Role.replica or not self.memory.samples:
             return False
-        if facts.observations.is_unreachable(target_id, self.detection_s):
+        if facts.observations.is_unreachable(target_id):
             return False
         lag_s = self.memory.lag_s(target_id, facts)
         return lag_s <= self.in_sync_lag_s / 2
--- a/src/godwitwheel/decisions/leadership.py
+++ b/src/godwitwheel/decisions/leadership.py
@@ -41,9 +41,7 @@
     def __init__(self, options: LeadershipOptions):
         self.memory = GroupMemory()
         self.promotion = PromotionController(self.memory, options.detection_s)
-        self.in_sync = InSyncController(
-            self.memory, options.detection_s, options.in_sync_lag_s
-        )
+        self.in_sync = InSyncController(self.memory, options.in_sync_lag_s)
 
     def decide(self, facts: GroupFacts, now: float) -> list[Action]:
         """Returns the next steps; a change of the primary goes first."""
@@ -80,9 +78,9 @@
         self.leading_since = leading_since
         self.options = options
         self.leases = LeaseTable(leading_since, options.lease_s, options.clock_drift)
-        self.observations = Observations()
+        self.observations = Observations(options.detection_s)
         self.quotas = QuotaTable(leading_since + self.leases.held_s)
-        self.membership = MembershipController(options.detection_s)
+        self.membership = MembershipController()
         self.groups: dict[str, GroupControllers] = {}
         self.proposing: set[str] = set()
         self.token_key = token_key
--- a/src/godwitwheel/decisions/membership.py
+++ b/src/godwitwheel/decisions/membership.py
@@ -22,13 +22,13 @@
     believed only after the target itself has confirmed it.
 
     :ivar announced: newest announcement of each target that differs from its record.
+    :ivar verify_at: when the target may be asked again, in seconds of the clock.
     :ivar unreachable_since: when most proxies lost a target, in seconds of the clock.
     """
 
-    __slots__ = ("detection_s", "announced", "unreachable_since", "verify_at")
+    __slots__ = ("announced", "unreachable_since", "verify_at")
 
-    def __init__(self, detection_s: float):
-        self.detection_s = detection_s
+    def __init__(self):
         self.announced: dict[str, TargetStatus] = {}
         self.unreachable_since: dict[str, float] = {}
         self.verify_at: dict[str, float] = {}
@@ -81,7 +81,7 @@
         if claimed.leaving and not record.leaving:
             return self._replace(record, msgspec.structs.replace(record, leaving=True))
         moved = claimed.address != record.address
-        if moved and observations.is_reached(record.target_id, self.detection_s):
+        if moved and observations.is_reached(record.target_id):
             # The recorded process is alive: another one of the same name, or an
             # announcement from before the move, must not take its place.
             return []
@@ -116,7 +116,7 @@
         """Notes when a target gets lost or returns, and forgets it in the end."""
         target_id = record.target_id
         fields = {"target": target_id, "group": record.group}
-        if not observations.is_unreachable(target_id, self.detection_s):
+        if not observations.is_unreachable(target_id):
             if self.unreachable_since.pop(target_id, None) is None:
                 return []
             return [Note(EventName.target_reachable, **fields)]
--- a/src/godwitwheel/decisions/observations.py
+++ b/src/godwitwheel/decisions/observations.py
@@ -1,5 +1,7 @@
 """What live proxies report of the targets."""
 
+from collections import Counter
+
 from ..wire.control import Heartbeat, TargetObservation
 from ..wire.target import TargetStatus
 from .leases import HolderName
@@ -29,33 +31,59 @@
         self.status = status
         self.unanswered_since = unanswered_since
 
+    def is_newer_than(self, other: "Sighting | None") -> bool:
+        """Whether this sighting has a status, and a newer one than ``other``."""
+        if self.status is None:
+            return False
+        return other is None or self.sampled_at > other.sampled_at
+
 
 class Report:
     """The latest heartbeat of one proxy.
 
     :ivar sightings: by target.
-    :ivar least_silent_s: silence of the target that answered last, in seconds.
     """
 
-    __slots__ = ("heartbeat", "received_at", "sightings", "least_silent_s")
+    __slots__ = ("heartbeat", "received_at", "sightings")
 
     def __init__(self, heartbeat: Heartbeat, received_at: float):
         self.heartbeat = heartbeat
         self.received_at = received_at
         self.sightings: dict[str, Sighting] = {}
-        self.least_silent_s = 0.0
+
+    def lost_targets(self, silence_s: float) -> list[str]:
+        """Returns the targets that have not answered for ``silence_s`` seconds.
+
+        A proxy that no target has answered was stalled or is itself cut off, which
+        says nothing of any target.
+        """
+        lost = [
+            target_id
+            for target_id, sighting in self.sightings.items()
+            if sighting.silent_s >= silence_s
+        ]
+        return lost if len(lost) < len(self.sightings) else []
 
 
 class Observations:
     """The latest report of every proxy with a lease.
 
+    Votes and newest sightings are kept up to date with every report, so that a look
+    at a target does not cost more with more proxies.
+
+    :ivar silence_s: silence after which a proxy counts a target as lost, in seconds.
     :ivar reports: by holder.
+    :ivar votes: how many proxies count a target as lost, by target.
+    :ivar newest: the sighting with the newest status, by target, as far as known.
     """
 
-    __slots__ = ("reports",)
+    __slots__ = ("silence_s", "reports", "votes", "newest")
 
-    def __init__(self):
+    def __init__(self, silence_s: float):
+        self.silence_s = silence_s
         self.reports: dict[HolderName, Report] = {}
+        self.votes: Counter[str] = Counter()
+        self.newest: dict[str, Sighting] = {}
 
     def note(self, heartbeat: Heartbeat, received_at: float) -> bool:
         """Takes a heartbeat's report.
@@ -72,52 +100,57 @@
             report.sightings[observation.target_id] = _sighting(
                 observation, before, received_at
             )
-        report.least_silent_s = min(
-            (sighting.silent_s for sighting in report.sightings.values()), default=0.0
-        )
+        self.forget(name)
         self.reports[name] = report
+        self.votes.update(report.lost_targets(self.silence_s))
+        for target_id, sighting in report.sightings.items():
+            newest = self.newest.get(target_id)
+            if newest is not None and sighting.is_newer_than(newest):
+                self.newest[target_id] = sighting
         return True
 
     def forget(self, name: HolderName) -> None:
-        """Drops the report of a proxy that has no lease any more."""
-        self.reports.pop(name, None)
-
-    def sightings(self, target_id: str) -> list[Sighting]:
-        """Returns every proxy's sighting of a target."""
-        return [
-            report.sightings[target_id]
-            for report in self.reports.values()
-            if target_id in report.sightings
-        ]
-
-    def is_unreachable(self, target_id: str, silence_s: float) -> bool:
+        """Drops the report of a proxy."""
+        report = self.reports.pop(name, None)
+        if report is None:
+            return
+        self.votes.subtract(report.lost_targets(self.silence_s))
+        for target_id, sighting in report.sightings.items():
+            if self.newest.get(target_id) is sighting:
+                del self.newest[target_id]
+
+    def is_unreachable(self, target_id: str) -> bool:
         """Whether most live proxies have had no answer for ``silence_s``.
 
         A proxy that reports nothing of the target counts as one that reaches it.
-        So does one that no target has answered: it was stalled or is itself cut
-        off, which says nothing of the target.
         """
-        silent = 0
-        for report in self.reports.values():
-            sighting = report.sightings.get(target_id)
-            if sighting is not None and report.least_silent_s < silence_s:
-                silent += sighting.silent_s >= silence_s
-        return 2 * silent > len(self.reports)
-
-    def is_reached(self, target_id: str, silence_s: float) -> bool:
+        return 2 * self.votes[target_id] > len(self.reports)
+
+    def is_reached(self, target_id: str) -> bool:
         """Whether any live proxy has had an answer within ``silence_s``."""
         return any(
-            sighting.silent_s < silence_s and sighting.status is not None
-            for sighting in self.sightings(target_id)
+            sighting.silent_s < self.silence_s and sighting.status is not None
+            for sighting in self._sightings(target_id)
         )
 
     def latest(self, target_id: str) -> Sighting | None:
         """Returns the sighting with the newest status."""
-        return max(
-            (item for item in self.sightings(target_id) if item.status is not None),
-            key=lambda item: item.sampled_at,
-            default=None,
-        )
+        newest = self.newest.get(target_id)
+        if newest is not None:
+            return newest
+        for sighting in self._sightings(target_id):
+            if sighting.is_newer_than(newest):
+                newest = sighting
+        if newest is not None:
+            self.newest[target_id] = newest
+        return newest
+
+    def _sightings(self, target_id: str) -> list[Sighting]:
+        return [
+            report.sightings[target_id]
+            for report in self.reports.values()
+            if target_id in report.sightings
+        ]
 
 
 def _sighting(
--- a/src/godwitwheel/decisions/promotion.py
+++ b/src/godwitwheel/decisions/promotion.py
@@ -57,7 +57,7 @@
 
     def _fence_if_needed(self, facts: GroupFacts, now: float) -> list[Action]:
         view = facts.view
-        lost = facts.observations.is_unreachable(view.primary, self.detection_s)
+        lost = facts.observations.is_unreachable(view.primary)
         if lost:
             return self._fence(facts, "unreachable")
         if is_leaving(facts, view.primary):
@@ -90,7 +90,7 @@
             for target_id in facts.view.promotable
             if target_id != facts.view.primary
             and not is_leaving(facts, target_id)
-            and facts.observations.is_reached(target_id, self.detection_s)
+            and facts.observations.is_reached(target_id)
         ]
         return self._fence(facts, "leaving") if successors else []
 
@@ -180,7 +180,7 @@
         return [order, *self.memory.query([view.primary], now)]
 
     def _has_failed(self, facts: GroupFacts, now: float) -> bool:
-        if facts.observations.is_unreachable(facts.view.primary, self.detection_s):
+        if facts.observations.is_unreachable(facts.view.primary):
             return True
         return now >= self.memory.changed_time + 2 * self.detection_s
 
@@ -203,7 +203,7 @@
         return [
             target_id
             for target_id in target_ids
-            if not facts.observations.is_unreachable(target_id, self.detection_s)
+            if not facts.observations.is_unreachable(target_id)
         ]
 
     def _commit_fence(self, facts: GroupFacts, kept: list[str], reason: str) -> Propose:
