Test membership; measure the failover gap against the length of the lease

The experiment kills primaries alone and together with a proxy that holds a lease: only then does the promotion have to wait for a lease to run out.

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -25,12 +25,14 @@
 from .experiment.chaos import Chaos  # noqa: E402
 from .experiment.costs import Costs  # noqa: E402
 from .experiment.failover import FailoverGap  # noqa: E402
+from .experiment.lease_length import LeaseLength  # noqa: E402
 from .experiment.overload import Overload  # noqa: E402
 from .experiment.replica_share import ReplicaShare  # noqa: E402
 from .measurements import FOLDER, Measurement, commit, machine, save  # noqa: E402
 
 EXPERIMENTS = {
-    kind.name: kind for kind in (FailoverGap, ReplicaShare, Overload, Costs, Chaos)
+    kind.name: kind
+    for kind in (FailoverGap, LeaseLength, ReplicaShare, Overload, Costs, Chaos)
 }
 FIGURE_INCHES = (9, 5)
 
