--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -9,11 +9,12 @@
 from .core import Consensus
 from .errors import NotLeader, OutcomeUnknown, StorageError
 from .log import MAX_APPEND_BYTES
-from .messages import AnyMessage, Entry, EntryKind
+from .messages import AnyMessage, EntryKind
 from .replicated import ReplicatedLog, StateMachine
 from .state import ConsensusOptions
 from .storage import Storage
 from .transport import Transport
+from .waiters import Waiters
 from .work import Work
 
 MAX_COMMAND_BYTES = MAX_APPEND_BYTES
@@ -21,16 +22,6 @@
 MAX_LOG_BYTES = 16 * 1024 * 1024
 
 
-class Proposal:
-    """A caller that waits for its command to be applied."""
-
-    __slots__ = ("term", "event")
-
-    def __init__(self, term: int):
-        self.term = term
-        self.event = Event()
-
-
 class ConsensusLog(ReplicatedLog):
     """Owns a running member from entering to leaving the block.
 
@@ -48,8 +39,7 @@
         "state_machine",
         "tick_s",
         "snapshot_entries",
-        "proposals",
-        "confirmed_reads",
+        "waiters",
         "leading_term",
         "led_since",
         "woken",
@@ -78,8 +68,7 @@
         self.state_machine = state_machine
         self.tick_s = options.append_interval_s / 2
         self.snapshot_entries = snapshot_entries
-        self.proposals: dict[int, Proposal] = {}
-        self.confirmed_reads = []
+        self.waiters = Waiters()
         self.leading_term = 0
         self.led_since: float | None = None
         self.woken = Event()
@@ -99,7 +88,7 @@
         for task in self.tasks:
             task.kill()
         self.tasks = []
-        self._abandon_proposals()
+        self.waiters.abandon_proposals()
 
     def propose(self, command: bytes, timeout_s: float) -> bytes:
         if len(command) > MAX_COMMAND_BYTES:
@@ -110,12 +99,11 @@
         entry = None if self.failure else self.core.propose(command)
         if entry is None:
             raise NotLeader(self.leader_id())
-        proposal = Proposal(entry.term)
-        self.proposals[entry.index] = proposal
+        applied = self.waiters.add_proposal(entry)
         self._wake()
-        if not wait_for(proposal.event, timeout_s):
+        if not wait_for(applied, timeout_s):
             raise OutcomeUnknown(f"entry {entry.index} is not applied in time")
-        return proposal.event.wait()
+        return applied.wait()
 
     def confirm_leadership(self, timeout_s: float) -> None:
         request = self.core.request_read()
@@ -215,7 +203,7 @@
         # Nothing may be promised any more: what the disk holds is not known.
         self.failure = error
         self.led_since = None
-        self._abandon_proposals()
+        self.waiters.abandon_proposals()
         for task in self.tasks:
             task.kill()
 
@@ -244,7 +232,8 @@
             if work.snapshot is not None:
                 self.state_machine.load_snapshot(work.snapshot.data)
             self._apply_committed()
-            self._finish_reads(work)
+            self.waiters.finish_reads(work.finished_reads)
+            self.waiters.release_reads(self.core.state.applied_index)
             work = self.core.take_work(self.clock.now())
         self._apply_committed()
         self._observe_leadership()
@@ -282,37 +271,10 @@
             if entry.kind is EntryKind.command:
                 result = self.state_machine.apply(entry.index, entry.data)
             self.core.entry_applied(entry)
-            self._answer(entry, result)
-
-    def _answer(self, entry: Entry, result: bytes) -> None:
-        proposal = self.proposals.pop(entry.index, None)
-        if proposal is None:
-            return
-        if proposal.term == entry.term:
-            proposal.event.send(result)
-        else:
-            _abandon(proposal)
-
-    def _finish_reads(self, work: Work) -> None:
-        for read in work.finished_reads:
-            if read.confirmed:
-                self.confirmed_reads.append(read)
-            elif read.waiter is not None:
-                read.waiter.send()
-        self._release_reads()
-
-    def _release_reads(self) -> None:
-        applied_index = self.core.state.applied_index
-        waiting = []
-        for read in self.confirmed_reads:
-            if read.index > applied_index:
-                waiting.append(read)
-            elif read.waiter is not None:
-                read.waiter.send()
-        self.confirmed_reads = waiting
+            self.waiters.answer(entry, result)
 
     def _observe_leadership(self) -> None:
-        self._release_reads()
+        self.waiters.release_reads(self.core.state.applied_index)
         state = self.core.state
         leads = state.is_leader() and state.applied_index >= state.term_start_index
         if self.leading_term and (not leads or self.leading_term != state.term):
@@ -324,12 +286,7 @@
             self.led_since = self.clock.now()
             record_event(EventName.leader_elected, term=state.term)
         if not state.is_leader():
-            self._abandon_proposals()
-
-    def _abandon_proposals(self) -> None:
-        for proposal in self.proposals.values():
-            _abandon(proposal)
-        self.proposals.clear()
+            self.waiters.abandon_proposals()
 
     def _write_snapshot(self) -> None:
         state = self.core.state
@@ -348,7 +305,3 @@
             state.log.entries,
         )
         record_event(EventName.snapshot_written, index=snapshot.index)
-
-
-def _abandon(proposal: Proposal) -> None:
-    proposal.event.send_exception(OutcomeUnknown("the leader lost its term"))
--- /dev/null
+++ b/src/godwitwheel/consensus/waiters.py
@@ -0,0 +1,75 @@
+"""Callers that wait for a proposal to be applied or a leader to be confirmed."""
+
+from ..internal.loop import Event
+from .errors import OutcomeUnknown
+from .messages import Entry
+from .work import ReadRequest
+
+
+class Proposal:
+    """A caller that waits for its command to be applied."""
+
+    __slots__ = ("term", "event")
+
+    def __init__(self, term: int):
+        self.term = term
+        self.event = Event()
+
+
+class Waiters:
+    """Wakes each caller exactly when its outcome is known.
+
+    :ivar proposals: callers by the index of their entry.
+    :ivar confirmed_reads: reads that a quorum confirmed, but whose index is not
+        applied yet.
+    """
+
+    __slots__ = ("proposals", "confirmed_reads")
+
+    def __init__(self):
+        self.proposals: dict[int, Proposal] = {}
+        self.confirmed_reads: list[ReadRequest] = []
+
+    def add_proposal(self, entry: Entry) -> Event:
+        """Returns the event that gets the result of an entry."""
+        proposal = Proposal(entry.term)
+        self.proposals[entry.index] = proposal
+        return proposal.event
+
+    def answer(self, entry: Entry, result: bytes) -> None:
+        """Hands the result of an applied entry to whoever proposed it."""
+        proposal = self.proposals.pop(entry.index, None)
+        if proposal is None:
+            return
+        if proposal.term == entry.term:
+            proposal.event.send(result)
+        else:
+            _abandon(proposal)
+
+    def abandon_proposals(self) -> None:
+        """Tells all that wait that their outcome is not known."""
+        for proposal in self.proposals.values():
+            _abandon(proposal)
+        self.proposals.clear()
+
+    def finish_reads(self, reads: list[ReadRequest]) -> None:
+        """Takes reads that were confirmed, and wakes those that were refused."""
+        for read in reads:
+            if read.confirmed:
+                self.confirmed_reads.append(read)
+            elif read.waiter is not None:
+                read.waiter.send()
+
+    def release_reads(self, applied_index: int) -> None:
+        """Wakes the confirmed reads whose index is applied."""
+        waiting = []
+        for read in self.confirmed_reads:
+            if read.index > applied_index:
+                waiting.append(read)
+            elif read.waiter is not None:
+                read.waiter.send()
+        self.confirmed_reads = waiting
+
+
+def _abandon(proposal: Proposal) -> None:
+    proposal.event.send_exception(OutcomeUnknown("the leader lost its term"))
