Record who votes in the cell, and let random faults wait for it

Two of three disks were lost, so the cell rightly elected no leader. Ruled out: a fault of the election; no quorum of disks with the log was left. The events member_added and member_removed existed but nobody recorded them; one event, membership_changed, now tells voters and learners as each member applies the change. The random faults wait for the cell as they wait for the groups. quota_changed was never recorded either and is gone.

--- a/bench/experiment/chaos.py
+++ b/bench/experiment/chaos.py
@@ -22,6 +22,7 @@
 RECOVERY_LIMIT_S = 25.0
 RECOVERY_POLL_S = 0.3
 QUIET_S = 0.5
+CONTROL_MEMBERS = 3
 LAGS_MS = (50, 400, 1500, 4000)
 VIEW_EVENTS = {
     EventName.ack_set_changed,
@@ -148,8 +149,8 @@
     """Draws one or two faults that may hold at the same time.
 
     Two strike different processes, and at most one of them cuts links, since a
-    new cut replaces the old one. Losing two disks of one kind at once is beyond
-    what any copy count of three can promise, so it is not drawn.
+    new cut replaces the old one. Three copies don't promise to survive two lost
+    disks at once, so these are not drawn.
     """
     first = draw_fault(deployment, rng)
     if rng.random() < 0.5:
@@ -206,13 +207,15 @@
         faults = draw_faults(deployment, rng)
         text = ", ".join(str(fault) for fault in faults)
         print(f"  round {number}: {text}", flush=True)
+        known_index = last_membership(read_events(deployment))["index"]
         for fault in faults:
             fault.begin(deployment)
             sleep(rng.uniform(0.0, SHORTEST_FAULT_S))
         sleep(rng.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S))
         for fault in faults:
             fault.end(deployment)
-        recovery_s = wait_until_whole(deployment)
+        after_index = known_index if any(map(replaces_member, faults)) else 0
+        recovery_s = wait_until_whole(deployment, after_index)
         if recovery_s is None:
             self.add_fault("not whole again", f"round {number}: {text}")
         self.rows.append({"round": number, "faults": text, "recovery_s": recovery_s})
@@ -225,14 +228,22 @@
         axes.set_title("Random faults")
 
 
-def wait_until_whole(deployment: Deployment) -> float | None:
-    """Waits until every group serves with all targets promotable.
+def replaces_member(fault: Fault) -> bool:
+    """Whether the fault makes a control member come back as another one."""
+    return isinstance(fault, DiskLost) and fault.process_id.startswith("control")
 
+
+def wait_until_whole(deployment: Deployment, after_index: int) -> float | None:
+    """Waits until every group and the cell have all their members again.
+
+    :param after_index: log index of a membership that is too old to count. Losing
+        a second control disk before the first is replaced loses the cell.
     :returns: how long it took, in seconds; ``None`` if it did not happen.
     """
     began_at = time.monotonic()
     while time.monotonic() < began_at + RECOVERY_LIMIT_S:
-        if is_whole(deployment):
+        events = read_events(deployment)
+        if is_cell_whole(events, after_index) and are_groups_whole(deployment, events):
             took_s = time.monotonic() - began_at
             sleep(QUIET_S)
             return took_s
@@ -240,11 +251,29 @@
     return None
 
 
-def is_whole(deployment: Deployment) -> bool:
+def last_membership(events: list[dict]) -> dict:
+    """Returns the newest membership that any control member has applied."""
+    changes = [
+        event
+        for event in events
+        if event["message_type"] == EventName.membership_changed
+    ]
+    return max(changes, key=lambda event: event["index"])
+
+
+def is_cell_whole(events: list[dict], after_index: int) -> bool:
+    """Whether all control members vote, as of an index after ``after_index``."""
+    membership = last_membership(events)
+    if membership["index"] <= after_index:
+        return False
+    return len(membership["voters"]) == CONTROL_MEMBERS and not membership["learners"]
+
+
+def are_groups_whole(deployment: Deployment, events: list[dict]) -> bool:
     """Whether the time line's last view of each group has all targets."""
     promotable: dict[str, list[str]] = {}
     serving: dict[str, bool] = {}
-    for event in read_events(deployment):
+    for event in events:
         if event["message_type"] not in VIEW_EVENTS:
             continue
         group = event["group"]
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -6,10 +6,11 @@
 from ..internal.errors import InvalidValue
 from ..internal.loop import Event, Task, sleep, spawn, wait_for
 from ..observe.events import EventName, record_event
+from . import membership as memberships
 from .core import Consensus
 from .errors import NotLeader, OutcomeUnknown, StorageError
 from .log import MAX_APPEND_BYTES
-from .messages import AnyMessage, EntryKind
+from .messages import AnyMessage, Entry, EntryKind
 from .replicated import ReplicatedLog, StateMachine
 from .state import ConsensusOptions
 from .storage import Storage
@@ -270,9 +271,21 @@
             result = b""
             if entry.kind is EntryKind.command:
                 result = self.state_machine.apply(entry.index, entry.data)
+            elif entry.kind is EntryKind.membership:
+                self._record_membership(entry)
             self.core.entry_applied(entry)
             self.waiters.answer(entry, result)
 
+    def _record_membership(self, entry: Entry) -> None:
+        membership = self.core.state.memberships.at(entry.index)
+        voting = memberships.voters(membership)
+        record_event(
+            EventName.membership_changed,
+            index=entry.index,
+            voters=voting,
+            learners=sorted(set(membership.members).difference(voting)),
+        )
+
     def _observe_leadership(self) -> None:
         self.waiters.release_reads(self.core.state.applied_index)
         state = self.core.state
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -15,8 +15,7 @@
     leader_elected = "leader_elected"
     leader_lost = "leader_lost"
     snapshot_written = "snapshot_written"
-    member_added = "member_added"
-    member_removed = "member_removed"
+    membership_changed = "membership_changed"
     target_announced = "target_announced"
     target_leaving = "target_leaving"
     target_unreachable = "target_unreachable"
@@ -37,7 +36,6 @@
     publish_conflict = "publish_conflict"
     publish_sent = "publish_sent"
     publish_answered = "publish_answered"
-    quota_changed = "quota_changed"
 
 
 def record_event(event: EventName, **fields: object) -> None:
