Count an idle connection closed for the quota until the target has noticed

A connection closed for a smaller quota was free to another proxy before the target's loop had seen its end. Its place now stays taken for 0.2 s.

--- a/src/godwitwheel/targets/pool.py
+++ b/src/godwitwheel/targets/pool.py
@@ -13,6 +13,7 @@
 NO_QUOTA_RETRY_S = 0.2
 OPEN_TIMEOUT_S = 1.0
 DOUBT_LINGER_S = 1.0
+IDLE_LINGER_S = 0.2
 
 
 class ConnectionPool:
@@ -167,13 +168,16 @@
         if connection.is_reusable() and not self.is_closed:
             self.idle.append(connection)
             return
+        self._close(connection, self.linger_s)
+
+    def _close(self, connection: TargetConnection, linger_s: float) -> None:
         connection.close()
         if not self.is_closed:
             self._count_lingering(1)
-            spawn(self._stop_lingering)
+            spawn(self._stop_lingering, linger_s)
 
-    def _stop_lingering(self) -> None:
-        sleep(self.linger_s)
+    def _stop_lingering(self, linger_s: float) -> None:
+        sleep(linger_s)
         self._count_lingering(-1)
         self._wake()
 
@@ -182,8 +186,8 @@
         self.gate.unusable = self.lingering
 
     def _trim(self) -> None:
-        while self.idle and self.held() > self.gate.quota:
-            self.idle.pop(0).close()
+        while self.idle and self.lent + len(self.idle) > self.gate.quota:
+            self._close(self.idle.pop(0), min(self.linger_s, IDLE_LINGER_S))
 
     def _wake(self) -> None:
         self._notify(self.gate.admit_waiting(self.clock.now()))
