Take a refusal that does not say so as one that may have run

Cause: a target that leaves 'ran' out of a refusal was believed to have run nothing, and its caller was told not_run. Ruled out: the default that the field had, False; it is the claim that must be made. Seen red with the old default: test_refusal_that_leaves_out_whether_it_ran_may_have_run. The fuzz of refusals now starts from one that says so, and asks for the word. In the same files' neighbourhood a signal class stood twice; one is left. Measured: the tests of writes, pool, consistency and targets are green. Conclusion: not_run needs the target's own word.

--- a/src/godwitwheel/proxy/context.py
+++ b/src/godwitwheel/proxy/context.py
@@ -5,7 +5,8 @@
 from ..blackboard import Blackboard
 from ..decisions.retry_budget import RetryBudget
 from ..internal.clock import Clock
-from .change_signal import ChangeSignal, GroupSignals
+from ..internal.signals import ChangeSignal
+from .group_signals import GroupSignals
 from .in_flight import WritesInFlight
 from .metrics import ProxyMetrics
 from .pools import TargetPools
--- a/src/godwitwheel/proxy/control_link.py
+++ b/src/godwitwheel/proxy/control_link.py
@@ -2,6 +2,7 @@
 
 from ..decisions.versions import take_newer
 from ..internal.loop import sleep
+from ..internal.signals import ChangeSignal
 from ..observe.events import EventName, record_event
 from ..wire.control import (
     Heartbeat,
@@ -10,7 +11,6 @@
     Watch,
     WatchReply,
 )
-from .change_signal import ChangeSignal
 from .context import ProxyContext
 from .control_client import ControlClient
 from .errors import ControlUnavailable
--- /dev/null
+++ b/src/godwitwheel/proxy/group_signals.py
@@ -0,0 +1,21 @@
+"""Wakes tasks that wait for a change of a group on the blackboard."""
+
+from ..internal.signals import ChangeSignal
+
+
+class GroupSignals:
+    """One signal for each group, and all of them for changes of the view."""
+
+    __slots__ = ("by_group",)
+
+    def __init__(self):
+        self.by_group: dict[str, ChangeSignal] = {}
+
+    def of(self, group: str) -> ChangeSignal:
+        """Returns a group's signal."""
+        return self.by_group.setdefault(group, ChangeSignal())
+
+    def notify_all(self) -> None:
+        """Wakes the waiters of every group."""
+        for signal in self.by_group.values():
+            signal.notify()
--- a/src/godwitwheel/wire/target.py
+++ b/src/godwitwheel/wire/target.py
@@ -147,9 +147,10 @@
 class TargetProblem(msgspec.Struct, frozen=True):
     """Why a target refused.
 
-    :ivar ran: ``False`` only if the target is sure that nothing was run.
+    :ivar ran: ``False`` only if the target is sure that nothing was run; a target
+        that does not say so may have run it.
     """
 
     code: ProblemCode
     message: str
-    ran: bool = False
+    ran: bool = True
--- a/tests/common/fake_database.py
+++ b/tests/common/fake_database.py
@@ -87,7 +87,7 @@
         _, body = self.waiting
         self.waiting = None
         message = str(body.get("sql", ""))
-        problem = TargetProblem(ProblemCode.statement_failed, message)
+        problem = TargetProblem(ProblemCode.statement_failed, message, ran=False)
         self.answered.append((409, encode(problem)))
         self.send(*self.answered[-1])
 
--- a/tests/cover/test_target_fuzz.py
+++ b/tests/cover/test_target_fuzz.py
@@ -12,7 +12,9 @@
 from tests.common.hostile import bodies
 
 REPLY = encode(StatementReply(1, 3, 7, ["id", "key"], [[1, "x"], [2, None]], 2))
-REFUSAL = encode(TargetProblem(ProblemCode.statement_failed, "no such table"))
+REFUSAL = encode(
+    TargetProblem(ProblemCode.statement_failed, "no such table", ran=False)
+)
 
 
 class ScriptedHttp:
@@ -62,6 +64,11 @@
 def test_hostile_refusals_never_say_that_nothing_ran(status, body):
     connection, result = run(status, body)
     if isinstance(result, Refused) and not result.ran:
-        assert b'"code"' in body
+        assert b'"ran"' in body
     else:
         assert not connection.connection.is_open
+
+
+def test_refusal_that_leaves_out_whether_it_ran_may_have_run():
+    _, result = run(400, b'{"code": "statement_failed", "message": "no"}')
+    assert result.ran
--- a/tests/cover/test_write_outcomes.py
+++ b/tests/cover/test_write_outcomes.py
@@ -71,7 +71,7 @@
         if fault in ("refused", "not_primary"):
             is_primary = fault == "refused"
             code = ProblemCode.statement_failed if is_primary else "not_primary"
-            raise Refused(TargetProblem(ProblemCode(code), fault))
+            raise Refused(TargetProblem(ProblemCode(code), fault, ran=False))
         self.disturb(fault, "_before")
         effect()
         self.disturb(fault, "_after")
