Run a background task again after an unforeseen error, and say so

Cause: found by reading: the heartbeat loop, the watch, the recorder, the probes of a target and control's controllers each ran as a bare task. Any error that nobody foresaw would have ended it silently: no lease, no probe or no promotion any more until a restart. A round to confirm the leader that ended so would have left its flag set, and no heartbeat would have been answered again. Ruled out: ending the process instead; a fault in the decision about one group would then take the others with it, again and again. Seen red without the restart: test_task_that_fails_is_reported_and_runs_again. Conclusion: such errors are recorded as handler_failed, which stood in two files and now stands in one, and the task goes on after 0.2 s.

--- a/src/godwitwheel/control/committer.py
+++ b/src/godwitwheel/control/committer.py
@@ -131,17 +131,22 @@
             raise NotLeading("no quorum confirmed this leader")
 
     def _run_rounds(self, timeout_s: float) -> None:
-        while self.next_round is not None:
-            awaited = self.next_round
-            self.next_round = None
-            self.rounds += 1
-            try:
-                self.log.confirm_leadership(timeout_s)
-            except NotLeader:
-                awaited.send(False)
-            else:
-                awaited.send(True)
-        self.running = False
+        try:
+            while self.next_round is not None:
+                awaited = self.next_round
+                self.next_round = None
+                self.rounds += 1
+                awaited.send(self._is_confirmed(timeout_s))
+        finally:
+            # Whatever ended this task, the next caller may start another.
+            self.running = False
+
+    def _is_confirmed(self, timeout_s: float) -> bool:
+        try:
+            self.log.confirm_leadership(timeout_s)
+        except NotLeader:
+            return False
+        return True
 
 
 def _fail(batch: list[Pending], error: Exception) -> None:
--- a/src/godwitwheel/control/process.py
+++ b/src/godwitwheel/control/process.py
@@ -11,7 +11,7 @@
 from ..decisions.leadership import LeadershipOptions
 from ..internal.clock import BootClock
 from ..internal.loop import patch_standard_library, running_task, sleep
-from ..observe.events import EventName, record_event
+from ..observe.events import EventName, record_event, record_failure
 from ..observe.health import observe_routes
 from ..observe.log import process_log
 from ..targets.http_target import HttpTargetAdmin
@@ -81,8 +81,9 @@
             _leadership_options(settings),
             _make_token_key,
         )
-        server = Server(_routes(settings, member, log), _record_failure)
-        with server.listening(settings.listen), running_task(member.run_controllers):
+        server = Server(_routes(settings, member, log), record_failure)
+        controllers = running_task(member.run_controllers, record_failure)
+        with server.listening(settings.listen), controllers:
             return _wait_for_stop(stop, log)
 
 
@@ -126,7 +127,3 @@
 
 def _make_token_key() -> str:
     return secrets.token_hex(TOKEN_KEY_BYTES)
-
-
-def _record_failure(error: Exception) -> None:
-    record_event(EventName.handler_failed, error=repr(error))
--- a/src/godwitwheel/internal/loop.py
+++ b/src/godwitwheel/internal/loop.py
@@ -24,6 +24,8 @@
 LoopTimeout = eventlet.Timeout
 Task = eventlet.greenthread.GreenThread
 
+RESTART_PAUSE_S = 0.2
+
 
 def patch_standard_library() -> None:
     """Makes blocking calls of the standard library yield to the loop.
@@ -78,10 +80,31 @@
     return event.ready()
 
 
+def keep_running(
+    function: Callable, on_failure: Callable[[Exception], None], *args
+) -> None:
+    """Runs ``function``, and again after a pause should it fail.
+
+    A background task that ends with its first unforeseen error would stop renewing
+    leases, or probing a target, for good.
+
+    :param on_failure: told of each failure.
+    """
+    while True:
+        try:
+            function(*args)
+            return
+        except Exception as error:
+            on_failure(error)
+            sleep(RESTART_PAUSE_S)
+
+
 @contextlib.contextmanager
-def running_task(function: Callable, *args) -> Iterator[Task]:
-    """Runs ``function`` as a task and kills it on leaving the block."""
-    task = spawn(function, *args)
+def running_task(
+    function: Callable, on_failure: Callable[[Exception], None]
+) -> Iterator[Task]:
+    """Keeps ``function`` running as a task and kills it on leaving the block."""
+    task = spawn(keep_running, function, on_failure)
     try:
         yield task
     finally:
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -38,6 +38,11 @@
     publish_answered = "publish_answered"
 
 
+def record_failure(error: Exception) -> None:
+    """Records an error that nobody foresaw; the process goes on."""
+    record_event(EventName.handler_failed, error=repr(error))
+
+
 def record_event(event: EventName, **fields: object) -> None:
     """Records an event; the log's destination adds time and process."""
     log_message(message_type=event.value, **fields)
--- a/src/godwitwheel/proxy/probing.py
+++ b/src/godwitwheel/proxy/probing.py
@@ -1,6 +1,7 @@
 """Probes every target of the view at regular times."""
 
-from ..internal.loop import Task, sleep, spawn
+from ..internal.loop import Task, keep_running, sleep, spawn
+from ..observe.events import record_failure
 from .positions import PositionKeeper
 
 RECONCILE_INTERVAL_S = 0.05
@@ -32,7 +33,9 @@
         while True:
             known = blackboard.view.targets
             for target_id in known.keys() - self.tasks.keys():
-                self.tasks[target_id] = spawn(self._probe_regularly, target_id)
+                self.tasks[target_id] = spawn(
+                    keep_running, self._probe_regularly, record_failure, target_id
+                )
             for target_id in self.tasks.keys() - known.keys():
                 self.tasks.pop(target_id).kill()
                 blackboard.targets.pop(target_id, None)
--- a/src/godwitwheel/proxy/process.py
+++ b/src/godwitwheel/proxy/process.py
@@ -9,7 +9,7 @@
 from ..blackboard import Blackboard, ProxyIdentity
 from ..internal.clock import BootClock, Clock
 from ..internal.loop import Event, running_task, sleep
-from ..observe.events import EventName, record_event
+from ..observe.events import EventName, record_event, record_failure
 from ..observe.health import observe_routes
 from ..observe.log import process_log
 from ..observe.metrics import ProcessMetrics
@@ -94,7 +94,7 @@
                 self._run_state_metrics,
             )
             for task in tasks:
-                stack.enter_context(running_task(task))
+                stack.enter_context(running_task(task, record_failure))
             stack.enter_context(self.server.listening(self.settings.listen))
             yield
 
@@ -124,7 +124,7 @@
             ("POST", "/v1/announce"): announce.handle,
             **observe_routes(process_metrics, self.is_ready),
         }
-        return Server(routes, _record_failure)
+        return Server(routes, record_failure)
 
     def _run_state_metrics(self) -> None:
         context = self.context
@@ -190,7 +190,3 @@
     finally:
         for name, handler in before.items():
             signal.signal(name, handler)
-
-
-def _record_failure(error: Exception) -> None:
-    record_event(EventName.handler_failed, error=repr(error))
