Keep the stand-in target announcing through an unforeseen error

Cause: the stand-in's announcing task used the signature that running_task had; it ended at its start, so no deployment got a primary.

--- a/bench/target.py
+++ b/bench/target.py
@@ -10,6 +10,7 @@
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 import traceback  # noqa: E402
+from functools import partial  # noqa: E402
 from pathlib import Path  # noqa: E402
 
 from godwitwheel.internal.loop import running_task, sleep  # noqa: E402
@@ -84,7 +85,8 @@
             replication.start(settings.follow)
         stack.callback(replication.stop)
         if settings.announce:
-            stack.enter_context(running_task(announce_forever, state, client))
+            announcing = partial(announce_forever, state, client)
+            stack.enter_context(running_task(announcing, traceback.print_exception))
         print(f"listening on {server.address}", flush=True)
         while not stopping:
             sleep(POLL_S)
