Count a connection until the target can have noticed its end

A proxy whose opening was not answered closed it and counted it as given back at once; the frozen target found all of them in its queue when it went on. Ruled out: quotas whose sum is over the cap; what was open never was (15 at most). Now the place stays taken until a probe sent after the closing is answered, for an opening in doubt as for a statement in doubt. Seen red without either half: test_counts_an_unanswered_opening_until_the_target_answers_again (5 openings instead of 2).

--- a/src/godwitwheel/proxy/pools.py
+++ b/src/godwitwheel/proxy/pools.py
@@ -72,7 +72,10 @@
 
     def _create(self, target_id: str, address: str) -> ConnectionPool:
         pool = ConnectionPool(
-            target_id, lambda: self.connect(target_id, address), self.clock
+            target_id,
+            lambda: self.connect(target_id, address),
+            self.clock,
+            answered_at=lambda: self.blackboard.target_state(target_id).answered_at,
         )
         pool.set_quota(self.blackboard.quotas.get(target_id, 0))
         self.by_target[target_id] = pool
--- a/src/godwitwheel/targets/pool.py
+++ b/src/godwitwheel/targets/pool.py
@@ -1,6 +1,7 @@
 """The connections of one proxy to one target."""
 
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 
 from ..decisions.admission import TargetGate, Ticket, TicketState
@@ -8,7 +9,7 @@
 from ..internal.loop import Event, sleep, spawn, wait_for
 from ..wire.service import Access
 from .base import TargetConnection
-from .errors import Overloaded, TargetError, Unreachable
+from .errors import NotRun, Overloaded, TargetError, Unreachable
 
 NO_QUOTA_RETRY_S = 0.2
 OPEN_TIMEOUT_S = 1.0
@@ -28,6 +29,8 @@
     :ivar lingering: closed connections that the target may still count.
     :ivar linger_s: how long a connection closed in doubt is counted, in seconds;
         the target notices its end only after the statement that it runs.
+    :ivar answered_at: tells when the last probe that the target answered was sent,
+        in seconds of the clock.
     :ivar peak_demand: highest demand since :meth:`take_peak_demand`.
     """
 
@@ -40,6 +43,7 @@
         "lent",
         "lingering",
         "linger_s",
+        "answered_at",
         "events",
         "peak_demand",
         "is_closed",
@@ -51,6 +55,7 @@
         connect: Callable[[], TargetConnection],
         clock: Clock,
         linger_s: float = DOUBT_LINGER_S,
+        answered_at: Callable[[], float] = lambda: math.inf,
     ):
         self.target_id = target_id
         self.connect = connect
@@ -60,6 +65,7 @@
         self.lent = 0
         self.lingering = 0
         self.linger_s = linger_s
+        self.answered_at = answered_at
         self.events: dict[Ticket, Event] = {}
         self.peak_demand = 0
         self.is_closed = False
@@ -155,12 +161,16 @@
         connection = self.connect()
         try:
             connection.open(min(deadline - self.clock.now(), OPEN_TIMEOUT_S))
-        except TargetError as error:
-            # A session alone runs nothing, whatever became of it.
+        except NotRun as error:
             connection.close()
             raise Unreachable(f"{self.target_id}: {error}") from error
+        except TargetError as error:
+            # A session alone runs nothing, but the target may count it: a frozen
+            # one finds all that were tried meanwhile when it goes on.
+            self._close(connection, self.linger_s)
+            raise Unreachable(f"{self.target_id}: {error}") from error
         except BaseException:
-            connection.close()
+            self._close(connection, self.linger_s)
             raise
         return connection
 
@@ -174,10 +184,13 @@
         connection.close()
         if not self.is_closed:
             self._count_lingering(1)
-            spawn(self._stop_lingering, linger_s)
+            spawn(self._stop_lingering, linger_s, self.clock.now())
 
-    def _stop_lingering(self, linger_s: float) -> None:
+    def _stop_lingering(self, linger_s: float, closed_at: float) -> None:
+        """Frees a closed connection's place once the target can have noticed."""
         sleep(linger_s)
+        while self.answered_at() < closed_at and not self.is_closed:
+            sleep(linger_s)
         self._count_lingering(-1)
         self._wake()
 
--- a/tests/cover/test_pool.py
+++ b/tests/cover/test_pool.py
@@ -1,15 +1,24 @@
 """The pool under late, repeated, lost and foreign replies."""
 
+import contextlib
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.internal.loop import sleep, spawn
-from godwitwheel.targets.errors import Refused, TargetError
+from godwitwheel.targets.errors import (
+    MayHaveRun,
+    Overloaded,
+    Refused,
+    TargetError,
+    Unreachable,
+)
 from godwitwheel.targets.pool import ConnectionPool
 from godwitwheel.wire.service import Access
 from tests.common.fake_database import FakeSession, PairedConnection
+from tests.common.processes import wait_until
 
 DEADLINE_S = 60.0
 TURNS_OF_THE_LOOP = 12
@@ -155,3 +164,35 @@
     deadline = pool.clock.now() + DEADLINE_S
     with pool.connection("a", Access.read, deadline) as connection:
         connection.run("w", [], False, DEADLINE_S)
+
+
+class UnansweredConnection:
+    """Reaches a target that does not answer for now."""
+
+    def __init__(self, opened):
+        opened.append(self)
+
+    def open(self, timeout_s):
+        raise MayHaveRun("no reply in time")
+
+    def close(self):
+        pass
+
+
+def test_counts_an_unanswered_opening_until_the_target_answers_again():
+    opened, answered_at, clock = [], [0.0], BootClock()
+    pool = ConnectionPool(
+        "t0",
+        lambda: UnansweredConnection(opened),
+        clock,
+        linger_s=0.001,
+        answered_at=lambda: answered_at[0],
+    )
+    pool.set_quota(2)
+    for _ in range(5):
+        with contextlib.suppress(Unreachable, Overloaded):  # noqa: SIM117
+            with pool.connection("a", Access.write, clock.now() + 0.1):
+                raise AssertionError("nothing may be lent")
+    assert (len(opened), pool.held()) == (2, 2)
+    answered_at[0] = clock.now()
+    wait_until(lambda: sleep(0.001) or not pool.held(), "the places are free again")
