Show that the binary runs a proxy too, without a child

Cause: the test of the executable ran control and publish, and of the proxy only its help. Conclusion: the whole product runs from the one file.

--- a/tests/nocover/test_binary.py
+++ b/tests/nocover/test_binary.py
@@ -4,11 +4,12 @@
 import socket
 import subprocess
 import sys
+import urllib.request
 from pathlib import Path
 
 import pytest
 
-from tests.common.processes import WAIT_LIMIT_S, free_port
+from tests.common.processes import WAIT_LIMIT_S, free_port, wait_until
 from tools.build_binary import build
 
 SERVICES = Path(__file__).parent.parent.parent / "examples"
@@ -65,25 +66,43 @@
     assert "no answer within 1.0 s" in errors
 
 
-def test_control_and_publish_run_without_a_child_process(run, tmp_path):
-    address = f"127.0.0.1:{free_port()}"
+def test_control_proxy_and_publish_run_without_a_child_process(run, tmp_path):
+    control_address = f"127.0.0.1:{free_port()}"
+    proxy_address = f"127.0.0.1:{free_port()}"
+    common = ("--data-centre", "melilla", "--log-file", str(tmp_path / "all.log"))
     control = run(
-        *("control", "--id", "c1", "--data-centre", "melilla", "--listen", address),
-        *("--data-folder", str(tmp_path / "data"), "--members", f"c1={address}"),
-        *("--log-file", str(tmp_path / "c1.log")),
+        *("control", "--id", "c1", "--listen", control_address, *common),
+        *("--data-folder", str(tmp_path / "data")),
+        *("--members", f"c1={control_address}"),
+    )
+    proxy = run(
+        *("proxy", "--id", "p1", "--listen", proxy_address, *common),
+        *("--control", control_address),
     )
     try:
-        publish = run("publish", "--control", address, str(SERVICES))
+        publish = run("publish", "--control", control_address, str(SERVICES))
         output, errors = publish.communicate(timeout=WAIT_LIMIT_S)
         assert (publish.returncode, errors) == (0, "")
         assert "accepted: revision 1" in output
-        assert children(control.pid) == []
-        control.terminate()
-        _, errors = control.communicate(timeout=WAIT_LIMIT_S)
-        assert (control.returncode, errors) == (0, "")
+        wait_until(lambda: is_ready(proxy_address), "the proxy is ready")
+        for process in (proxy, control):
+            assert children(process.pid) == []
+            process.terminate()
+            _, errors = process.communicate(timeout=WAIT_LIMIT_S)
+            assert (process.returncode, errors) == (0, "")
     finally:
-        control.kill()
-        control.wait()
+        for process in (proxy, control):
+            process.kill()
+            process.wait()
     timeline = run("timeline", str(tmp_path))
     output, _ = timeline.communicate(timeout=WAIT_LIMIT_S)
     assert "revision_published" in output
+    assert "revision_in_force" in output
+
+
+def is_ready(address):
+    try:
+        with urllib.request.urlopen(f"http://{address}/readyz", timeout=5) as reply:
+            return reply.status == 200
+    except OSError:
+        return False
