--- a/bench/experiment/base.py
+++ b/bench/experiment/base.py
@@ -18,6 +18,7 @@
     """One measurement on a deployment of its own.
 
     :ivar is_long: whether to take the long form.
+    :ivar options: further options of the command line that it was run with.
     :ivar rows: the figures so far.
     :ivar faults: wrong answers found so far; any makes the run fail.
     """
@@ -26,6 +27,7 @@
 
     def __init__(self, is_long: bool, folder: Path):
         self.is_long = is_long
+        self.options: list[str] = []
         self.folder = folder
         self.rows: list[Row] = []
         self.faults: dict[str, list[str]] = {}
--- a/bench/experiment/chaos.py
+++ b/bench/experiment/chaos.py
@@ -3,6 +3,7 @@
 import random
 import time
 from abc import ABC, abstractmethod
+from pathlib import Path
 
 from matplotlib.axes import Axes
 
@@ -174,6 +175,10 @@
     name = "chaos"
     seed = 1
 
+    def __init__(self, is_long: bool, folder: Path):
+        super().__init__(is_long, folder)
+        self.options = ["--seed", str(self.seed)]
+
     def run(self) -> None:
         rounds = 60 if self.is_long else 8
         rng = random.Random(self.seed)
@@ -222,10 +227,12 @@
 
     def plot(self, axes: Axes) -> None:
         rounds = [row for row in self.rows if row["round"] != "all"]
-        labels = [f"{row['round']}: {row['faults']}" for row in rounds]
-        axes.barh(labels, [row["recovery_s"] or RECOVERY_LIMIT_S for row in rounds])
-        axes.set_xlabel("s until every group has all its targets again")
-        axes.set_title("Random faults")
+        taken = [row["recovery_s"] for row in rounds]
+        limited = [RECOVERY_LIMIT_S if took is None else took for took in taken]
+        axes.bar([row["round"] for row in rounds], limited)
+        axes.set_xlabel("round; the JSON file names its faults")
+        axes.set_ylabel("s until all groups and the cell are whole")
+        axes.set_title(f"Random faults, seed {self.seed}")
 
 
 def replaces_member(fault: Fault) -> bool:
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -41,6 +41,7 @@
 def measure(experiment: Experiment, folder: Path) -> Measurement:
     """Runs one experiment and writes its figures and its plot."""
     form = ["--long"] if experiment.is_long else []
+    form += experiment.options
     command = ["python", "-m", "bench.experiments", *form, experiment.name]
     revision = commit()
     load_average = round(os.getloadavg()[0], 1)
