Drop names that nothing uses

Cause: a read of the whole change found two aliases of the loop's queues and a bound of a record's size that no code refers to; messages and entries have bounds of their own. Ruled out: rbufsize and wbufsize of the server's protocol, which the library reads. Conclusion: behaviour is as before. Defaults of the settings still stand twice, in the command line and in the settings classes; that is left.

--- a/src/godwitwheel/consensus/records.py
+++ b/src/godwitwheel/consensus/records.py
@@ -15,7 +15,6 @@
 from .messages import Entry, HardState
 
 HEADER = struct.Struct("<IQ")
-MAX_RECORD_BYTES = 256 * 1024 * 1024
 
 
 class LogStart(msgspec.Struct, frozen=True, tag="log_start"):
--- a/src/godwitwheel/internal/loop.py
+++ b/src/godwitwheel/internal/loop.py
@@ -14,12 +14,9 @@
     import eventlet
     import eventlet.event
     import eventlet.hubs
-    import eventlet.queue
     import eventlet.semaphore
 
 Event = eventlet.event.Event
-Queue = eventlet.queue.LightQueue
-QueueEmpty = eventlet.queue.Empty
 Semaphore = eventlet.semaphore.Semaphore
 LoopTimeout = eventlet.Timeout
 Task = eventlet.greenthread.GreenThread
