--- a/src/godwitwheel/consensus/core.py
+++ b/src/godwitwheel/consensus/core.py
@@ -54,7 +54,7 @@
         else:
             election.check_election(state, now)
         if state.is_leader() and now >= state.next_heartbeat:
-            joining.check_promotion(state)
+            joining.check_promotion(state, now)
         joining.check_joining(state, self.joining, now)
 
     def receive(self, message: AnyMessage, now: float) -> None:
@@ -215,6 +215,8 @@
         record = self.state.membership.members.get(message.target)
         if record is not None and identity in ("", record.identity):
             return record.address
+        if message.target in self.joining.told_members:
+            return self.joining.told_members[message.target]
         return self.state.options.founders.get(message.target, "")
 
 
--- a/src/godwitwheel/consensus/joining.py
+++ b/src/godwitwheel/consensus/joining.py
@@ -13,10 +13,13 @@
     Membership,
     Message,
 )
-from .replication import append_as_leader
+from .replication import append_as_leader, hears_quorum
 from .state import MemberState
 
 FIRST_TERM = 1
+# A voter that is silent for this many election timeouts gives its vote to a learner
+# that has caught up. Shorter cuts are over before a learner could help.
+DEMOTION_TIMEOUTS = 3
 MAX_HEARD_ADDRESSES = 64
 
 
@@ -25,14 +28,16 @@
 
     :ivar founders_seen: identities of founders that have no log either, by id.
     :ivar heard_addresses: addresses that peers gave in messages, by identity.
+    :ivar told_members: addresses of members that peers named, by id.
     """
 
-    __slots__ = ("next_hello", "founders_seen", "heard_addresses")
+    __slots__ = ("next_hello", "founders_seen", "heard_addresses", "told_members")
 
     def __init__(self):
         self.next_hello = 0.0
         self.founders_seen: dict[str, str] = {}
         self.heard_addresses: dict[str, str] = {}
+        self.told_members: dict[str, str] = {}
 
 
 def note_address(joining: Joining, message: Message) -> None:
@@ -57,7 +62,12 @@
     if _may_found(state, joining):
         _found(state, joining)
         return
-    for member_id in sorted({*state.options.founders, *state.membership.members}):
+    known = {
+        *state.options.founders,
+        *state.membership.members,
+        *joining.told_members,
+    }
+    for member_id in sorted(known):
         if member_id != state.options.member_id:
             state.send(
                 Hello,
@@ -114,6 +124,10 @@
         HelloReply,
         has_log=state.log.last_index > 0,
         founders=founder_ids(state),
+        members={
+            member_id: record.address
+            for member_id, record in state.membership.members.items()
+        },
     )
     if state.is_leader() and hello.cell in ("", state.cell):
         _admit(state, hello, now)
@@ -122,7 +136,9 @@
 def receive_hello_reply(
     state: MemberState, joining: Joining, reply: HelloReply
 ) -> None:
-    """Notes whether a peer could found a cell with this member."""
+    """Notes whether a peer could found a cell with this member, and whom it knows."""
+    if len(joining.told_members) < MAX_HEARD_ADDRESSES:
+        joining.told_members.update(reply.members)
     if not reply.has_log and reply.founders == founder_ids(state):
         joining.founders_seen[reply.source] = reply.source_identity
     else:
@@ -173,19 +189,48 @@
     return now - progress.heard_at > 2 * state.options.election_timeout_s
 
 
-def check_promotion(state: MemberState) -> None:
-    """Makes a learner that has caught up a voter."""
+def check_promotion(state: MemberState, now: float) -> None:
+    """Makes a learner that has caught up a voter, if there is room for one.
+
+    A voter that has been silent for long makes room first. It stays a learner, so
+    that it can vote again if it comes back and is needed.
+    """
     if not may_change_membership(state):
         return
+    learner_id = _caught_up_learner(state, now)
+    if not learner_id:
+        return
+    membership = state.membership
+    if len(memberships.voters(membership)) < state.options.voters:
+        change_membership(state, memberships.with_voter(membership, learner_id))
+        return
+    silent_id = _silent_voter(state, now)
+    if not silent_id:
+        return
+    changed = memberships.with_demoted(membership, silent_id)
+    if hears_quorum(state, changed, now):
+        change_membership(state, changed)
+
+
+def _caught_up_learner(state: MemberState, now: float) -> str:
     for member_id, record in state.membership.members.items():
         progress = state.progress.get(member_id)
         if record.voter or progress is None:
             continue
+        if _is_silent(state, member_id, now):
+            continue
         if progress.match_index >= progress.catch_up_index >= state.term_start_index:
-            change_membership(
-                state, memberships.with_voter(state.membership, member_id)
-            )
-            return
+            return member_id
+    return ""
+
+
+def _silent_voter(state: MemberState, now: float) -> str:
+    limit_s = DEMOTION_TIMEOUTS * state.options.election_timeout_s
+    for member_id, record in state.membership.members.items():
+        progress = state.progress.get(member_id)
+        if record.voter and progress is not None and now - progress.heard_at > limit_s:
+            return member_id
+    return ""
 
 
 def enter_cell(state: MemberState, cell: str) -> bool:
--- a/src/godwitwheel/consensus/log.py
+++ b/src/godwitwheel/consensus/log.py
@@ -2,7 +2,8 @@
 
 from .messages import Entry
 
-MAX_APPEND_BYTES = 256 * 1024
+# A routing table of 256 KiB fits, encoded as text within a command.
+MAX_APPEND_BYTES = 512 * 1024
 MAX_APPEND_ENTRIES = 512
 ENTRY_OVERHEAD_BYTES = 32
 
--- a/src/godwitwheel/consensus/membership.py
+++ b/src/godwitwheel/consensus/membership.py
@@ -58,6 +58,12 @@
     return Membership({**membership.members, member_id: record}, membership.retired)
 
 
+def with_demoted(membership: Membership, member_id: str) -> Membership:
+    """Makes a voter a learner."""
+    record = msgspec.structs.replace(membership.members[member_id], voter=False)
+    return Membership({**membership.members, member_id: record}, membership.retired)
+
+
 def with_address(membership: Membership, member_id: str, address: str) -> Membership:
     """Changes the address of a member."""
     record = msgspec.structs.replace(membership.members[member_id], address=address)
--- a/src/godwitwheel/consensus/messages.py
+++ b/src/godwitwheel/consensus/messages.py
@@ -162,10 +162,15 @@
 
 
 class HelloReply(Message, tag="hello_reply"):
-    """Introduces the peer; ``has_log`` says that it already belongs to a cell."""
+    """Introduces the peer; ``has_log`` says that it already belongs to a cell.
+
+    :ivar members: addresses of the members that the peer knows, by id; the one that
+        joins may have been told of none that leads.
+    """
 
     has_log: bool
     founders: list[str]
+    members: dict[str, str] = {}
 
 
 AnyMessage = (
--- a/src/godwitwheel/consensus/state.py
+++ b/src/godwitwheel/consensus/state.py
@@ -8,6 +8,8 @@
 from .messages import Entry, HardState, Membership, Message
 from .work import ReadRequest, SavedState, Work
 
+MAX_VOTERS = 9
+
 
 class Role(enum.Enum):
     """What a member does in its term."""
@@ -25,6 +27,8 @@
     :ivar may_found: whether the member may take part in founding a cell.
     :ivar election_timeout_s: shortest silence of a leader before an election.
     :ivar append_interval_s: time between a leader's heartbeats.
+    :ivar voters: most members that vote; further ones stand by as learners and
+        take the place of a voter that falls silent.
     """
 
     __slots__ = (
@@ -34,6 +38,7 @@
         "may_found",
         "election_timeout_s",
         "append_interval_s",
+        "voters",
     )
 
     def __init__(
@@ -44,6 +49,7 @@
         may_found: bool = True,
         election_timeout_s: float = 0.5,
         append_interval_s: float = 0.05,
+        voters: int = MAX_VOTERS,
     ):
         self.member_id = member_id
         self.address = address
@@ -51,6 +57,7 @@
         self.may_found = may_found
         self.election_timeout_s = election_timeout_s
         self.append_interval_s = append_interval_s
+        self.voters = voters
 
 
 class MemberState:
--- a/src/godwitwheel/control/commands.py
+++ b/src/godwitwheel/control/commands.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..directory.commands import DropEntry, PutEntry, PutTable, SetPrimary
 from ..wire.codec import encode
 from ..wire.control import Claim, GroupView, Publish, RecordOutcome, TargetRecord
 
@@ -85,6 +86,10 @@
     | PutTarget
     | RemoveTarget
     | ChangeGroup
+    | PutTable
+    | PutEntry
+    | DropEntry
+    | SetPrimary
 )
 
 
--- a/src/godwitwheel/control/committer.py
+++ b/src/godwitwheel/control/committer.py
@@ -10,8 +10,8 @@
 from .errors import NotLeading, TooLarge, Unsettled
 
 MAX_BATCH_COMMANDS = 128
-# An entry of the log holds 256 KiB, the brackets around the commands included.
-MAX_BATCH_BYTES = 250 * 1024
+# An entry of the log holds 512 KiB, the brackets around the commands included.
+MAX_BATCH_BYTES = 500 * 1024
 MAX_BATCHES_IN_FLIGHT = 2
 COMMIT_LIMIT_S = 5.0
 
--- a/src/godwitwheel/control/process.py
+++ b/src/godwitwheel/control/process.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import signal
 
 from ..consensus.driver import ConsensusLog
 from ..consensus.http_transport import consensus_routes
@@ -11,6 +10,7 @@
 from ..decisions.leadership import LeadershipOptions
 from ..internal.clock import BootClock
 from ..internal.loop import patch_standard_library, running_task, sleep
+from ..internal.requests import StopRequest
 from ..observe.events import EventName, record_event, record_failure
 from ..observe.health import observe_routes
 from ..observe.log import process_log
@@ -28,27 +28,6 @@
 FAILED = 1
 
 
-class StopRequest:
-    """Becomes true on SIGTERM or SIGINT.
-
-    :ivar requested: whether the process was told to stop.
-    """
-
-    __slots__ = ("requested",)
-
-    def __init__(self):
-        self.requested = False
-
-    def install(self) -> None:
-        """Handles the signals from now on."""
-        signal.signal(signal.SIGTERM, self._handle)
-        signal.signal(signal.SIGINT, self._handle)
-
-    def _handle(self, signal_number: int, frame: object) -> None:
-        # A handler runs between any two steps of any task: it only leaves a mark.
-        self.requested = True
-
-
 def run_control(settings: ControlSettings) -> int:
     """Runs a control member until SIGTERM.
 
--- a/src/godwitwheel/control/state.py
+++ b/src/godwitwheel/control/state.py
@@ -6,6 +6,9 @@
 
 from ..consensus.replicated import StateMachine
 from ..decisions.claims import ClaimRecord, ClaimsSnapshot, ClaimTable
+from ..directory.commands import DropEntry, PutEntry, PutTable, SetPrimary
+from ..directory.state import Directory, DirectorySnapshot
+from ..directory.tables import JsonTableCodec, TableCodec
 from ..wire.caller import CallerAnswer
 from ..wire.codec import decode, encode
 from ..wire.control import ClaimReply, ClaimStatus, OutcomeRecorded
@@ -32,6 +35,7 @@
     cluster: ClusterSnapshot
     revisions: RevisionsSnapshot
     claims: ClaimsSnapshot
+    directory: DirectorySnapshot = DirectorySnapshot()
 
 
 class ControlState(StateMachine):
@@ -40,12 +44,24 @@
     :ivar on_applied: called after each batch, in the task that applied it.
     """
 
-    __slots__ = ("cluster", "revisions", "claims", "on_applied", "_handlers")
-
-    def __init__(self, on_applied: Callable[[], None] = lambda: None):
+    __slots__ = (
+        "cluster",
+        "revisions",
+        "claims",
+        "directory",
+        "on_applied",
+        "_handlers",
+    )
+
+    def __init__(
+        self,
+        on_applied: Callable[[], None] = lambda: None,
+        table_codec: TableCodec | None = None,
+    ):
         self.cluster = Cluster()
         self.revisions = Revisions()
         self.claims = ClaimTable()
+        self.directory = Directory(table_codec or JsonTableCodec())
         self.on_applied = on_applied
         self._handlers = {
             PublishCommand: self._publish,
@@ -55,6 +71,10 @@
             PutTarget: self._put_target,
             RemoveTarget: self._remove_target,
             ChangeGroup: self._change_group,
+            PutTable: self.directory.put_table,
+            PutEntry: self.directory.put_entry,
+            DropEntry: self.directory.drop_entry,
+            SetPrimary: self.directory.set_primary,
         }
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -69,6 +89,7 @@
                 self.cluster.snapshot(),
                 self.revisions.snapshot(),
                 self.claims.snapshot(),
+                self.directory.snapshot(),
             )
         )
 
@@ -77,6 +98,7 @@
         self.cluster.restore(state.cluster)
         self.revisions.restore(state.revisions)
         self.claims.restore(state.claims)
+        self.directory.restore(state.directory)
         self.on_applied()
 
     def _apply_one(self, index: int, command: Command) -> object:
--- /dev/null
+++ b/src/godwitwheel/directory/failover.py
@@ -0,0 +1,182 @@
+"""Decides when a service's primary is replaced, and by which target."""
+
+import enum
+
+from ..sessions.statements import Position
+from .records import DirectoryView, ProxyReport, TargetEntry
+
+# A report older than this says nothing about the present, in seconds.
+REPORT_FRESH_S = 1.0
+# A primary proves its lead to a proxy several times within this time.
+PROOF_AGE_MS = 600
+# While some proxies still reach the primary, the others wait this long first.
+PARTIAL_PROOF_AGE_MS = 1200
+# Share of the proxies that must miss the primary before it is replaced although the
+# others reach it: a promotion holds up all writes, a cut only those of its side.
+PARTIAL_SHARE = 0.34
+# A promotion takes several hundred ms; until then nothing can be said of it.
+ORDER_PAUSE_S = 2.0
+# Announcements reach a new leader within their interval.
+FIRST_ANNOUNCEMENTS_S = 1.5
+
+
+class Verdict(enum.Enum):
+    """What is to be done about a primary."""
+
+    keep = "keep"
+    replace = "replace"
+    adopt = "adopt"
+
+
+class Assessment:
+    """A verdict with its reason.
+
+    :ivar target_id: for ``adopt``, the target that leads.
+    """
+
+    __slots__ = ("verdict", "reason", "target_id")
+
+    def __init__(self, verdict: Verdict, reason: str, target_id: str = ""):
+        self.verdict = verdict
+        self.reason = reason
+        self.target_id = target_id
+
+
+class ReceivedReport:
+    """A proxy's report and when it came."""
+
+    __slots__ = ("report", "received_at")
+
+    def __init__(self, report: ProxyReport, received_at: float):
+        self.report = report
+        self.received_at = received_at
+
+
+class Sight:
+    """What one proxy sees of a service's primary."""
+
+    __slots__ = ("proxy_id", "target_id", "proof_age_ms", "unreachable")
+
+    def __init__(
+        self, proxy_id: str, target_id: str, proof_age_ms: float, unreachable: list[str]
+    ):
+        self.proxy_id = proxy_id
+        self.target_id = target_id
+        self.proof_age_ms = proof_age_ms
+        self.unreachable = unreachable
+
+
+def sights_of(
+    service: str, reports: dict[str, ReceivedReport], now: float
+) -> list[Sight]:
+    """Returns what the proxies that reported lately see of a service."""
+    sights = []
+    for proxy_id, received in reports.items():
+        if now - received.received_at > REPORT_FRESH_S:
+            continue
+        for primary in received.report.primaries:
+            if primary.service == service:
+                sights.append(
+                    Sight(
+                        proxy_id,
+                        primary.target_id,
+                        primary.ok_age_ms,
+                        received.report.unreachable,
+                    )
+                )
+    return sights
+
+
+def assess(
+    service: str, view: DirectoryView, sights: list[Sight], led_for_s: float
+) -> Assessment:
+    """Decides about a service's primary.
+
+    :param led_for_s: how long this member has led, in seconds.
+    """
+    proved = [sight for sight in sights if sight.proof_age_ms < PROOF_AGE_MS]
+    primary_id = view.primaries.get(service, "")
+    primary = view.targets.get(primary_id)
+    elsewhere = [sight for sight in proved if sight.target_id != primary_id]
+    if elsewhere and len(elsewhere) == len(proved):
+        return Assessment(
+            Verdict.adopt, "proxies found another primary", elsewhere[0].target_id
+        )
+    if led_for_s < FIRST_ANNOUNCEMENTS_S:
+        return Assessment(Verdict.keep, "this member leads only since a moment ago")
+    if primary is not None and primary.leaving:
+        return Assessment(Verdict.replace, f"{primary_id} is leaving")
+    if not sights:
+        return Assessment(Verdict.keep, "no proxy reports")
+    if not proved:
+        return Assessment(
+            Verdict.replace,
+            f"none of {len(sights)} proxies has seen {primary_id or 'a primary'} lead "
+            f"for {min(sight.proof_age_ms for sight in sights)} ms",
+        )
+    missing = [s for s in sights if s.proof_age_ms >= PARTIAL_PROOF_AGE_MS]
+    if len(missing) >= PARTIAL_SHARE * len(sights):
+        return Assessment(
+            Verdict.replace,
+            f"{len(missing)} of {len(sights)} proxies can't reach {primary_id}",
+        )
+    return Assessment(Verdict.keep, f"{len(proved)} proxies saw it lead")
+
+
+class Candidate:
+    """A target that could be promoted.
+
+    :ivar received: last position that it has received; ``None`` if it did not say.
+    :ivar missed_by: proxies that can't reach it.
+    """
+
+    __slots__ = ("entry", "received", "term", "missed_by")
+
+    def __init__(
+        self,
+        entry: TargetEntry,
+        received: Position | None,
+        term: int,
+        missed_by: int,
+    ):
+        self.entry = entry
+        self.received = received
+        self.term = term
+        self.missed_by = missed_by
+
+
+def candidates_of(service: str, view: DirectoryView) -> list[TargetEntry]:
+    """Returns the targets that may be asked whether they could lead."""
+    primary_id = view.primaries.get(service, "")
+    return [
+        entry
+        for entry in view.targets.values()
+        if entry.service == service
+        and not entry.leaving
+        and entry.target_id != primary_id
+    ]
+
+
+def choose_candidate(
+    candidates: list[Candidate], sights: list[Sight], primary_id: str
+) -> Candidate | None:
+    """Returns the target that loses least, among those that the proxies reach.
+
+    :returns: ``None`` if no target is reached by more proxies than the primary.
+    """
+    missing_primary = sum(
+        1
+        for sight in sights
+        if sight.target_id == primary_id and sight.proof_age_ms >= PROOF_AGE_MS
+    )
+    able = [each for each in candidates if each.received is not None]
+    if sights and missing_primary:
+        able = [each for each in able if each.missed_by < max(missing_primary, 1)]
+    if not able:
+        return None
+    return max(able, key=lambda each: (each.received, -each.missed_by))
+
+
+def missed_by(target_id: str, sights: list[Sight]) -> int:
+    """Returns how many proxies can't reach a target."""
+    return sum(1 for sight in sights if target_id in sight.unreachable)
--- /dev/null
+++ b/src/godwitwheel/directory/metrics.py
@@ -0,0 +1,50 @@
+"""Metrics of a directory member."""
+
+from ..observe.metrics import ProcessMetrics
+from .member import DirectoryMember
+
+
+class DirectoryMetrics(ProcessMetrics):
+    """Renders a member's counts as they are when asked for."""
+
+    __slots__ = ("member", "gauges")
+
+    def __init__(self, member_id: str, member: DirectoryMember):
+        super().__init__(member_id, "control")
+        self.member = member
+        self.gauges = {
+            name: self.gauge(name, doc)
+            for name, doc in (
+                ("leading", "1 while this member leads."),
+                ("term", "Term of the replicated log."),
+                ("voters", "Members that vote."),
+                ("commands", "Commands committed here as leader."),
+                ("read_rounds", "Quorum rounds that confirmed the leadership."),
+                ("proxies", "Proxies that reported lately."),
+                ("directory_version", "Version of the committed directory."),
+                ("table_version", "Version of the routing table in force."),
+                ("targets", "Targets in the directory."),
+            )
+        }
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        member = self.member
+        state = member.log.core.state
+        view = member.state.directory.view
+        leadership = member.leadership
+        members = state.membership.members.values()
+        values = {
+            "leading": int(leadership is not None),
+            "term": state.term,
+            "voters": sum(record.voter for record in members),
+            "commands": member.committer.committed,
+            "read_rounds": member.confirmer.rounds,
+            "proxies": len(leadership.reports) if leadership is not None else 0,
+            "directory_version": view.version,
+            "table_version": view.table.version,
+            "targets": len(view.targets),
+        }
+        for name, value in values.items():
+            self.gauges[name].set({}, value)
+        return super().render()
--- /dev/null
+++ b/src/godwitwheel/directory/process.py
@@ -0,0 +1,145 @@
+"""The directory's control process: wiring only."""
+
+import contextlib
+import random
+from collections.abc import Callable
+
+from ..consensus.driver import ConsensusLog
+from ..consensus.errors import StorageError
+from ..consensus.http_transport import consensus_routes
+from ..consensus.running import running_log
+from ..consensus.state import ConsensusOptions
+from ..control.state import ControlState
+from ..internal.clock import BootClock
+from ..internal.loop import running_task, sleep
+from ..internal.requests import StopRequest
+from ..observe.events import EventName, record_event, record_failure
+from ..observe.health import observe_routes
+from ..sessions.connection import Connector
+from ..wire.client import Client
+from ..wire.server import Handler, Server
+from .member import DirectoryMember
+from .metrics import DirectoryMetrics
+from .promotion import PromotionCall
+from .routes import directory_routes
+from .tables import TableCodec
+
+STOP_POLL_S = 0.05
+# Pause before a member whose disk failed opens its log again, in seconds.
+REOPEN_PAUSE_S = 0.5
+ELECTION_TIMEOUT_S = 0.7
+APPEND_INTERVAL_S = 0.1
+
+Routes = dict[tuple[str, str], Handler]
+
+
+class DirectorySettings:
+    """What a directory member is told.
+
+    :ivar internal_listen: address for proxies and other members.
+    :ivar control_listen: address for targets and operators.
+    :ivar founders: addresses of the first members by id.
+    :ivar may_found: whether this is the system's first start.
+    :ivar voters: members that vote; further ones stand by.
+    """
+
+    __slots__ = (
+        "member_id",
+        "internal_listen",
+        "control_listen",
+        "data_folder",
+        "founders",
+        "may_found",
+        "voters",
+    )
+
+    def __init__(
+        self,
+        member_id: str,
+        internal_listen: str,
+        control_listen: str,
+        data_folder: str,
+        founders: dict[str, str],
+        may_found: bool,
+        voters: int,
+    ):
+        self.member_id = member_id
+        self.internal_listen = internal_listen
+        self.control_listen = control_listen
+        self.data_folder = data_folder
+        self.founders = founders
+        self.may_found = may_found
+        self.voters = voters
+
+
+def run_directory(
+    settings: DirectorySettings,
+    stop: StopRequest,
+    codec: TableCodec,
+    connector: Connector,
+    call: PromotionCall,
+    control_routes: Callable[[DirectoryMember, Client], Routes],
+) -> None:
+    """Runs a member until the process is told to stop.
+
+    A disk that refuses writes stops the member, not the process: its log is opened
+    again until that works, so that a full disk does not need an operator.
+
+    :param control_routes: what targets and operators may call.
+    """
+    while not stop.requested:
+        try:
+            _run_once(settings, stop, codec, connector, call, control_routes)
+        except (StorageError, OSError) as error:
+            record_event(EventName.storage_failed, error=str(error))
+            sleep(REOPEN_PAUSE_S)
+
+
+def _run_once(
+    settings: DirectorySettings,
+    stop: StopRequest,
+    codec: TableCodec,
+    connector: Connector,
+    call: PromotionCall,
+    control_routes: Callable[[DirectoryMember, Client], Routes],
+) -> None:
+    state = ControlState(table_codec=codec)
+    clock = BootClock()
+    options = ConsensusOptions(
+        settings.member_id,
+        settings.internal_listen,
+        settings.founders,
+        may_found=settings.may_found,
+        election_timeout_s=ELECTION_TIMEOUT_S,
+        append_interval_s=APPEND_INTERVAL_S,
+        voters=settings.voters,
+    )
+    with contextlib.ExitStack() as stack:
+        log = stack.enter_context(
+            running_log(options, state, settings.data_folder, clock, random.Random())
+        )
+        client = stack.enter_context(Client())
+        member = DirectoryMember(log, state, clock, connector, call)
+        metrics = DirectoryMetrics(settings.member_id, member)
+        internal = {
+            **consensus_routes(log),
+            **directory_routes(member),
+            **observe_routes(metrics, lambda: bool(log.leader_id())),
+        }
+        external = control_routes(member, client)
+        for address, routes in (
+            (settings.internal_listen, internal),
+            (settings.control_listen, external),
+        ):
+            server = Server(routes, record_failure)
+            stack.enter_context(server.listening(address))
+        stack.enter_context(running_task(member.run_controllers, record_failure))
+        _wait(stop, log)
+
+
+def _wait(stop: StopRequest, log: ConsensusLog) -> None:
+    while not stop.requested:
+        if log.failure is not None:
+            raise log.failure
+        sleep(STOP_POLL_S)
+    record_event(EventName.process_stopping)
--- /dev/null
+++ b/src/godwitwheel/directory/records.py
@@ -0,0 +1,152 @@
+"""Records of the directory, and the messages between proxies and control."""
+
+import enum
+
+import msgspec
+
+from ..wire.numbers import Count
+
+
+class Consistency(enum.StrEnum):
+    """What a read of a route must see."""
+
+    primary = "primary"
+    bounded_staleness = "bounded_staleness"
+    read_your_writes = "read_your_writes"
+
+
+class Route(msgspec.Struct, frozen=True):
+    """How statements for one database are served.
+
+    :ivar database: name by which callers ask for it.
+    :ivar statement_timeout_ms: limit for one statement, in milliseconds.
+    :ivar latency_objective_ms: aim for a whole operation, in milliseconds.
+    :ivar priority: 0 is the most important.
+    :ivar max_staleness_ms: oldest data that a read may show, in milliseconds.
+    """
+
+    database: str
+    service: str
+    consistency: Consistency
+    statement_timeout_ms: int
+    latency_objective_ms: int
+    priority: int = 0
+    max_staleness_ms: int = 0
+
+
+class ServicePolicy(msgspec.Struct, frozen=True):
+    """What is declared for the targets of a service.
+
+    :ivar max_connections: cap of each target over all proxies together.
+    :ivar synchronous_replicas: replicas that hold a commit before it is
+        acknowledged; 0 means that the primary alone vouches for it.
+    """
+
+    name: str
+    max_connections: int
+    synchronous_replicas: int = 0
+
+
+class SessionLimits(msgspec.Struct, frozen=True):
+    """Limits on what callers send.
+
+    :ivar max_line_bytes: longest message.
+    :ivar start_timeout_ms: time until a new session has introduced itself.
+    :ivar transaction_idle_ms: rest inside a transaction before it is ended.
+    """
+
+    max_line_bytes: int = 1 << 20
+    start_timeout_ms: int = 3000
+    transaction_idle_ms: int = 3000
+
+
+class RoutingTable(msgspec.Struct, frozen=True):
+    """All routes and services, at one version.
+
+    :ivar version: 0 before the first one; the highest that was published counts.
+    """
+
+    version: Count = 0
+    routes: dict[str, Route] = {}
+    services: dict[str, ServicePolicy] = {}
+    limits: SessionLimits = SessionLimits()
+
+
+class TargetEntry(msgspec.Struct, frozen=True):
+    """A target as it announced itself.
+
+    :ivar started_at_ms: Unix time at which this incarnation started.
+    :ivar slots: statements that it runs at once.
+    :ivar leaving: it asked for no new work.
+    :ivar claims_lead: it says that it is the primary.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    started_at_ms: int
+    leaving: bool = False
+    claims_lead: bool = False
+
+
+class DirectoryView(msgspec.Struct, frozen=True):
+    """What proxies route by.
+
+    :ivar version: log index of the latest change.
+    :ivar primaries: target that leads, or was ordered to, by service.
+    :ivar proxies: number of proxies that share the targets' connections.
+    """
+
+    version: Count = 0
+    table: RoutingTable = RoutingTable()
+    targets: dict[str, TargetEntry] = {}
+    primaries: dict[str, str] = {}
+
+
+class PrimaryReport(msgspec.Struct, frozen=True):
+    """What a proxy has seen of a service's primary.
+
+    :ivar target_id: target that the proxy takes for the primary, or empty.
+    :ivar ok_age_ms: time since it last proved to lead, in milliseconds.
+    """
+
+    service: str
+    target_id: str
+    ok_age_ms: int
+
+
+class ProxyReport(msgspec.Struct, frozen=True):
+    """A proxy's periodic call to the leader.
+
+    :ivar view_version: version of the view that the proxy holds.
+    :ivar unreachable: targets that the proxy can't reach at present.
+    """
+
+    proxy_id: str
+    data_centre: str
+    view_version: Count
+    primaries: list[PrimaryReport] = []
+    unreachable: list[str] = []
+    leaving: bool = False
+
+
+class ProxyReply(msgspec.Struct, frozen=True):
+    """The leader's answer.
+
+    :ivar view: ``None`` if the proxy holds the newest.
+    :ivar members: addresses of all control members.
+    :ivar proxies: number of proxies that reported lately.
+    """
+
+    view_version: Count
+    proxies: int
+    members: list[str] = []
+    view: DirectoryView | None = None
+
+
+class Redirect(msgspec.Struct, frozen=True):
+    """Names the leader's address, which is empty if no leader is known."""
+
+    leader: str
--- /dev/null
+++ b/src/godwitwheel/directory/routes.py
@@ -0,0 +1,70 @@
+"""HTTP routes of the directory for the system's own processes."""
+
+import msgspec
+
+from ..control.errors import ControlError, NotLeading
+from ..sessions.reporting import MISDIRECTED, REPORT_PATH
+from ..wire.codec import decode
+from ..wire.control import ControlProblem
+from ..wire.server import Handler, Request, Response
+from .member import DirectoryMember
+from .records import ProxyReport, Redirect, TargetEntry
+
+ANNOUNCE_PATH = "/v1/directory/announce"
+REMOVE_PATH = "/v1/directory/remove"
+UNAVAILABLE = 503
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """A target's announcement, passed on to the leader."""
+
+    entry: TargetEntry
+    sequence: int
+
+
+class Removal(msgspec.Struct, frozen=True):
+    """A target's departure, passed on to the leader."""
+
+    target_id: str
+    started_at_ms: int | None = None
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """Tells that the leader has taken what was passed on."""
+
+
+def directory_routes(member: DirectoryMember) -> dict[tuple[str, str], Handler]:
+    """Returns the routes of a member."""
+
+    def report(request: Request) -> Response:
+        return Response(member.report(decode(request.body, ProxyReport)))
+
+    def announce(request: Request) -> Response:
+        message = decode(request.body, Announcement)
+        member.announce(message.entry, message.sequence)
+        return Response(Accepted())
+
+    def remove(request: Request) -> Response:
+        message = decode(request.body, Removal)
+        member.remove(message.target_id, message.started_at_ms)
+        return Response(Accepted())
+
+    return {
+        ("POST", REPORT_PATH): guarded(member, report),
+        ("POST", ANNOUNCE_PATH): guarded(member, announce),
+        ("POST", REMOVE_PATH): guarded(member, remove),
+    }
+
+
+def guarded(member: DirectoryMember, handler: Handler) -> Handler:
+    """Answers a request that this member can't serve with where to go instead."""
+
+    def guarded_handler(request: Request) -> Response:
+        try:
+            return handler(request)
+        except NotLeading:
+            return Response(Redirect(member.log.leader_address()), MISDIRECTED)
+        except ControlError as error:
+            return Response(ControlProblem(str(error)), UNAVAILABLE)
+
+    return guarded_handler
--- /dev/null
+++ b/src/godwitwheel/directory/state.py
@@ -0,0 +1,150 @@
+"""The replicated part of the directory."""
+
+import msgspec
+
+from .commands import (
+    DropEntry,
+    EntryResult,
+    PutEntry,
+    PutTable,
+    SetPrimary,
+    TableResult,
+)
+from .records import DirectoryView, RoutingTable, TargetEntry
+from .tables import TableCodec
+
+MAX_GONE = 1024
+
+
+class DirectorySnapshot(msgspec.Struct, frozen=True):
+    """The whole state."""
+
+    version: int = 0
+    document: bytes = b""
+    targets: dict[str, TargetEntry] = {}
+    primaries: dict[str, str] = {}
+    tokens: dict[str, int] = {}
+    gone: dict[str, int] = {}
+
+
+class Directory:
+    """Builds the view that proxies route by.
+
+    :ivar document: the routing table as it was published; empty before the first.
+    :ivar tokens: highest fencing token of an order, by service.
+    :ivar gone: start times of targets that left, by id, the oldest first.
+    """
+
+    __slots__ = ("codec", "view", "document", "tokens", "gone")
+
+    def __init__(self, codec: TableCodec):
+        self.codec = codec
+        self.view = DirectoryView()
+        self.document = b""
+        self.tokens: dict[str, int] = {}
+        self.gone: dict[str, int] = {}
+
+    def put_table(self, index: int, command: PutTable) -> TableResult:
+        """Puts a table in force, if its version is higher than the present one."""
+        table = self.codec.decode(command.document)
+        if self.document and table.version <= self.view.table.version:
+            return TableResult(False, self.view.table.version)
+        self.document = command.document
+        self._replace(index, table=table)
+        return TableResult(True, table.version)
+
+    def put_entry(self, index: int, command: PutEntry) -> EntryResult:
+        """Adds or replaces a target, unless a later incarnation is known."""
+        entry = command.entry
+        known = self.view.targets.get(entry.target_id)
+        if known == entry or self.is_outdated(entry):
+            return EntryResult(False)
+        targets = {
+            target_id: other
+            for target_id, other in self.view.targets.items()
+            if other.address != entry.address or target_id == entry.target_id
+        }
+        targets[entry.target_id] = entry
+        primaries = self._primaries_with(entry, known)
+        self._replace(index, targets=targets, primaries=primaries)
+        return EntryResult(True)
+
+    def is_outdated(self, entry: TargetEntry) -> bool:
+        """Whether the entry is of an incarnation that has been replaced."""
+        if self.gone.get(entry.target_id, -1) >= entry.started_at_ms:
+            return True
+        return any(
+            other.started_at_ms > entry.started_at_ms
+            for target_id, other in self.view.targets.items()
+            if target_id == entry.target_id or other.address == entry.address
+        )
+
+    def drop_entry(self, index: int, command: DropEntry) -> EntryResult:
+        """Forgets a target, and unless it may return, keeps it from coming back."""
+        known = self.view.targets.get(command.target_id)
+        if known is None or known.started_at_ms > command.started_at_ms:
+            return EntryResult(False)
+        if not command.may_return:
+            self._note_gone(command)
+        targets = dict(self.view.targets)
+        del targets[command.target_id]
+        self._replace(index, targets=targets)
+        return EntryResult(True)
+
+    def set_primary(self, index: int, command: SetPrimary) -> EntryResult:
+        """Names a service's primary, unless a later order did so."""
+        if command.token and command.token < self.tokens.get(command.service, 0):
+            return EntryResult(False)
+        if command.token:
+            self.tokens[command.service] = command.token
+        primaries = {**self.view.primaries, command.service: command.target_id}
+        if primaries != self.view.primaries:
+            self._replace(index, primaries=primaries)
+        return EntryResult(True)
+
+    def snapshot(self) -> DirectorySnapshot:
+        """Returns all that :meth:`restore` needs."""
+        view = self.view
+        return DirectorySnapshot(
+            view.version,
+            self.document,
+            view.targets,
+            view.primaries,
+            self.tokens,
+            self.gone,
+        )
+
+    def restore(self, snapshot: DirectorySnapshot) -> None:
+        """Replaces the whole state."""
+        self.document = snapshot.document
+        table = RoutingTable()
+        if snapshot.document:
+            table = self.codec.decode(snapshot.document)
+        self.view = DirectoryView(
+            snapshot.version, table, snapshot.targets, snapshot.primaries
+        )
+        self.tokens = dict(snapshot.tokens)
+        self.gone = dict(snapshot.gone)
+
+    def _note_gone(self, command: DropEntry) -> None:
+        self.gone.pop(command.target_id, None)
+        self.gone[command.target_id] = command.started_at_ms
+        if len(self.gone) > MAX_GONE:
+            del self.gone[next(iter(self.gone))]
+
+    def _primaries_with(
+        self, entry: TargetEntry, known: TargetEntry | None
+    ) -> dict[str, str]:
+        """Returns the primaries after an announcement.
+
+        A target that newly claims the lead has got it; one that goes on claiming it
+        may not have noticed that another was promoted.
+        """
+        primaries = self.view.primaries
+        claimed_before = known is not None and known.claims_lead
+        if entry.claims_lead and (not claimed_before or entry.service not in primaries):
+            return {**primaries, entry.service: entry.target_id}
+        return primaries
+
+    def _replace(self, index: int, **fields: object) -> None:
+        self.view = msgspec.structs.replace(self.view, version=index, **fields)
--- /dev/null
+++ b/src/godwitwheel/directory/tables.py
@@ -0,0 +1,55 @@
+"""Routing tables as documents: decoding and checking them."""
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from .errors import InvalidTable
+from .records import RoutingTable
+
+
+class TableCodec(ABC):
+    """Turns a published document into a routing table.
+
+    Every control member decodes the same documents, so the result may depend on
+    the document alone.
+    """
+
+    @abstractmethod
+    def decode(self, document: bytes) -> RoutingTable:
+        """Decodes and checks a document.
+
+        :raises InvalidTable: if it is not a valid table.
+        """
+
+
+class JsonTableCodec(TableCodec):
+    """Reads the product's own form: the JSON of :class:`RoutingTable`."""
+
+    def decode(self, document: bytes) -> RoutingTable:
+        try:
+            table = msgspec.json.decode(document, type=RoutingTable)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise InvalidTable(str(error)) from error
+        check_table(table)
+        return table
+
+
+def check_table(table: RoutingTable) -> None:
+    """Checks what the types don't say.
+
+    :raises InvalidTable: naming the route at fault.
+    """
+    for name, route in table.routes.items():
+        if name != route.database:
+            raise InvalidTable(f"route {name!r}: its database is {route.database!r}")
+        if route.service not in table.services:
+            raise InvalidTable(
+                f"route {name!r}: got service {route.service!r}, expected one of "
+                f"{sorted(table.services)}"
+            )
+        if route.statement_timeout_ms <= 0:
+            raise InvalidTable(
+                f"route {name!r}: got timeout {route.statement_timeout_ms} ms, "
+                "expected at least 1"
+            )
--- a/src/godwitwheel/observe/log.py
+++ b/src/godwitwheel/observe/log.py
@@ -21,6 +21,8 @@
 FLUSH_LIMIT_S = 1.0
 FLUSH_POLL_S = 0.01
 FILE_MODE = 0o644
+# Stands for standard output where the path of a log file is expected.
+STANDARD_OUTPUT = "-"
 _FLAGS = os.O_WRONLY | os.O_APPEND | os.O_NONBLOCK | os.O_CLOEXEC
 
 
@@ -42,12 +44,15 @@
 def open_log(path: str) -> int:
     """Opens a log file to append to, or standard error if ``path`` is empty.
 
+    :param path: ``-`` for standard output.
     :returns: a non-blocking descriptor that the caller owns.
     :raises LogUnavailable: if it can't be opened.
     """
     try:
         if not path:
             return reopen(sys.stderr.fileno())
+        if path == STANDARD_OUTPUT:
+            return reopen(sys.stdout.fileno())
         return os.open(path, _FLAGS | os.O_CREAT, FILE_MODE)
     except OSError as error:
         raise LogUnavailable(f"log file {path!r}: {error.strerror}") from error
--- /dev/null
+++ b/src/godwitwheel/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Interactive sessions: statements of callers on pooled connections."""
--- /dev/null
+++ b/src/godwitwheel/sessions/attempts.py
@@ -0,0 +1,174 @@
+"""One attempt at a target: lend a connection, exchange commands, note the outcome."""
+
+from ..directory.records import TargetEntry
+from ..observe.events import EventName
+from .carrying import command_for_prepared, commands_for_values
+from .choosing import note_answered, note_unanswered
+from .connection import Command, Run
+from .context import SessionContext, SessionState
+from .errors import ConnectFailed, ConnectionLost, PoolExhausted, TooManyConnections
+from .pool import PooledConnection
+from .statements import Answer, Position, Statement, TransactionState
+
+
+def borrow(
+    context: SessionContext,
+    target: TargetEntry,
+    state: SessionState,
+    priority: int,
+    timeout_s: float,
+) -> PooledConnection | None:
+    """Lends a connection to a target.
+
+    :returns: ``None`` if there is none in time; nothing ran.
+    """
+    board = context.board
+    try:
+        return board.pool(target).acquire(state.values, priority, timeout_s)
+    except TooManyConnections:
+        context.metrics.attempts.inc({"outcome": "too_many_connections"})
+    except PoolExhausted:
+        context.metrics.attempts.inc({"outcome": "pool_exhausted"})
+    except ConnectFailed as error:
+        context.metrics.attempts.inc({"outcome": "connect_failed"})
+        mark_unanswered(context, target, str(error))
+    return None
+
+
+def setup_commands(
+    pooled: PooledConnection, state: SessionState, statement: Statement | None
+) -> tuple[list[Command], str]:
+    """Returns what the connection must be told first, and its prepared name."""
+    commands = commands_for_values(pooled.carried, state.values)
+    prepared = state.prepared_by(statement) if statement is not None else None
+    if prepared is None:
+        return commands, ""
+    preparing, name = command_for_prepared(pooled.carried, prepared)
+    return commands + preparing, name
+
+
+def exchange(
+    context: SessionContext,
+    pooled: PooledConnection,
+    commands: list[Command],
+    timeout_s: float,
+) -> list[Answer]:
+    """Exchanges commands and takes in what it says of the target.
+
+    :raises ConnectionLost: if not all were answered; the connection is broken.
+    """
+    board = context.board
+    target = pooled.pool.target
+    status = board.status(target.target_id)
+    started_at = board.clock.now()
+    status.in_flight += 1
+    try:
+        answers = pooled.connection.exchange(commands, max(timeout_s, 0.001))
+    except ConnectionLost as error:
+        pooled.is_broken = True
+        context.metrics.lost_connections.inc({})
+        if error.timed_out:
+            mark_unanswered(context, target, str(error))
+        raise
+    except BaseException:
+        # A task that is killed here leaves answers unread.
+        pooled.is_broken = True
+        raise
+    finally:
+        status.in_flight -= 1
+    was_failing = status.failing_since is not None
+    note_answered(status, board.clock.now() - started_at)
+    if was_failing:
+        context.log.record(
+            EventName.target_reachable, board.clock.now(), target_id=target.target_id
+        )
+    _check_setup(context, pooled, commands, answers)
+    return answers
+
+
+def _check_setup(
+    context: SessionContext,
+    pooled: PooledConnection,
+    commands: list[Command],
+    answers: list[Answer],
+) -> None:
+    """Gives up a connection that did not take its session values."""
+    for command, answer in zip(commands, answers, strict=True):
+        if answer.error is None or isinstance(command, Run):
+            continue
+        pooled.carried.clear()
+        if answer.state is not TransactionState.open:
+            pooled.is_broken = True
+        context.log.record(
+            EventName.setup_refused,
+            context.now(),
+            target_id=pooled.pool.target.target_id,
+            command=type(command).__name__,
+            error=answer.error.value,
+        )
+
+
+def give_back(pooled: PooledConnection, answers: list[Answer]) -> None:
+    """Returns a connection; one inside a transaction is closed."""
+    if answers and answers[-1].state is not TransactionState.idle:
+        pooled.is_broken = True
+    pooled.pool.release(pooled)
+
+
+def mark_unanswered(context: SessionContext, target: TargetEntry, reason: str) -> None:
+    """Notes that a target can't be reached or stayed silent."""
+    now = context.now()
+    is_first = note_unanswered(context.board.status(target.target_id), now)
+    if is_first:
+        context.log.record(
+            EventName.target_unreachable,
+            now,
+            target_id=target.target_id,
+            reason=reason,
+        )
+
+
+def mark_leading(
+    context: SessionContext,
+    target: TargetEntry,
+    asked_at: float,
+    position: Position | None,
+) -> None:
+    """Takes in that a target proved to lead its service."""
+    board = context.board
+    belief = board.belief(target.service)
+    term = position.term if position is not None else 0
+    if belief.target_id != target.target_id:
+        if term < belief.term:
+            return
+        context.log.record(
+            EventName.primary_found,
+            board.clock.now(),
+            service=target.service,
+            target_id=target.target_id,
+            before=belief.target_id,
+            term=term,
+        )
+        belief.target_id = target.target_id
+        board.changed.notify()
+    elif belief.proved_at is None:
+        board.changed.notify()
+    belief.term = max(belief.term, term)
+    belief.proved_at = asked_at
+    if position is not None:
+        board.history(target.service).add(asked_at, position)
+
+
+def mark_not_leading(context: SessionContext, target: TargetEntry) -> None:
+    """Takes in that a target refused for lack of the lead."""
+    belief = context.board.belief(target.service)
+    if belief.target_id != target.target_id or belief.proved_at is None:
+        return
+    belief.proved_at = None
+    context.log.record(
+        EventName.primary_lost,
+        context.now(),
+        service=target.service,
+        target_id=target.target_id,
+        reason="it refused for lack of the lead",
+    )
--- /dev/null
+++ b/src/godwitwheel/sessions/board.py
@@ -0,0 +1,162 @@
+"""What a proxy knows for interactive sessions; controllers read and write it."""
+
+from ..directory.records import DirectoryView, ServicePolicy, TargetEntry
+from ..internal.clock import Clock
+from ..internal.signals import ChangeSignal
+from .connection import Connector
+from .floors import PositionHistory
+from .pool import TargetPool
+
+# Connections of a target that no proxy counts on: those of control and of proxies
+# that started a moment ago.
+RESERVED_CONNECTIONS = 2
+MIN_POOL = 1
+
+
+class TargetStatus:
+    """What this proxy has seen of a target.
+
+    :ivar failing_since: time of the first failure after the last answer, or
+        ``None`` while it answers.
+    :ivar retry_at: no new work goes there before that time, unless all fail.
+    :ivar latency_s: moving average of the time that a read takes.
+    :ivar in_flight: statements sent and not answered.
+    """
+
+    __slots__ = ("failing_since", "failures", "retry_at", "latency_s", "in_flight")
+
+    def __init__(self):
+        self.failing_since: float | None = None
+        self.failures = 0
+        self.retry_at = 0.0
+        self.latency_s = 0.0
+        self.in_flight = 0
+
+
+class PrimaryBelief:
+    """Which target this proxy takes for a service's primary.
+
+    :ivar proved_at: when it last proved to lead, or ``None``.
+    :ivar term: term in which it led then.
+    """
+
+    __slots__ = ("target_id", "term", "proved_at")
+
+    def __init__(self, target_id: str = "", term: int = 0):
+        self.target_id = target_id
+        self.term = term
+        self.proved_at: float | None = None
+
+
+class SessionBoard:
+    """The proxy's blackboard for interactive sessions.
+
+    :ivar view: newest view from control; version 0 before the first.
+    :ivar proxies: how many proxies share the targets' connections.
+    :ivar changed: notified when a primary or the view changes.
+    """
+
+    __slots__ = (
+        "clock",
+        "connector",
+        "data_centre",
+        "view",
+        "proxies",
+        "pools",
+        "statuses",
+        "beliefs",
+        "histories",
+        "changed",
+    )
+
+    def __init__(self, clock: Clock, connector: Connector, data_centre: str):
+        self.clock = clock
+        self.connector = connector
+        self.data_centre = data_centre
+        self.view = DirectoryView()
+        self.proxies = 1
+        self.pools: dict[str, TargetPool] = {}
+        self.statuses: dict[str, TargetStatus] = {}
+        self.beliefs: dict[str, PrimaryBelief] = {}
+        self.histories: dict[str, PositionHistory] = {}
+        self.changed = ChangeSignal()
+
+    def targets_of(self, service: str) -> list[TargetEntry]:
+        """Returns all known targets of a service."""
+        return [t for t in self.view.targets.values() if t.service == service]
+
+    def status(self, target_id: str) -> TargetStatus:
+        """Returns what has been seen of a target."""
+        status = self.statuses.get(target_id)
+        if status is None:
+            status = self.statuses[target_id] = TargetStatus()
+        return status
+
+    def history(self, service: str) -> PositionHistory:
+        """Returns the samples of a service's primary."""
+        history = self.histories.get(service)
+        if history is None:
+            history = self.histories[service] = PositionHistory()
+        return history
+
+    def belief(self, service: str) -> PrimaryBelief:
+        """Returns which target is taken for a service's primary."""
+        belief = self.beliefs.get(service)
+        if belief is None:
+            belief = self.beliefs[service] = PrimaryBelief()
+        return belief
+
+    def pool(self, target: TargetEntry) -> TargetPool:
+        """Returns the connections to a target."""
+        pool = self.pools.get(target.target_id)
+        if pool is not None and pool.target.address != target.address:
+            pool.close()
+            pool = None
+        if pool is None:
+            limit = self.pool_limit(target.service)
+            pool = TargetPool(target, self.connector, self.clock, limit)
+            self.pools[target.target_id] = pool
+        return pool
+
+    def pool_limit(self, service: str) -> int:
+        """Returns this proxy's share of a target's connections."""
+        policy = self.view.table.services.get(service)
+        cap = policy.max_connections if policy is not None else 0
+        share = (cap - RESERVED_CONNECTIONS) // max(self.proxies, 1)
+        return max(share, MIN_POOL)
+
+    def policy(self, service: str) -> ServicePolicy | None:
+        """Returns what is declared for a service."""
+        return self.view.table.services.get(service)
+
+    def apply_view(self, view: DirectoryView) -> bool:
+        """Takes a newer view; an older one changes nothing.
+
+        :returns: whether it was newer.
+        """
+        if view.version <= self.view.version:
+            return False
+        previous = self.view
+        self.view = view
+        for target_id in list(self.pools):
+            if target_id not in view.targets:
+                self.pools.pop(target_id).close()
+                self.statuses.pop(target_id, None)
+        for service, target_id in view.primaries.items():
+            # What this proxy found out since the last order goes before it.
+            if previous.primaries.get(service) != target_id:
+                self._follow_order(service, target_id)
+        self.apply_limits()
+        self.changed.notify()
+        return True
+
+    def apply_limits(self) -> None:
+        """Gives every pool its present share."""
+        for pool in self.pools.values():
+            pool.limit = self.pool_limit(pool.target.service)
+
+    def _follow_order(self, service: str, target_id: str) -> None:
+        belief = self.belief(service)
+        if belief.target_id != target_id:
+            belief.target_id = target_id
+            belief.proved_at = None
--- /dev/null
+++ b/src/godwitwheel/sessions/errors.py
@@ -0,0 +1,39 @@
+"""Errors of interactive sessions."""
+
+from ..internal.errors import GodwitwheelError
+
+
+class SessionsError(GodwitwheelError):
+    """Base of this layer's errors."""
+
+
+class ConnectFailed(SessionsError):
+    """No connection could be opened; nothing ran.
+
+    :ivar refused: the target answered and refused, so it is reachable.
+    """
+
+    def __init__(self, message: str, refused: bool = False):
+        super().__init__(message)
+        self.refused = refused
+
+
+class TooManyConnections(ConnectFailed):
+    """The target has no room for another connection."""
+
+
+class ConnectionLost(SessionsError):
+    """A connection ended or stayed silent before every command was answered.
+
+    :ivar answers: the answers that came, in the order of the commands.
+    :ivar timed_out: whether the target stayed silent rather than closed.
+    """
+
+    def __init__(self, message: str, answers: list, timed_out: bool = False):
+        super().__init__(message)
+        self.answers = answers
+        self.timed_out = timed_out
+
+
+class PoolExhausted(SessionsError):
+    """No pooled connection became free in time; nothing ran."""
--- /dev/null
+++ b/src/godwitwheel/sessions/process.py
@@ -0,0 +1,154 @@
+"""The session proxy's process: wiring only."""
+
+import contextlib
+import random
+from collections.abc import Callable
+
+from ..internal.clock import BootClock
+from ..internal.loop import running_task, sleep
+from ..internal.requests import StopRequest
+from ..observe.events import EventName, record_event, record_failure
+from ..observe.health import observe_routes
+from ..wire.client import Client
+from ..wire.server import Response, Server
+from ..wire.streams import Stream, StreamServer
+from .board import SessionBoard
+from .connection import Connector
+from .context import SessionContext
+from .events import StatementLog
+from .metrics import SessionMetrics
+from .reporting import ControlMembers, Reporter
+from .sampler import Sampler
+from .serving import CallerLink, SessionServer
+
+STOP_POLL_S = 0.05
+# The balancer asks once a second and takes a proxy out after two misses.
+READINESS_NOTICED_S = 2.3
+# Kept back from the grace period for the process's own end, in seconds.
+END_MARGIN_S = 0.7
+# A proxy is ready once control answered within this time, or it has served before.
+FIRST_ANSWER_S = 5.0
+
+
+class SessionProxySettings:
+    """What a session proxy is told.
+
+    :ivar listen: address for callers.
+    :ivar readiness_listen: address for the balancer's questions.
+    :ivar internal_listen: address for metrics.
+    :ivar readiness_path: path of the balancer's questions.
+    :ivar seeds: addresses at which control may be found.
+    :ivar grace_period_s: time from the request to stop until the process is killed.
+    """
+
+    __slots__ = (
+        "proxy_id",
+        "data_centre",
+        "listen",
+        "readiness_listen",
+        "internal_listen",
+        "readiness_path",
+        "seeds",
+        "grace_period_s",
+    )
+
+    def __init__(
+        self,
+        proxy_id: str,
+        data_centre: str,
+        listen: str,
+        readiness_listen: str,
+        internal_listen: str,
+        readiness_path: str,
+        seeds: list[str],
+        grace_period_s: float,
+    ):
+        self.proxy_id = proxy_id
+        self.data_centre = data_centre
+        self.listen = listen
+        self.readiness_listen = readiness_listen
+        self.internal_listen = internal_listen
+        self.readiness_path = readiness_path
+        self.seeds = seeds
+        self.grace_period_s = grace_period_s
+
+
+class SessionProxy:
+    """One running session proxy.
+
+    :ivar members: where control is looked for; its seeds may be replaced.
+    """
+
+    __slots__ = (
+        "settings",
+        "clock",
+        "board",
+        "context",
+        "members",
+        "server",
+        "stopping",
+    )
+
+    def __init__(self, settings: SessionProxySettings, connector: Connector):
+        self.settings = settings
+        self.clock = BootClock()
+        self.board = SessionBoard(self.clock, connector, settings.data_centre)
+        metrics = SessionMetrics(settings.proxy_id)
+        self.context = SessionContext(self.board, StatementLog(), metrics)
+        self.members = ControlMembers(settings.seeds, random.Random())
+        self.server = SessionServer(self.context)
+        self.stopping = False
+
+    def is_ready(self) -> bool:
+        """Whether new callers are welcome."""
+        return not self.stopping and self.board.view.table.version > 0
+
+    def run(self, stop: StopRequest, make_link: Callable[[Stream], CallerLink]) -> None:
+        """Serves until the process is told to stop.
+
+        :param make_link: speaks the callers' protocol on a connection.
+        """
+        settings = self.settings
+
+        def serve(stream: Stream) -> None:
+            self.server.serve(make_link(stream))
+
+        def ready(request) -> Response:
+            is_ready = self.is_ready()
+            return Response({"ready": is_ready}, 200 if is_ready else 503)
+
+        routes = {
+            ("GET", settings.readiness_path): ready,
+            **observe_routes(self.context.metrics, self.is_ready),
+        }
+        with contextlib.ExitStack() as stack:
+            client = stack.enter_context(Client())
+            reporter = Reporter(self.board, self.members, client, settings.proxy_id)
+            sampler = Sampler(self.context)
+            for address in {settings.readiness_listen, settings.internal_listen}:
+                server = Server(routes, record_failure)
+                stack.enter_context(server.listening(address))
+            callers = StreamServer(serve, record_failure)
+            stack.enter_context(callers.listening(settings.listen))
+            stack.enter_context(running_task(reporter.run, record_failure))
+            stack.enter_context(running_task(sampler.run, record_failure))
+            while not stop.requested:
+                sleep(STOP_POLL_S)
+            self._stop(callers, reporter)
+
+    def _stop(self, callers: StreamServer, reporter: Reporter) -> None:
+        """Lets callers go without cutting off what is in flight."""
+        started_at = self.clock.now()
+        self.stopping = True
+        record_event(
+            EventName.process_stopping, sessions=len(self.server.open_sessions)
+        )
+        sleep(min(READINESS_NOTICED_S, self.settings.grace_period_s / 3))
+        callers.stop_accepting()
+        grace_s = self.settings.grace_period_s
+        transactions_until = started_at + max(grace_s / 2, READINESS_NOTICED_S)
+        self.server.drain(self.clock, transactions_until)
+        self.server.expire_transactions()
+        self.server.drain(self.clock, started_at + grace_s - END_MARGIN_S)
+        reporter.leaving = True
+        reporter.report()
--- /dev/null
+++ b/src/godwitwheel/sessions/reporting.py
@@ -0,0 +1,152 @@
+"""Reports to control what this proxy has seen, and takes what control decided."""
+
+import random
+
+from ..directory.records import PrimaryReport, ProxyReply, ProxyReport, Redirect
+from ..internal.loop import sleep
+from ..observe.events import EventName, record_event
+from ..wire.client import Client
+from ..wire.codec import decode, encode
+from ..wire.errors import BadMessage, WireError
+from .board import SessionBoard
+
+REPORT_PATH = "/v1/directory/report"
+REPORT_INTERVAL_S = 0.25
+REPORT_TIMEOUT_S = 0.6
+MISDIRECTED = 421
+UNKNOWN_AGE_MS = 1_000_000
+
+
+class ControlMembers:
+    """Addresses at which control may be found.
+
+    :ivar seeds: addresses from the settings.
+    :ivar members: addresses that the leader named last.
+    :ivar leader: address to try first, or empty.
+    """
+
+    __slots__ = ("seeds", "members", "leader", "rng")
+
+    def __init__(self, seeds: list[str], rng: random.Random):
+        self.seeds = seeds
+        self.members: list[str] = []
+        self.leader = ""
+        self.rng = rng
+
+    def next_address(self) -> str:
+        """Returns the leader, or any other member while none is known."""
+        if self.leader:
+            return self.leader
+        known = sorted({*self.seeds, *self.members})
+        return self.rng.choice(known) if known else ""
+
+
+class Reporter:
+    """Calls the leader at short intervals.
+
+    :ivar answered_at: when a leader answered last, or ``None``.
+    """
+
+    __slots__ = (
+        "board",
+        "members",
+        "client",
+        "proxy_id",
+        "leaving",
+        "answered_at",
+        "is_lost",
+    )
+
+    def __init__(
+        self,
+        board: SessionBoard,
+        members: ControlMembers,
+        client: Client,
+        proxy_id: str,
+    ):
+        self.board = board
+        self.members = members
+        self.client = client
+        self.proxy_id = proxy_id
+        self.leaving = False
+        self.answered_at: float | None = None
+        self.is_lost = False
+
+    def run(self) -> None:
+        """Reports for as long as the process runs."""
+        while True:
+            found = self.report()
+            sleep(REPORT_INTERVAL_S if found else REPORT_INTERVAL_S / 5)
+
+    def report(self) -> bool:
+        """Reports once.
+
+        :returns: whether a leader answered.
+        """
+        address = self.members.next_address()
+        if not address:
+            return False
+        try:
+            status, body = self.client.exchange(
+                address, "POST", REPORT_PATH, encode(self.build()), REPORT_TIMEOUT_S
+            )
+            if status == 200:
+                self._take(address, decode(body, ProxyReply))
+                return True
+            self.members.leader = ""
+            if status == MISDIRECTED:
+                self.members.leader = decode(body, Redirect).leader
+        except (WireError, BadMessage) as error:
+            self.members.leader = ""
+            self._note_lost(address, str(error))
+        return False
+
+    def build(self) -> ProxyReport:
+        """Returns what this proxy has seen."""
+        board = self.board
+        now = board.clock.now()
+        reports = []
+        for service in board.view.table.services:
+            belief = board.belief(service)
+            age_ms = UNKNOWN_AGE_MS
+            if belief.proved_at is not None:
+                age_ms = round(1000 * (now - belief.proved_at))
+            reports.append(PrimaryReport(service, belief.target_id, age_ms))
+        unreachable = [
+            target_id
+            for target_id, status in board.statuses.items()
+            if status.failing_since is not None
+        ]
+        return ProxyReport(
+            self.proxy_id,
+            board.data_centre,
+            board.view.version,
+            reports,
+            sorted(unreachable),
+            self.leaving,
+        )
+
+    def _take(self, address: str, reply: ProxyReply) -> None:
+        board = self.board
+        self.members.leader = address
+        self.members.members = reply.members
+        self.answered_at = board.clock.now()
+        if self.is_lost:
+            self.is_lost = False
+            record_event(EventName.control_reachable, address=address)
+        if reply.proxies != board.proxies:
+            board.proxies = reply.proxies
+            board.apply_limits()
+        if reply.view is not None and board.apply_view(reply.view):
+            record_event(
+                EventName.view_in_force,
+                version=reply.view.version,
+                table_version=reply.view.table.version,
+                targets=len(reply.view.targets),
+                primaries=reply.view.primaries,
+            )
+
+    def _note_lost(self, address: str, reason: str) -> None:
+        if not self.is_lost:
+            self.is_lost = True
+            record_event(EventName.control_unreachable, address=address, reason=reason)
--- /dev/null
+++ b/src/godwitwheel/sessions/serving.py
@@ -0,0 +1,176 @@
+"""Serves callers' connections, and ends them gracefully at a stop."""
+
+from abc import ABC, abstractmethod
+
+from ..internal.clock import Clock
+from ..internal.loop import sleep
+from ..observe.events import EventName, record_event
+from ..wire.streams import StreamClosed, StreamTimeout
+from .context import SessionContext, SessionState
+from .session import Session
+from .statements import Answer, ErrorCode, Statement, error_answer
+
+DRAIN_POLL_S = 0.02
+
+
+class CallerLink(ABC):
+    """A caller's connection, in whatever form it speaks."""
+
+    @abstractmethod
+    def read_start(self, timeout_s: float) -> str:
+        """Returns the database that the caller asks for.
+
+        :raises StreamTimeout: if the caller does not introduce itself in time.
+        :raises StreamClosed: if it leaves, or breaks the protocol.
+        """
+
+    @abstractmethod
+    def accept(self) -> None:
+        """Tells the caller that its session is open."""
+
+    @abstractmethod
+    def refuse(self, answer: Answer) -> None:
+        """Tells the caller why there is no session."""
+
+    @abstractmethod
+    def read_statement(self, timeout_s: float | None) -> Statement | Answer:
+        """Returns the next statement, or the answer to one that is malformed.
+
+        :raises StreamTimeout: if none comes in time.
+        :raises StreamClosed: if the caller leaves, or breaks the protocol.
+        """
+
+    @abstractmethod
+    def send(self, answer: Answer) -> None:
+        """Sends an answer."""
+
+    @abstractmethod
+    def has_input(self) -> bool:
+        """Whether a part of a statement has arrived."""
+
+    @abstractmethod
+    def end(self) -> None:
+        """Ends the connection, which wakes a task that waits for a statement."""
+
+
+class OpenSession:
+    """A session and its connection.
+
+    :ivar is_busy: a statement is being served.
+    """
+
+    __slots__ = ("link", "session", "is_busy")
+
+    def __init__(self, link: CallerLink, session: Session):
+        self.link = link
+        self.session = session
+        self.is_busy = False
+
+    def is_idle(self) -> bool:
+        """Whether nothing is lost if the connection ends now."""
+        if self.is_busy or self.session.transaction is not None:
+            return False
+        return not self.link.has_input()
+
+
+class SessionServer:
+    """Serves sessions until they end or the process stops.
+
+    :ivar open_sessions: sessions open now.
+    :ivar is_ending: idle sessions are ended as soon as they are idle.
+    """
+
+    __slots__ = ("context", "open_sessions", "is_ending", "next_number")
+
+    def __init__(self, context: SessionContext):
+        self.context = context
+        self.open_sessions: set[OpenSession] = set()
+        self.is_ending = False
+        self.next_number = 0
+
+    def serve(self, link: CallerLink) -> None:
+        """Serves one connection to its end."""
+        limits = self.context.board.view.table.limits
+        database = link.read_start(limits.start_timeout_ms / 1000.0)
+        if not self._may_open(link, database):
+            return
+        self.next_number += 1
+        state = SessionState(str(self.next_number), database)
+        with Session(self.context, state) as session:
+            record = OpenSession(link, session)
+            self.open_sessions.add(record)
+            self.context.metrics.sessions.set({}, len(self.open_sessions))
+            try:
+                link.accept()
+                self._serve_statements(record)
+            finally:
+                self.open_sessions.discard(record)
+                self.context.metrics.sessions.set({}, len(self.open_sessions))
+
+    def drain(self, clock: Clock, deadline: float) -> None:
+        """Ends sessions as they become idle, until none is left or time is over."""
+        self.is_ending = True
+        while self.open_sessions and clock.now() < deadline:
+            self.end_idle()
+            sleep(DRAIN_POLL_S)
+
+    def end_idle(self) -> None:
+        """Ends the sessions that are idle now."""
+        for record in list(self.open_sessions):
+            if record.is_idle():
+                record.link.end()
+
+    def expire_transactions(self) -> None:
+        """Ends the transactions that rest, so that their sessions can end."""
+        for record in list(self.open_sessions):
+            if not record.is_busy:
+                record.session.expire()
+                record.link.end()
+
+    def _may_open(self, link: CallerLink, database: str) -> bool:
+        if self.context.route(database) is not None:
+            return True
+        version = self.context.board.view.table.version
+        self.context.log.record(
+            EventName.session_refused,
+            self.context.now(),
+            database=database,
+            reason="no route",
+            table_version=version,
+        )
+        if version == 0:
+            text = "no routing table yet; retry after 500 ms"
+            link.refuse(error_answer(ErrorCode.overloaded, text))
+        else:
+            link.refuse(error_answer(ErrorCode.unknown_database, database))
+        return False
+
+    def _serve_statements(self, record: OpenSession) -> None:
+        while True:
+            statement = self._next_statement(record)
+            record.is_busy = True
+            if isinstance(statement, Answer):
+                answer = statement
+                answer.state = record.session.transaction_state()
+            else:
+                answer = record.session.execute(statement)
+            record.link.send(answer)
+            record.is_busy = False
+            if self.is_ending and record.is_idle():
+                raise StreamClosed("the process is stopping")
+
+    def _next_statement(self, record: OpenSession) -> Statement | Answer:
+        transaction = record.session.transaction
+        if transaction is None or transaction.has_failed:
+            return record.link.read_statement(None)
+        limits = self.context.board.view.table.limits
+        try:
+            return record.link.read_statement(limits.transaction_idle_ms / 1000.0)
+        except StreamTimeout:
+            record.session.expire()
+            record_event(
+                EventName.transaction_expired,
+                session_id=record.session.state.session_id,
+                idle_ms=limits.transaction_idle_ms,
+            )
+            return record.link.read_statement(None)
--- /dev/null
+++ b/src/godwitwheel/sessions/session.py
@@ -0,0 +1,146 @@
+"""One caller's session: its values, its prepared statements, its transaction."""
+
+from ..directory.records import Route
+from ..observe.events import EventName
+from .carrying import PreparedStatement
+from .context import SessionContext, SessionState
+from .single import run_single
+from .statements import (
+    Answer,
+    ErrorCode,
+    Statement,
+    StatementKind,
+    TransactionState,
+    error_answer,
+)
+from .transaction import Transaction
+
+MAX_SESSION_VALUES = 256
+MAX_SESSION_PREPARED = 1024
+
+
+class Session:
+    """Serves the statements of one caller, one at a time.
+
+    Nothing is asked of a target before the first statement that has to run: a
+    transaction that has only begun holds no connection.
+
+    :ivar transaction: the open or failed transaction, or ``None``.
+    """
+
+    __slots__ = ("context", "state", "transaction")
+
+    def __init__(self, context: SessionContext, state: SessionState):
+        self.context = context
+        self.state = state
+        self.transaction: Transaction | None = None
+
+    def __enter__(self) -> "Session":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        if self.transaction is not None:
+            self.transaction.abandon("the caller left")
+
+    def route(self) -> Route | None:
+        """Returns the route in force for the session's database."""
+        return self.context.route(self.state.database)
+
+    def transaction_state(self) -> TransactionState:
+        """Returns where the session stands."""
+        if self.transaction is None:
+            return TransactionState.idle
+        if self.transaction.has_failed:
+            return TransactionState.failed
+        return TransactionState.open
+
+    def execute(self, statement: Statement) -> Answer:
+        """Serves one statement and returns its whole answer."""
+        answer = self._execute(statement)
+        answer.state = self.transaction_state()
+        return answer
+
+    def expire(self) -> None:
+        """Ends a transaction that has rested for too long."""
+        if self.transaction is not None:
+            self.transaction.fail("idle for too long")
+
+    def _execute(self, statement: Statement) -> Answer:
+        match statement.kind:
+            case StatementKind.commit | StatementKind.rollback:
+                return self._end(statement)
+            case _ if self.transaction_state() is TransactionState.failed:
+                return error_answer(
+                    ErrorCode.malformed, "the transaction failed; end it first"
+                )
+            case StatementKind.begin:
+                return self._begin(statement)
+            case StatementKind.set_value:
+                return self._set_value(statement)
+            case StatementKind.prepare:
+                return self._prepare(statement)
+            case StatementKind.deallocate:
+                self.state.prepared.pop(statement.name, None)
+                return Answer()
+            case StatementKind.execute if statement.name not in self.state.prepared:
+                return error_answer(
+                    ErrorCode.unknown_statement, f"{statement.name}: not prepared"
+                )
+        return self._run(statement)
+
+    def _begin(self, statement: Statement) -> Answer:
+        if self.transaction is not None:
+            return error_answer(ErrorCode.malformed, "a transaction is open")
+        route = self.route()
+        if route is None:
+            return self._no_route(statement)
+        self.transaction = Transaction(
+            self.context, self.state, route, statement.read_only
+        )
+        return Answer()
+
+    def _set_value(self, statement: Statement) -> Answer:
+        is_new = statement.name not in self.state.values
+        if is_new and len(self.state.values) >= MAX_SESSION_VALUES:
+            return error_answer(ErrorCode.too_large, "too many session values")
+        self.state.values[statement.name] = statement.value
+        return Answer()
+
+    def _prepare(self, statement: Statement) -> Answer:
+        if len(self.state.prepared) >= MAX_SESSION_PREPARED:
+            return error_answer(ErrorCode.too_large, "too many prepared statements")
+        prepared = PreparedStatement(statement.access, statement.shape)
+        self.state.prepared[statement.name] = prepared
+        return Answer()
+
+    def _run(self, statement: Statement) -> Answer:
+        if self.transaction is not None:
+            return self.transaction.run(statement)
+        route = self.route()
+        if route is None:
+            return self._no_route(statement)
+        return run_single(self.context, self.state, route, statement)
+
+    def _end(self, statement: Statement) -> Answer:
+        transaction = self.transaction
+        if transaction is None:
+            return error_answer(ErrorCode.malformed, "no transaction is open")
+        try:
+            if statement.kind is StatementKind.commit:
+                return transaction.commit(statement)
+            transaction.abandon("the caller rolled back")
+            return Answer()
+        finally:
+            self.transaction = None
+
+    def _no_route(self, statement: Statement) -> Answer:
+        board = self.context.board
+        self.context.log.record(
+            EventName.statement_refused,
+            self.context.now(),
+            request_id=statement.request_id,
+            database=self.state.database,
+            reason="no route",
+            table_version=board.view.table.version,
+        )
+        return error_answer(ErrorCode.unknown_database, self.state.database)
--- /dev/null
+++ b/src/godwitwheel/sessions/single.py
@@ -0,0 +1,323 @@
+"""Runs one statement outside a transaction."""
+
+from ..directory.records import Consistency, Route, TargetEntry
+from ..internal.loop import sleep
+from ..internal.sentinel import Refusal
+from ..observe.events import EventName
+from ..wire.service import Access
+from .attempts import (
+    borrow,
+    exchange,
+    give_back,
+    mark_leading,
+    mark_not_leading,
+    setup_commands,
+)
+from .choosing import choose_primary, choose_reader
+from .connection import Begin, Rollback, Run
+from .context import SessionContext, SessionState
+from .errors import ConnectionLost
+from .floors import read_floor
+from .statements import Answer, ErrorCode, Position, Statement, error_answer
+from .waiting import RETRY_PAUSE_S, Patience, refusal_text
+
+# What a refused caller is told to wait, in milliseconds.
+RETRY_BUSY_MS = 50
+RETRY_NO_PRIMARY_MS = 300
+RETRY_LAGGING_MS = 100
+
+
+def run_single(
+    context: SessionContext, state: SessionState, route: Route, statement: Statement
+) -> Answer:
+    """Runs a read or a write on its own and returns its answer."""
+    if state.access_of(statement) is Access.write:
+        run: SingleRun = WriteRun(context, state, route, statement)
+    elif route.consistency is Consistency.primary:
+        run = PrimaryReadRun(context, state, route, statement)
+    else:
+        run = ReadRun(context, state, route, statement)
+    return run.run()
+
+
+class SingleRun:
+    """Tries targets until one has answered, or the statement's time is over.
+
+    :ivar refusal: the last refusal by a target, or ``None``.
+    :ivar reason: why the last attempt came to nothing.
+    :ivar attempts: targets tried so far.
+    """
+
+    __slots__ = (
+        "context",
+        "state",
+        "route",
+        "statement",
+        "patience",
+        "refusal",
+        "reason",
+        "attempts",
+        "target_id",
+    )
+
+    def __init__(
+        self,
+        context: SessionContext,
+        state: SessionState,
+        route: Route,
+        statement: Statement,
+    ):
+        self.context = context
+        self.state = state
+        self.route = route
+        self.statement = statement
+        self.patience = Patience(route, context.now())
+        self.refusal: Answer | None = None
+        self.reason = ""
+        self.attempts = 0
+        self.target_id = ""
+
+    def run(self) -> Answer:
+        """Returns the final answer."""
+        while True:
+            answer = self.attempt()
+            if answer is not None:
+                return self._finish(answer)
+            if self.is_over():
+                return self._finish(self.give_up())
+            sleep(RETRY_PAUSE_S)
+
+    def attempt(self) -> Answer | None:
+        """Makes one attempt; ``None`` if the statement has not run."""
+        raise NotImplementedError
+
+    def is_over(self) -> bool:
+        """Whether the statement has waited for long enough."""
+        now = self.context.now()
+        if self._has_no_primary():
+            return now >= self.patience.no_primary_at
+        return now >= self.patience.give_up_at
+
+    def give_up(self) -> Answer:
+        """Returns the answer to a statement that has not run."""
+        if self._has_no_primary():
+            text = refusal_text(self.reason or "no primary", RETRY_NO_PRIMARY_MS)
+            return error_answer(ErrorCode.overloaded, text)
+        text = refusal_text(self.reason or "no target is free", RETRY_BUSY_MS)
+        return error_answer(ErrorCode.overloaded, text)
+
+    def _has_no_primary(self) -> bool:
+        return self.context.board.belief(self.route.service).proved_at is None
+
+    def primary(self) -> TargetEntry | None:
+        """Returns the target to ask for the lead, or ``None``."""
+        service = self.route.service
+        target = choose_primary(self.context.board, service, self.context.now())
+        if isinstance(target, Refusal):
+            self.reason = f"no primary: {target.detail}"
+            return None
+        return target
+
+    def borrow(self, target: TargetEntry):
+        """Lends a connection to a target, or ``None``."""
+        now = self.context.now()
+        self.attempts += 1
+        self.target_id = target.target_id
+        timeout_s = max(self.patience.give_up_at - now, 0.0)
+        pooled = borrow(
+            self.context, target, self.state, self.route.priority, timeout_s
+        )
+        if pooled is None:
+            self.reason = f"no connection to {target.target_id}"
+        return pooled
+
+    def note_refusal(self, target: TargetEntry, answer: Answer) -> None:
+        """Takes in that a target has not run the statement."""
+        self.refusal = answer
+        self.reason = f"{target.target_id} answered {answer.error.value}"
+        if answer.error is ErrorCode.read_only:
+            mark_not_leading(self.context, target)
+
+    def _finish(self, answer: Answer) -> Answer:
+        now = self.context.now()
+        outcome = answer.error.value if answer.error is not None else "done"
+        labels = {"kind": self.statement.kind.value, "outcome": outcome}
+        self.context.metrics.statements.inc(labels)
+        if answer.error is None:
+            self.context.metrics.latency.observe({}, now - self.patience.started_at)
+        self.context.log.record(
+            EventName.statement_done
+            if answer.error is None
+            else EventName.statement_failed,
+            now,
+            routine=answer.error is None,
+            request_id=self.statement.request_id,
+            kind=self.statement.kind.value,
+            database=self.state.database,
+            consistency=self.route.consistency.value,
+            target_id=self.target_id,
+            attempts=self.attempts,
+            outcome=outcome,
+            reason=self.reason if answer.error is not None else "",
+            held_ms=round(1000 * (now - self.patience.started_at)),
+            view_version=self.context.board.view.version,
+        )
+        return answer
+
+
+class WriteRun(SingleRun):
+    """A write, which is sent at most once unless a target says it has not run."""
+
+    __slots__ = ()
+
+    def attempt(self) -> Answer | None:
+        target = self.primary()
+        pooled = self.borrow(target) if target is not None else None
+        if pooled is None:
+            return None
+        commands, name = setup_commands(pooled, self.state, self.statement)
+        commands.append(Run(self.statement, prepared_name=name))
+        asked_at = self.context.now()
+        answers: list[Answer] = []
+        try:
+            timeout_s = self.patience.left_s(asked_at)
+            answers = exchange(self.context, pooled, commands, timeout_s)
+        except ConnectionLost as error:
+            self.reason = f"{target.target_id}: {error}"
+            return error_answer(
+                ErrorCode.in_doubt, "the write was sent and not answered"
+            )
+        finally:
+            give_back(pooled, answers)
+        answer = answers[-1]
+        if answer.was_not_run():
+            pooled.carried.prepared.clear()
+            self.note_refusal(target, answer)
+            return None
+        if answer.error is None:
+            mark_leading(self.context, target, asked_at, answer.position)
+            self.state.note_commit(self.route.service, answer.position)
+        return answer
+
+
+class PrimaryReadRun(SingleRun):
+    """A read that must see every acknowledged commit.
+
+    It runs inside a transaction that writes, since a former primary refuses every
+    statement of such a transaction, whereas it would answer a plain read.
+    """
+
+    __slots__ = ()
+
+    def attempt(self) -> Answer | None:
+        target = self.primary()
+        pooled = self.borrow(target) if target is not None else None
+        if pooled is None:
+            return None
+        answers: list[Answer] = []
+        try:
+            return self._read(target, pooled, answers)
+        except ConnectionLost as error:
+            self.reason = f"{target.target_id}: {error}"
+            return self._after_loss()
+        finally:
+            give_back(pooled, answers)
+
+    def _read(self, target: TargetEntry, pooled, answers: list[Answer]):
+        commands, name = setup_commands(pooled, self.state, self.statement)
+        asked_at = self.context.now()
+        timeout_s = self.patience.attempt_s(asked_at)
+        begun = exchange(self.context, pooled, [*commands, Begin()], timeout_s)
+        answers += begun
+        if begun[-1].error is not None:
+            self.note_refusal(target, begun[-1])
+            return None
+        mark_leading(self.context, target, asked_at, begun[-1].position)
+        run = Run(self.statement, prepared_name=name)
+        timeout_s = self.patience.attempt_s(self.context.now())
+        answers += exchange(self.context, pooled, [run, Rollback()], timeout_s)
+        answer = answers[-2]
+        if answer.was_not_run():
+            pooled.carried.prepared.clear()
+            self.note_refusal(target, answer)
+            return None
+        return answer
+
+    def _after_loss(self) -> Answer | None:
+        if self.context.now() >= self.patience.expires_at:
+            return error_answer(ErrorCode.timed_out, self.reason)
+        return None
+
+
+class ReadRun(PrimaryReadRun):
+    """A read that may run at any target whose log holds what it must show.
+
+    :ivar excluded: targets that lag too far, or refused this read.
+    :ivar is_lagging: a target refused since its log lacks the floor.
+    """
+
+    __slots__ = ("excluded", "is_lagging")
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.excluded: set[str] = set()
+        self.is_lagging = False
+
+    def attempt(self) -> Answer | None:
+        floor = self._floor()
+        if isinstance(floor, Refusal):
+            self.is_lagging = True
+            self.reason = "no recent position of the primary"
+            return super().attempt()
+        service = self.route.service
+        board = self.context.board
+        target = choose_reader(board, service, self.excluded, self.context.now())
+        if isinstance(target, Refusal):
+            self.excluded.clear()
+            return super().attempt()
+        if target.target_id == board.belief(service).target_id:
+            self.excluded.add(target.target_id)
+            return super().attempt()
+        return self._read_replica(target, floor)
+
+    def give_up(self) -> Answer:
+        if not self.is_lagging:
+            return super().give_up()
+        text = refusal_text(self.reason, RETRY_LAGGING_MS)
+        return error_answer(ErrorCode.lagging, text)
+
+    def _floor(self) -> Position | Refusal:
+        service = self.route.service
+        return read_floor(
+            self.route.consistency,
+            self.context.board.history(service),
+            self.route.max_staleness_ms / 1000.0,
+            self.state.own_positions.get(service),
+            self.context.now(),
+        )
+
+    def _read_replica(self, target: TargetEntry, floor: Position) -> Answer | None:
+        pooled = self.borrow(target)
+        if pooled is None:
+            self.excluded.add(target.target_id)
+            return None
+        commands, name = setup_commands(pooled, self.state, self.statement)
+        commands.append(Run(self.statement, floor, name))
+        answers: list[Answer] = []
+        try:
+            timeout_s = self.patience.attempt_s(self.context.now())
+            answers = exchange(self.context, pooled, commands, timeout_s)
+        except ConnectionLost as error:
+            self.excluded.add(target.target_id)
+            self.reason = f"{target.target_id}: {error}"
+            return self._after_loss()
+        finally:
+            give_back(pooled, answers)
+        answer = answers[-1]
+        if answer.was_not_run() or answer.error is ErrorCode.failed:
+            pooled.carried.prepared.clear()
+            self.excluded.add(target.target_id)
+            self.is_lagging = answer.error is ErrorCode.lagging
+            self.note_refusal(target, answer)
+            return None
+        return answer
--- /dev/null
+++ b/src/godwitwheel/sessions/transaction.py
@@ -0,0 +1,335 @@
+"""One transaction of a caller, on one connection from its first statement on."""
+
+from ..directory.records import Consistency, Route, TargetEntry
+from ..internal.loop import sleep
+from ..internal.sentinel import Refusal
+from ..observe.events import EventName
+from ..wire.service import Access
+from .attempts import (
+    borrow,
+    exchange,
+    give_back,
+    mark_leading,
+    mark_not_leading,
+    setup_commands,
+)
+from .choosing import choose_primary, choose_reader
+from .connection import Begin, Rollback, Run
+from .context import SessionContext, SessionState
+from .errors import ConnectionLost
+from .floors import read_floor
+from .pool import PooledConnection
+from .single import RETRY_BUSY_MS
+from .statements import (
+    Answer,
+    ErrorCode,
+    Position,
+    Statement,
+    TransactionState,
+    error_answer,
+)
+from .waiting import RETRY_PAUSE_S, Patience, refusal_text
+
+ROLLBACK_TIMEOUT_S = 0.5
+
+
+class Transaction:
+    """Opens at a target with the first statement and ends there.
+
+    :ivar runs_at_primary: whether it may write, or must see every commit; the
+        target then refuses its statements once it has lost the lead.
+    :ivar pooled: the connection, from the first statement on.
+    :ivar has_failed: nothing is kept; the caller has yet to end it.
+    :ivar has_written: whether a write has run.
+    """
+
+    __slots__ = (
+        "context",
+        "state",
+        "route",
+        "read_only",
+        "runs_at_primary",
+        "pooled",
+        "has_failed",
+        "has_written",
+        "excluded",
+        "reason",
+        "target_id",
+    )
+
+    def __init__(
+        self,
+        context: SessionContext,
+        state: SessionState,
+        route: Route,
+        read_only: bool,
+    ):
+        self.context = context
+        self.state = state
+        self.route = route
+        self.read_only = read_only
+        is_primary_route = route.consistency is Consistency.primary
+        self.runs_at_primary = is_primary_route or not read_only
+        self.pooled: PooledConnection | None = None
+        self.has_failed = False
+        self.has_written = False
+        self.excluded: set[str] = set()
+        self.reason = ""
+        self.target_id = ""
+
+    def run(self, statement: Statement) -> Answer:
+        """Runs a statement, opening the transaction first if need be."""
+        patience = Patience(self.route, self.context.now())
+        is_write = self.state.access_of(statement) is Access.write
+        if is_write and self.read_only:
+            self.fail("it only reads")
+            return self._finish(
+                statement,
+                error_answer(ErrorCode.aborted, "the transaction only reads"),
+                patience,
+            )
+        refusal = self._open(patience)
+        if refusal is not None:
+            return self._finish(statement, refusal, patience)
+        answer = self._run(statement, patience)
+        if answer.error is None:
+            self.has_written = self.has_written or is_write
+        else:
+            self.fail(f"a statement failed: {answer.error.value}")
+        return self._finish(statement, answer, patience)
+
+    def commit(self, statement: Statement) -> Answer:
+        """Commits; an answer that does not come leaves the outcome in doubt."""
+        patience = Patience(self.route, self.context.now())
+        if self.has_failed:
+            text = "the transaction had failed; nothing is kept"
+            return error_answer(ErrorCode.aborted, text)
+        refusal = self._open(patience)
+        if refusal is None:
+            refusal = self._commit(statement, patience)
+        return self._finish(statement, refusal, patience)
+
+    def fail(self, reason: str) -> None:
+        """Ends the transaction at its target; the caller has yet to end it here."""
+        self.abandon(reason)
+        self.has_failed = True
+        self.reason = reason
+
+    def abandon(self, reason: str) -> None:
+        """Rolls back what is open and gives the connection back."""
+        pooled, self.pooled = self.pooled, None
+        if pooled is None:
+            return
+        answers: list[Answer] = []
+        try:
+            if not pooled.is_broken:
+                answers = exchange(
+                    self.context, pooled, [Rollback()], ROLLBACK_TIMEOUT_S
+                )
+        except ConnectionLost as error:
+            # Closing the connection rolls back as well.
+            reason = f"{reason}; {error}"
+        finally:
+            give_back(pooled, answers)
+
+    def _open(self, patience: Patience) -> Answer | None:
+        """Begins at a target.
+
+        :returns: ``None`` once it is open, else the answer to the statement.
+        """
+        is_lagging = False
+        while self.pooled is None:
+            floor = self._floor()
+            target = self._choose(floor)
+            if target is None:
+                is_lagging = isinstance(floor, Refusal)
+            else:
+                is_lagging = self._begin(target, floor, patience)
+            if self.pooled is not None:
+                return None
+            if self._is_over(patience):
+                self.has_failed = True
+                code = ErrorCode.lagging if is_lagging else ErrorCode.overloaded
+                text = refusal_text(self.reason or "no target is free", RETRY_BUSY_MS)
+                return error_answer(code, text)
+            sleep(RETRY_PAUSE_S)
+        return None
+
+    def _is_over(self, patience: Patience) -> bool:
+        now = self.context.now()
+        if self.context.board.belief(self.route.service).proved_at is None:
+            return now >= patience.no_primary_at
+        return now >= patience.give_up_at
+
+    def _floor(self) -> Position | Refusal | None:
+        if self.runs_at_primary:
+            return None
+        return read_floor(
+            self.route.consistency,
+            self.context.board.history(self.route.service),
+            self.route.max_staleness_ms / 1000.0,
+            self.state.own_positions.get(self.route.service),
+            self.context.now(),
+        )
+
+    def _choose(self, floor: Position | Refusal | None) -> TargetEntry | None:
+        board, service = self.context.board, self.route.service
+        now = self.context.now()
+        if not self.runs_at_primary and not isinstance(floor, Refusal):
+            reader = choose_reader(board, service, self.excluded, now)
+            if not isinstance(reader, Refusal):
+                return reader
+            self.excluded.clear()
+        # The primary needs no floor: it proves its lead when the transaction begins.
+        target = choose_primary(board, service, now)
+        if isinstance(target, Refusal):
+            self.reason = f"no primary: {target.detail}"
+            return None
+        return target
+
+    def _begin(
+        self, target: TargetEntry, floor: Position | Refusal | None, patience: Patience
+    ) -> bool:
+        """Tries to begin at a target.
+
+        :returns: whether it refused since its log lacks the floor.
+        """
+        now = self.context.now()
+        timeout_s = max(patience.give_up_at - now, 0.0)
+        pooled = borrow(
+            self.context, target, self.state, self.route.priority, timeout_s
+        )
+        if pooled is None:
+            self.reason = f"no connection to {target.target_id}"
+            self.excluded.add(target.target_id)
+            return False
+        self.target_id = target.target_id
+        asked_at = self.context.now()
+        answer = self._ask_to_begin(pooled, target, floor, patience)
+        if answer is None or answer.error is not None:
+            self.excluded.add(target.target_id)
+            return answer is not None and answer.error is ErrorCode.lagging
+        if self._is_guarded(target):
+            mark_leading(self.context, target, asked_at, answer.position)
+        self.pooled = pooled
+        return False
+
+    def _is_guarded(self, target: TargetEntry) -> bool:
+        """Whether the target is asked for a transaction that may write."""
+        belief = self.context.board.belief(self.route.service)
+        return self.runs_at_primary or target.target_id == belief.target_id
+
+    def _ask_to_begin(
+        self,
+        pooled: PooledConnection,
+        target: TargetEntry,
+        floor: Position | Refusal | None,
+        patience: Patience,
+    ) -> Answer | None:
+        commands, _ = setup_commands(pooled, self.state, None)
+        is_guarded = self._is_guarded(target)
+        begin = Begin() if is_guarded else Begin(read_only=True, floor=floor)
+        answers: list[Answer] = []
+        try:
+            timeout_s = patience.attempt_s(self.context.now())
+            answers = exchange(self.context, pooled, [*commands, begin], timeout_s)
+        except ConnectionLost as error:
+            self.reason = f"{target.target_id}: {error}"
+            give_back(pooled, answers)
+            return None
+        answer = answers[-1]
+        if answer.error is not None:
+            self.reason = f"{target.target_id} answered {answer.error.value}"
+            if answer.error is ErrorCode.read_only:
+                mark_not_leading(self.context, target)
+            give_back(pooled, answers)
+        return answer
+
+    def _run(self, statement: Statement, patience: Patience) -> Answer:
+        """Runs a statement, again as long as the target says it has not run it."""
+        while True:
+            pooled = self.pooled
+            commands, name = setup_commands(pooled, self.state, statement)
+            commands.append(Run(statement, prepared_name=name))
+            asked_at = self.context.now()
+            try:
+                timeout_s = patience.left_s(asked_at)
+                answers = exchange(self.context, pooled, commands, timeout_s)
+            except ConnectionLost as error:
+                # No commit was sent, so closing the connection keeps nothing.
+                return error_answer(ErrorCode.aborted, str(error))
+            answer = answers[-1]
+            if answer.error is None and self._is_guarded(pooled.pool.target):
+                mark_leading(
+                    self.context, pooled.pool.target, asked_at, answer.position
+                )
+            if not self._may_repeat(answer, patience):
+                return answer
+            pooled.carried.prepared.clear()
+            sleep(RETRY_PAUSE_S)
+
+    def _may_repeat(self, answer: Answer, patience: Patience) -> bool:
+        is_open = answer.state is TransactionState.open
+        return (
+            answer.was_not_run()
+            and is_open
+            and not self.pooled.is_broken
+            and self.context.now() < patience.give_up_at
+        )
+
+    def _commit(self, statement: Statement, patience: Patience) -> Answer:
+        pooled = self.pooled
+        target = pooled.pool.target
+        while True:
+            asked_at = self.context.now()
+            try:
+                commands, _ = setup_commands(pooled, self.state, None)
+                commands.append(Run(statement))
+                timeout_s = patience.left_s(asked_at)
+                answers = exchange(self.context, pooled, commands, timeout_s)
+            except ConnectionLost as error:
+                self.abandon("the commit was not answered")
+                if not self.has_written:
+                    return error_answer(ErrorCode.aborted, str(error))
+                return error_answer(ErrorCode.in_doubt, str(error))
+            answer = answers[-1]
+            if not self._may_repeat(answer, patience):
+                break
+            sleep(RETRY_PAUSE_S)
+        if answer.error is None and self.has_written:
+            mark_leading(self.context, target, asked_at, answer.position)
+            self.state.note_commit(self.route.service, answer.position)
+        if answer.state is TransactionState.idle:
+            self.pooled = None
+            give_back(pooled, answers)
+        else:
+            self.abandon("the commit was refused")
+        return answer
+
+    def _finish(
+        self, statement: Statement, answer: Answer, patience: Patience
+    ) -> Answer:
+        now = self.context.now()
+        outcome = answer.error.value if answer.error is not None else "done"
+        labels = {"kind": statement.kind.value, "outcome": outcome}
+        self.context.metrics.statements.inc(labels)
+        if answer.error is None:
+            self.context.metrics.latency.observe({}, now - patience.started_at)
+        self.context.log.record(
+            EventName.statement_done
+            if answer.error is None
+            else EventName.statement_failed,
+            now,
+            routine=answer.error is None,
+            request_id=statement.request_id,
+            kind=statement.kind.value,
+            in_transaction=True,
+            database=self.state.database,
+            consistency=self.route.consistency.value,
+            target_id=self.target_id,
+            outcome=outcome,
+            reason=self.reason if answer.error is not None else "",
+            held_ms=round(1000 * (now - patience.started_at)),
+            view_version=self.context.board.view.version,
+        )
+        return answer
--- /dev/null
+++ b/src/godwitwheel/sessions/waiting.py
@@ -0,0 +1,55 @@
+"""Decides how long a statement may wait before it is refused."""
+
+from ..directory.records import Route
+from ..internal.sentinel import Refusal
+from .statements import ErrorCode
+
+# Share of the latency objective that a statement may wait for a target: a caller
+# that comes back later is better served than one that is held without a chance.
+WAIT_SHARE = 0.9
+# The same while no primary is known, when only an unlikely chance is waited for.
+NO_PRIMARY_SHARE = 0.25
+# Pause between two attempts at targets that refused, in seconds.
+RETRY_PAUSE_S = 0.015
+# Part of a route's statement timeout after which a read tries another target.
+READ_ATTEMPT_SHARE = 0.35
+SHORTEST_ATTEMPT_S = 0.15
+
+
+class Patience:
+    """The times of one statement, in seconds of the clock.
+
+    :ivar give_up_at: it is refused then if no target has taken it.
+    :ivar expires_at: it has timed out then, whether it runs or not.
+    """
+
+    __slots__ = ("started_at", "give_up_at", "no_primary_at", "expires_at")
+
+    def __init__(self, route: Route, now: float):
+        objective_s = route.latency_objective_ms / 1000.0
+        self.started_at = now
+        self.expires_at = now + route.statement_timeout_ms / 1000.0
+        self.give_up_at = min(now + WAIT_SHARE * objective_s, self.expires_at)
+        self.no_primary_at = min(now + NO_PRIMARY_SHARE * objective_s, self.expires_at)
+
+    def attempt_s(self, now: float) -> float:
+        """Returns how long a read may wait for one target's answer."""
+        left_s = self.expires_at - now
+        share_s = READ_ATTEMPT_SHARE * (self.expires_at - self.started_at)
+        return min(max(share_s, SHORTEST_ATTEMPT_S), left_s)
+
+    def left_s(self, now: float) -> float:
+        """Returns the time until the statement has timed out."""
+        return max(self.expires_at - now, 0.001)
+
+
+def refusal_text(reason: str, retry_after_ms: int) -> str:
+    """Returns the text of a refusal, which says when to come back."""
+    return f"{reason}; not run, retry after {retry_after_ms} ms"
+
+
+def code_for(refusal: Refusal | None, is_lagging: bool) -> ErrorCode:
+    """Returns the code of a refusal; each of them says that nothing ran."""
+    if is_lagging:
+        return ErrorCode.lagging
+    return ErrorCode.overloaded
--- a/src/godwitwheel/wire/server.py
+++ b/src/godwitwheel/wire/server.py
@@ -25,15 +25,26 @@
 
 
 class Request:
-    """One HTTP request, read whole."""
+    """One HTTP request, read whole.
 
-    __slots__ = ("method", "path", "body", "environ")
+    :ivar parameters: the parts of the path that stand for ``{}`` in its route.
+    """
+
+    __slots__ = ("method", "path", "body", "environ", "parameters")
 
-    def __init__(self, method: str, path: str, body: bytes, environ: dict):
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        environ: dict,
+        parameters: list[str] | None = None,
+    ):
         self.method = method
         self.path = path
         self.body = body
         self.environ = environ
+        self.parameters = parameters or []
 
     def header(self, name: str) -> str | None:
         """Returns a header's value, or ``None``."""
@@ -61,6 +72,41 @@
 Handler = Callable[[Request], Response]
 
 
+class RouteTable:
+    """Finds handlers by method and path; ``{}`` stands for one part of a path."""
+
+    __slots__ = ("exact", "patterns")
+
+    def __init__(self, routes: dict[tuple[str, str], Handler]):
+        self.exact = {key: value for key, value in routes.items() if "{}" not in key[1]}
+        self.patterns = [
+            (method, path.split("/"), handler)
+            for (method, path), handler in routes.items()
+            if "{}" in path
+        ]
+
+    def find(self, method: str, path: str) -> tuple[Handler | None, list[str]]:
+        """Returns the handler, or ``None``, and what stands for each ``{}``."""
+        handler = self.exact.get((method, path))
+        if handler is not None or not self.patterns:
+            return handler, []
+        parts = path.split("/")
+        for wanted_method, pattern, handler in self.patterns:
+            if method == wanted_method and _matches(pattern, parts):
+                pairs = zip(pattern, parts, strict=True)
+                return handler, [part for wanted, part in pairs if wanted == "{}"]
+        return None, []
+
+
+def _matches(pattern: list[str], parts: list[str]) -> bool:
+    if len(pattern) != len(parts):
+        return False
+    return all(
+        part if wanted == "{}" else wanted == part
+        for wanted, part in zip(pattern, parts, strict=True)
+    )
+
+
 class HttpProtocol(eventlet.wsgi.HttpProtocol):
     """Keeps little memory for a caller that is connected but idle."""
 
@@ -111,7 +157,7 @@
         on_error: Callable[[Exception], None],
         protocol: type[eventlet.wsgi.HttpProtocol] = HttpProtocol,
     ):
-        self.routes = routes
+        self.routes = RouteTable(routes)
         self.on_error = on_error
         self.protocol = protocol
         self.listener: socket.socket | None = None
@@ -122,11 +168,12 @@
         """Finds and calls the handler of a request."""
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
-        handler = self.routes.get((method, path))
+        handler, parameters = self.routes.find(method, path)
         if handler is None:
             return _problem(404, f"no such interface: {method} {path}")
         try:
-            return handler(Request(method, path, _read_body(environ), environ))
+            body = _read_body(environ)
+            return handler(Request(method, path, body, environ, parameters))
         except BodyTooLarge as error:
             return _problem(413, str(error))
         except BadMessage as error:
--- /dev/null
+++ b/src/godwitwheel/wire/streams.py
@@ -0,0 +1,214 @@
+"""Plain TCP streams on the loop: buffered lines, deadlines, and a listener."""
+
+import contextlib
+import time
+import warnings
+from collections.abc import Callable, Iterator
+
+from ..internal.loop import Task, spawn
+from ..internal.validation import split_address
+from .errors import WireError
+
+with warnings.catch_warnings():
+    warnings.simplefilter("ignore")
+    import eventlet
+    from eventlet.green import socket
+
+RECEIVE_BYTES = 16 * 1024
+LISTEN_BACKLOG = 1024
+# A peer that acknowledges nothing for so long is taken for gone.
+USER_TIMEOUT_MS = 5000
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 2
+LINE_END = b"\n"
+
+
+class StreamClosed(WireError):
+    """The peer closed the stream, or it broke."""
+
+
+class StreamTimeout(WireError):
+    """Nothing came, or nothing was taken, in time."""
+
+
+class LineTooLong(WireError):
+    """A line is longer than the reader takes."""
+
+
+class Stream:
+    """One TCP connection, read by lines.
+
+    :ivar buffer: bytes that came and were not asked for yet.
+    """
+
+    __slots__ = ("socket", "buffer")
+
+    def __init__(self, connected: socket.socket):
+        self.socket = connected
+        self.buffer = b""
+        set_stream_options(connected)
+
+    def read_line(self, timeout_s: float | None, max_bytes: int) -> bytes:
+        """Returns the next line without its end.
+
+        :param timeout_s: limit for the whole line, ``None`` for no limit.
+        :raises StreamTimeout: if it does not come in time.
+        :raises StreamClosed: if the peer ends the stream before.
+        :raises LineTooLong: if it has more than ``max_bytes``.
+        """
+        deadline = None if timeout_s is None else time.monotonic() + timeout_s
+        while LINE_END not in self.buffer:
+            if len(self.buffer) > max_bytes:
+                raise LineTooLong(f"expected at most {max_bytes} bytes a line")
+            self._receive(deadline)
+        line, _, self.buffer = self.buffer.partition(LINE_END)
+        if len(line) > max_bytes:
+            raise LineTooLong(f"got {len(line)} bytes, expected at most {max_bytes}")
+        return line.removesuffix(b"\r")
+
+    def write(self, data: bytes, timeout_s: float) -> None:
+        """Sends all of ``data``.
+
+        :raises StreamTimeout: if the peer does not take it in time.
+        :raises StreamClosed: if the stream is broken.
+        """
+        try:
+            self.socket.settimeout(timeout_s)
+            self.socket.sendall(data)
+        except TimeoutError as error:
+            raise StreamTimeout("the peer takes no bytes") from error
+        except OSError as error:
+            raise StreamClosed(str(error)) from error
+
+    def has_input(self) -> bool:
+        """Whether bytes, or the end of the stream, wait to be read."""
+        if self.buffer:
+            return True
+        try:
+            # The socket under the loop's own never blocks, so one call tells.
+            self.socket.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def shut_down(self) -> None:
+        """Ends both directions, which wakes a task that waits for bytes."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.socket.close()
+
+    def _receive(self, deadline: float | None) -> None:
+        left_s = None if deadline is None else max(deadline - time.monotonic(), 0.001)
+        try:
+            self.socket.settimeout(left_s)
+            data = self.socket.recv(RECEIVE_BYTES)
+        except TimeoutError as error:
+            raise StreamTimeout("no whole line in time") from error
+        except OSError as error:
+            raise StreamClosed(str(error)) from error
+        if not data:
+            raise StreamClosed("the peer closed the connection")
+        self.buffer += data
+
+
+def set_stream_options(connected: socket.socket) -> None:
+    """Sends small messages at once, and notices a peer that is gone."""
+    for level, option, value in (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        # A connection that the peer has reset takes no options.
+        with contextlib.suppress(OSError):
+            connected.setsockopt(level, option, value)
+
+
+def open_stream(address: str, timeout_s: float) -> Stream:
+    """Connects to ``IP:PORT``.
+
+    :raises StreamTimeout: if it does not answer in time.
+    :raises StreamClosed: if it refuses.
+    """
+    connecting = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        connecting.settimeout(max(timeout_s, 0.001))
+        connecting.connect(split_address(address))
+    except TimeoutError as error:
+        connecting.close()
+        raise StreamTimeout(f"{address}: no answer in {timeout_s:.3f} s") from error
+    except OSError as error:
+        connecting.close()
+        raise StreamClosed(f"{address}: {error}") from error
+    except BaseException:
+        connecting.close()
+        raise
+    return Stream(connecting)
+
+
+class StreamServer:
+    """Accepts connections and serves each in a task of its own.
+
+    :ivar on_error: told of errors that a handler did not foresee.
+    """
+
+    __slots__ = ("handler", "on_error", "listener", "task", "address")
+
+    def __init__(
+        self, handler: Callable[[Stream], None], on_error: Callable[[Exception], None]
+    ):
+        self.handler = handler
+        self.on_error = on_error
+        self.listener: socket.socket | None = None
+        self.task: Task | None = None
+        self.address = ""
+
+    @contextlib.contextmanager
+    def listening(self, address: str) -> Iterator["StreamServer"]:
+        """Serves on ``IP:PORT`` (port 0 picks a free one) inside the block."""
+        self.listener = eventlet.listen(
+            split_address(address), backlog=LISTEN_BACKLOG, reuse_port=False
+        )
+        host, port = self.listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.task = spawn(self._accept)
+        try:
+            yield self
+        finally:
+            self.stop_accepting()
+
+    def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections go on."""
+        self.task.kill()
+        self.listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connected, _ = self.listener.accept()
+            except OSError as error:
+                # A peer that left before it was accepted, or no free descriptor.
+                self.on_error(error)
+                eventlet.sleep(0.05)
+                continue
+            spawn(self._serve, connected)
+
+    def _serve(self, connected: socket.socket) -> None:
+        stream = Stream(connected)
+        try:
+            self.handler(stream)
+        except WireError:
+            # The peer is gone or silent; the handler has done what was to be done.
+            pass
+        except Exception as error:
+            self.on_error(error)
+        finally:
+            stream.close()
