Refuse late claims of every attempt that gave a key back

Cause: only the last attempt was remembered, so after two attempts had given a key back, a late duplicate of the first one's claim was granted and nobody ran the request. Found by the claims' state machine, which drew other examples once the directory was imported. The new test fails without the change.

--- a/src/godwitwheel/decisions/claims.py
+++ b/src/godwitwheel/decisions/claims.py
@@ -18,6 +18,8 @@
 MAX_CLAIMS = 200_000
 MAX_ANSWER_BYTES = 24 << 20
 RELEASED_KEPT_S = 60.0
+# Attempts on one key that are told apart from new ones after they gave it back.
+MAX_RELEASED_ATTEMPTS = 64
 NO_ANSWER = msgspec.Raw(b"null")
 
 
@@ -31,6 +33,7 @@
     :ivar released_at: when the attempt said that it was not run, in seconds since
         the Unix epoch; ``None`` while an attempt holds the key.
     :ivar answer: the encoded answer; ``NO_ANSWER`` until it is recorded.
+    :ivar released: attempts that gave the key back, the latest last.
     """
 
     service: str
@@ -41,6 +44,7 @@
     forget_at: float | None
     released_at: float | None = None
     answer: msgspec.Raw = NO_ANSWER
+    released: list[str] = []
 
     def has_answer(self) -> bool:
         """Whether the outcome is recorded."""
@@ -187,10 +191,10 @@
 
     def _status_of(self, record: ClaimRecord, claim: Claim) -> ClaimStatus:
         if record.released_at is not None:
-            # A late duplicate of the freed attempt's claim must not take the key:
+            # A late duplicate of a freed attempt's claim must not take the key:
             # nobody would run it any more.
-            same = record.attempt == claim.attempt
-            return ClaimStatus.pending if same else ClaimStatus.granted
+            freed = claim.attempt in record.released
+            return ClaimStatus.pending if freed else ClaimStatus.granted
         if record.digest != claim.digest:
             return ClaimStatus.mismatch
         if record.has_answer():
@@ -218,6 +222,8 @@
     def _release(self, record: ClaimRecord, now: float) -> None:
         if record.released_at is None:
             record.released_at = now
+            attempts = [*record.released, record.attempt]
+            record.released = attempts[-MAX_RELEASED_ATTEMPTS:]
             heapq.heappush(self._released, (now, record.service, record.key))
 
     def _drop(self, record: ClaimRecord) -> None:
--- a/tests/cover/test_control_state.py
+++ b/tests/cover/test_control_state.py
@@ -229,3 +229,18 @@
         claim = Claim("s", key, "d", f"attempt-{passed}", retention)
         command = ClaimCommand(claim, START_S + passed)
         assert log.apply(command, ClaimReply).status == status
+
+
+def test_a_late_claim_of_an_attempt_before_the_last_one_gets_nothing():
+    log = StateOnALog()
+    first = Claim("s", "opaque", "usual", "a1", 60)
+    second = Claim("s", "opaque", "usual", "a2", 60)
+    not_run = CallerAnswer(Outcome.not_run)
+    for claim in (first, second):
+        granted = log.apply(ClaimCommand(claim, START_S), ClaimReply)
+        assert granted.status is ClaimStatus.granted
+        released = RecordOutcome("s", claim.key, claim.attempt, not_run)
+        log.apply(OutcomeCommand(released, START_S), OutcomeRecorded)
+    log.reload()
+    late = log.apply(ClaimCommand(first, START_S), ClaimReply)
+    assert late.status is ClaimStatus.pending
