Keep freed idempotency claims until their room is needed

Cause: the record of a freed key was dropped after 60 s of wall-clock time, after which a late duplicate of a finished attempt's claim was granted; a jump of the clock makes that time short. Freed records now go only when the table is full, and then the oldest first.

--- a/src/godwitwheel/decisions/claims.py
+++ b/src/godwitwheel/decisions/claims.py
@@ -17,6 +17,7 @@
 
 MAX_CLAIMS = 200_000
 MAX_ANSWER_BYTES = 24 << 20
+# Longer than any call between processes may take, in seconds.
 RELEASED_KEPT_S = 60.0
 # Attempts on one key that are told apart from new ones after they gave it back.
 MAX_RELEASED_ATTEMPTS = 64
@@ -138,7 +139,7 @@
         return True
 
     def forget(self, now: float) -> None:
-        """Drops records whose keys are refused as expired, and freed ones."""
+        """Drops records whose keys are refused as expired; freed ones if need be."""
         while self._forgettable and self._forgettable[0][0] <= now:
             _, service, key = heapq.heappop(self._forgettable)
             record = self.records.get((service, key))
@@ -146,7 +147,9 @@
                 self._drop(record)
                 horizon = self.horizons.get(service, 0.0)
                 self.horizons[service] = max(horizon, record.made_at)
-        while self._released and self._released[0][0] + RELEASED_KEPT_S <= now:
+        # A freed record keeps late duplicates of its claims from being granted, so
+        # it goes only when its room is needed.
+        while self._is_full() and self._has_old_release(now):
             released_at, service, key = heapq.heappop(self._released)
             record = self.records.get((service, key))
             if record is not None and record.released_at == released_at:
@@ -189,6 +192,9 @@
             or self.answer_bytes >= self.max_answer_bytes
         )
 
+    def _has_old_release(self, now: float) -> bool:
+        return bool(self._released) and self._released[0][0] + RELEASED_KEPT_S <= now
+
     def _status_of(self, record: ClaimRecord, claim: Claim) -> ClaimStatus:
         if record.released_at is not None:
             # A late duplicate of a freed attempt's claim must not take the key:
