--- a/src/godwitwheel/observe/log.py
+++ b/src/godwitwheel/observe/log.py
@@ -23,6 +23,7 @@
 FILE_MODE = 0o644
 # Stands for standard output where the path of a log file is expected.
 STANDARD_OUTPUT = "-"
+_LAST_STANDARD_DESCRIPTOR = 2
 _FLAGS = os.O_WRONLY | os.O_APPEND | os.O_NONBLOCK | os.O_CLOEXEC
 
 
@@ -41,6 +42,17 @@
         return copy
 
 
+def take_standard_output() -> int:
+    """Makes standard output itself non-blocking.
+
+    Whoever collects a process's output may watch this descriptor alone, so a copy
+    would not do.
+    """
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    return descriptor
+
+
 def open_log(path: str) -> int:
     """Opens a log file to append to, or standard error if ``path`` is empty.
 
@@ -52,7 +64,7 @@
         if not path:
             return reopen(sys.stderr.fileno())
         if path == STANDARD_OUTPUT:
-            return reopen(sys.stdout.fileno())
+            return take_standard_output()
         return os.open(path, _FLAGS | os.O_CREAT, FILE_MODE)
     except OSError as error:
         raise LogUnavailable(f"log file {path!r}: {error.strerror}") from error
@@ -78,7 +90,8 @@
 
     def __exit__(self, *exc_info: object) -> None:
         self.flush(FLUSH_LIMIT_S)
-        os.close(self.descriptor)
+        if self.descriptor > _LAST_STANDARD_DESCRIPTOR:
+            os.close(self.descriptor)
 
     def write(self, line: bytes) -> None:
         """Writes a line, or keeps it while the kernel takes no more."""
--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -4,12 +4,14 @@
 from ..observe.events import EventName
 from .carrying import command_for_prepared, commands_for_values
 from .choosing import note_answered, note_unanswered
-from .connection import Command, Run
+from .connection import Command, Discard, Prepare, SetValue
 from .context import SessionContext, SessionState
 from .errors import ConnectFailed, ConnectionLost, PoolExhausted, TooManyConnections
 from .pool import PooledConnection
 from .statements import Answer, Position, Statement, TransactionState
 
+SETUP_COMMANDS = (SetValue, Prepare, Discard)
+
 
 def borrow(
     context: SessionContext,
@@ -92,13 +94,11 @@
     commands: list[Command],
     answers: list[Answer],
 ) -> None:
-    """Gives up a connection that did not take its session values."""
+    """Gives up a connection that did not take what a session set up."""
     for command, answer in zip(commands, answers, strict=True):
-        if answer.error is None or isinstance(command, Run):
+        if answer.error is None or not isinstance(command, SETUP_COMMANDS):
             continue
-        pooled.carried.clear()
-        if answer.state is not TransactionState.open:
-            pooled.is_broken = True
+        pooled.is_broken = True
         context.log.record(
             EventName.setup_refused,
             context.now(),
--- /dev/null
+++ b/tests/cover/test_sessions.py
@@ -0,0 +1,218 @@
+"""Sessions on pooled connections: consistency, transactions, true refusals."""
+
+import pytest
+
+from godwitwheel.sessions.sampler import Sampler
+from godwitwheel.sessions.statements import ErrorCode, TransactionState
+from godwitwheel.wire.service import Access
+from tests.common.fake_sessions import (
+    SERVICE,
+    FakeGroup,
+    begin,
+    commit,
+    execute,
+    prepare,
+    read,
+    rollback,
+    set_value,
+    write,
+)
+
+
+@pytest.fixture
+def group(monkeypatch):
+    """A group whose statements wait in simulated time."""
+    made = FakeGroup()
+    for module in ("single", "transaction"):
+        monkeypatch.setattr(f"godwitwheel.sessions.{module}.sleep", made.clock.advance)
+    return made
+
+
+def sample(group):
+    Sampler(group.context).ask(group.board.view.targets[group.primary.target_id])
+
+
+def test_a_write_runs_once_at_the_primary(group):
+    answer = group.session("primary").execute(write("w1"))
+    assert answer.signature == "sig-w1"
+    assert [run.request_id for run in group.primary.ran] == ["w1"]
+
+
+def test_a_write_without_an_answer_is_in_doubt_and_not_sent_again(group):
+    group.primary.lost_answers = 1
+    answer = group.session("primary").execute(write("w1"))
+    assert answer.error is ErrorCode.in_doubt
+    assert [run.request_id for run in group.runs()] == ["w1"]
+
+
+def test_a_busy_target_is_asked_again(group):
+    group.primary.busy_answers = 2
+    assert group.session("primary").execute(write("w1")).error is None
+    assert [run.request_id for run in group.runs()] == ["w1"]
+
+
+def test_a_read_without_an_answer_runs_again(group):
+    sample(group)
+    group.replicate_all()
+    for target in group.targets.values():
+        target.lost_answers = 1
+    answer = group.session("bounded_staleness").execute(read("r1"))
+    assert answer.signature == "sig-r1"
+
+
+def test_a_primary_read_never_runs_at_a_former_primary(group):
+    session = group.session("primary")
+    session.execute(write("w1"))
+    group.replicate_all()
+    group.promote("t2")
+    group.commit("w2")
+    answer = session.execute(read("r1"))
+    assert answer.error is not None
+    assert group.targets["t1"].ran[-1].request_id == "w1"
+
+
+def test_the_sampler_finds_a_primary_that_moved(group):
+    sample(group)
+    group.promote("t3")
+    sampler = Sampler(group.context)
+    for target in group.board.targets_of(SERVICE):
+        sampler.ask(target)
+    assert group.board.belief(SERVICE).target_id == "t3"
+
+
+def test_a_read_of_its_own_write_waits_for_no_lagging_replica(group):
+    sample(group)
+    session = group.session("read_your_writes")
+    session.execute(write("w1"))
+    answer = session.execute(read("r1"))
+    assert b"w1" in answer.rows[0]
+
+
+def test_a_bounded_read_sees_what_is_older_than_its_bound(group):
+    session = group.session("bounded_staleness")
+    session.execute(write("w1"))
+    sample(group)
+    group.clock.advance(1.6)
+    sample(group)
+    assert b"w1" in session.execute(read("r1")).rows[0]
+
+
+def test_a_bounded_read_may_miss_what_is_newer(group):
+    sample(group)
+    group.clock.advance(0.1)
+    group.commit("w1")
+    answer = group.session("bounded_staleness").execute(read("r1"))
+    assert answer.error is None
+    assert group.primary.ran == []
+
+
+def test_without_a_recent_position_a_read_asks_the_primary(group):
+    sample(group)
+    group.clock.advance(5.0)
+    group.session("bounded_staleness").execute(read("r1"))
+    assert [run.request_id for run in group.primary.ran] == ["r1"]
+
+
+def test_without_a_primary_a_stale_read_is_refused_as_lagging(group):
+    sample(group)
+    group.clock.advance(5.0)
+    group.primary.refuses = True
+    group.board.pools["t1"].drop_idle()
+    answer = group.session("bounded_staleness").execute(read("r1"))
+    assert answer.error is ErrorCode.lagging
+    assert group.runs() == []
+
+
+def test_statements_of_a_transaction_share_a_connection(group):
+    first, second = group.session("primary"), group.session("primary")
+    first.execute(begin("-"))
+    second.execute(begin("-"))
+    first.execute(write("a1"))
+    second.execute(write("b1"))
+    first.execute(write("a2"))
+    second.execute(write("b2"))
+    assert first.execute(commit("a3")).signature == "sig-a3"
+    assert second.execute(commit("b3")).signature == "sig-b3"
+    by_id = {run.request_id: run for run in group.primary.ran}
+    assert by_id["a1"].transaction == by_id["a2"].transaction != 0
+    assert by_id["b1"].transaction == by_id["b2"].transaction != 0
+    assert by_id["a1"].transaction != by_id["b1"].transaction
+
+
+def test_a_transaction_that_lost_its_connection_keeps_nothing(group):
+    session = group.session("primary")
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    group.primary.lost_answers = 1
+    answer = session.execute(write("w2"))
+    assert answer.error is ErrorCode.aborted
+    assert answer.state is TransactionState.failed
+    assert session.execute(read("r1")).error is ErrorCode.malformed
+    ended = session.execute(commit("c1"))
+    assert ended.error is ErrorCode.aborted
+    assert ended.state is TransactionState.idle
+    assert group.primary.log == []
+
+
+def test_a_commit_without_an_answer_is_in_doubt(group):
+    session = group.session("primary")
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    group.primary.lost_answers = 1
+    assert session.execute(commit("c1")).error is ErrorCode.in_doubt
+
+
+def test_a_caller_that_leaves_rolls_back(group):
+    with group.session("primary") as session:
+        session.execute(begin("-"))
+        session.execute(write("w1"))
+    group.session("primary").execute(read("r1"))
+    assert group.primary.log == []
+    assert group.primary.opened == 1
+
+
+def test_an_empty_transaction_commits_at_a_target(group):
+    session = group.session("primary")
+    session.execute(begin("-"))
+    assert session.execute(commit("c1")).signature == "sig-c1"
+
+
+def test_a_rollback_is_answered_without_a_target(group):
+    session = group.session("primary")
+    session.execute(begin("-"))
+    answer = session.execute(rollback("-"))
+    assert answer.error is None
+    assert answer.state is TransactionState.idle
+    assert group.primary.opened == 0
+
+
+def test_values_and_prepared_statements_stay_with_their_session(group):
+    first, second = group.session("primary"), group.session("primary")
+    first.execute(set_value("tz", "utc"))
+    first.execute(prepare("s1", Access.read, "q1"))
+    second.execute(set_value("lang", "es"))
+    second.execute(prepare("s1", Access.write, "q2"))
+    for number in range(3):
+        first.execute(execute(f"a{number}", "s1"))
+        second.execute(execute(f"b{number}", "s1"))
+    for run in group.runs():
+        if run.request_id.startswith("a"):
+            assert run.values == {"tz": "utc"}
+            assert run.shape == (Access.read, "q1")
+        else:
+            assert run.values == {"lang": "es"}
+            assert run.shape == (Access.write, "q2")
+    assert group.primary.opened == 1
+
+
+def test_a_refused_begin_does_not_cost_the_connection(group):
+    sampler = Sampler(group.context)
+    replica = group.board.view.targets["t2"]
+    for _ in range(5):
+        sampler.ask(replica)
+    assert group.targets["t2"].opened == 1
+
+
+def test_a_statement_without_a_route_is_refused(group):
+    answer = group.session("nowhere").execute(read("r1"))
+    assert answer.error is ErrorCode.unknown_database
