Find lost primaries sooner and wait for promotions that are due

Cause: a proxy asked its primary every 250 ms and reported every 250 ms, and control counted a report for 1 s, so a dark primary was replaced after 0.64 s; callers were held for a quarter of their objective although no primary was due. Now: questions every 150 ms, a failure is reported at once, a report counts for 0.6 s, a promotion that is due within the objective is waited for and no other. Members that start together hold their first election within 1.4 timeouts of 0.5 s.

--- a/src/godwitwheel/consensus/state.py
+++ b/src/godwitwheel/consensus/state.py
@@ -9,6 +9,9 @@
 from .work import ReadRequest, SavedState, Work
 
 MAX_VOTERS = 9
+# Part of the election timeout over which the first elections of members that started
+# together are spread. A leader that is there is heard long before.
+FIRST_ELECTION_SPREAD = 0.4
 
 
 class Role(enum.Enum):
@@ -130,7 +133,7 @@
         self.reads: list[ReadRequest] = []
         self.incoming = None
         self.work = Work()
-        self.postpone_election(now)
+        self.postpone_first_election(now)
 
     @property
     def membership(self) -> Membership:
@@ -166,6 +169,11 @@
         stretch = 1.0 + self.random.random()
         self.election_deadline = now + self.options.election_timeout_s * stretch
 
+    def postpone_first_election(self, now: float) -> None:
+        """Draws a short timeout: after a stop of all members nobody leads."""
+        stretch = 1.0 + FIRST_ELECTION_SPREAD * self.random.random()
+        self.election_deadline = now + self.options.election_timeout_s * stretch
+
     def heard_leader_lately(self, now: float) -> bool:
         """Whether a leader may still count on this member's silence."""
         return now < self.last_contact + self.options.election_timeout_s
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -6,8 +6,8 @@
 from .records import DirectoryView, ProxyReport, TargetEntry
 
 # A report older than this says nothing about the present, in seconds.
-REPORT_FRESH_S = 1.0
-# A primary proves its lead to a proxy several times within this time.
+REPORT_FRESH_S = 0.6
+# A proxy that can't tell for so long that its primary leads counts as missing it.
 PROOF_AGE_MS = 600
 # While some proxies still reach the primary, the others wait this long first.
 PARTIAL_PROOF_AGE_MS = 1200
@@ -53,15 +53,24 @@
 
 
 class Sight:
-    """What one proxy sees of a service's primary."""
+    """What one proxy sees of a service's primary.
 
-    __slots__ = ("proxy_id", "target_id", "proof_age_ms", "unreachable")
+    :ivar is_proven: whether ``target_id`` leads, as far as the proxy knows.
+    """
+
+    __slots__ = ("proxy_id", "target_id", "is_proven", "proof_age_ms", "unreachable")
 
     def __init__(
-        self, proxy_id: str, target_id: str, proof_age_ms: float, unreachable: list[str]
+        self,
+        proxy_id: str,
+        target_id: str,
+        is_proven: bool,
+        proof_age_ms: float,
+        unreachable: list[str],
     ):
         self.proxy_id = proxy_id
         self.target_id = target_id
+        self.is_proven = is_proven and proof_age_ms < PROOF_AGE_MS
         self.proof_age_ms = proof_age_ms
         self.unreachable = unreachable
 
@@ -80,7 +89,8 @@
                     Sight(
                         proxy_id,
                         primary.target_id,
-                        primary.ok_age_ms,
+                        primary.is_proven,
+                        primary.proof_age_ms,
                         received.report.unreachable,
                     )
                 )
@@ -94,7 +104,7 @@
 
     :param led_for_s: how long this member has led, in seconds.
     """
-    proved = [sight for sight in sights if sight.proof_age_ms < PROOF_AGE_MS]
+    proved = [sight for sight in sights if sight.is_proven]
     primary_id = view.primaries.get(service, "")
     primary = view.targets.get(primary_id)
     elsewhere = [sight for sight in proved if sight.target_id != primary_id]
@@ -114,7 +124,11 @@
             f"none of {len(sights)} proxies has seen {primary_id or 'a primary'} lead "
             f"for {min(sight.proof_age_ms for sight in sights)} ms",
         )
-    missing = [s for s in sights if s.proof_age_ms >= PARTIAL_PROOF_AGE_MS]
+    missing = [
+        sight
+        for sight in sights
+        if not sight.is_proven and sight.proof_age_ms >= PARTIAL_PROOF_AGE_MS
+    ]
     if len(missing) >= PARTIAL_SHARE * len(sights):
         return Assessment(
             Verdict.replace,
@@ -165,9 +179,7 @@
     :returns: ``None`` if no target is reached by more proxies than the primary.
     """
     missing_primary = sum(
-        1
-        for sight in sights
-        if sight.target_id == primary_id and sight.proof_age_ms >= PROOF_AGE_MS
+        1 for sight in sights if sight.target_id == primary_id and not sight.is_proven
     )
     able = [each for each in candidates if each.received is not None]
     if sights and missing_primary:
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -27,7 +27,7 @@
 STOP_POLL_S = 0.05
 # Pause before a member whose disk failed opens its log again, in seconds.
 REOPEN_PAUSE_S = 0.5
-ELECTION_TIMEOUT_S = 0.7
+ELECTION_TIMEOUT_S = 0.5
 APPEND_INTERVAL_S = 0.1
 
 Routes = dict[tuple[str, str], Handler]
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -109,12 +109,14 @@
     """What a proxy has seen of a service's primary.
 
     :ivar target_id: target that the proxy takes for the primary, or empty.
-    :ivar ok_age_ms: time since it last proved to lead, in milliseconds.
+    :ivar is_proven: whether the last question was answered as a primary answers.
+    :ivar proof_age_ms: time since it last proved to lead, in milliseconds.
     """
 
     service: str
     target_id: str
-    ok_age_ms: int
+    is_proven: bool
+    proof_age_ms: int
 
 
 class ProxyReport(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -154,7 +154,7 @@
     elif belief.proved_at is None:
         board.changed.notify()
     belief.term = max(belief.term, term)
-    belief.proved_at = asked_at
+    belief.prove(asked_at)
     if position is not None:
         board.history(target.service).add(asked_at, position)
 
@@ -165,6 +165,7 @@
     if belief.target_id != target.target_id or belief.proved_at is None:
         return
     belief.proved_at = None
+    context.board.changed.notify()
     context.log.record(
         EventName.primary_lost,
         context.now(),
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -1,5 +1,7 @@
 """What a proxy knows for interactive sessions; controllers read and write it."""
 
+import math
+
 from ..directory.records import DirectoryView, ServicePolicy, TargetEntry
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
@@ -11,6 +13,8 @@
 # that started a moment ago.
 RESERVED_CONNECTIONS = 2
 MIN_POOL = 1
+# Time from an order to promote until the target leads, about.
+PROMOTION_S = 0.6
 
 
 class TargetStatus:
@@ -36,16 +40,25 @@
 class PrimaryBelief:
     """Which target this proxy takes for a service's primary.
 
-    :ivar proved_at: when it last proved to lead, or ``None``.
-    :ivar term: term in which it led then.
+    :ivar proved_at: when it last proved to lead; ``None`` once it failed to.
+    :ivar last_proof_at: the same, kept after a failure, in seconds of the clock.
+    :ivar expected_at: when a target that was ordered to lead should do so.
+    :ivar term: term in which it led last.
     """
 
-    __slots__ = ("target_id", "term", "proved_at")
+    __slots__ = ("target_id", "term", "proved_at", "last_proof_at", "expected_at")
 
     def __init__(self, target_id: str = "", term: int = 0):
         self.target_id = target_id
         self.term = term
         self.proved_at: float | None = None
+        self.last_proof_at = -math.inf
+        self.expected_at = -math.inf
+
+    def prove(self, asked_at: float) -> None:
+        """Notes that it proved to lead."""
+        self.proved_at = asked_at
+        self.last_proof_at = max(self.last_proof_at, asked_at)
 
 
 class SessionBoard:
@@ -160,3 +173,4 @@
         if belief.target_id != target_id:
             belief.target_id = target_id
             belief.proved_at = None
+            belief.expected_at = self.clock.now() + PROMOTION_S
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -11,7 +11,10 @@
 from .board import SessionBoard
 
 REPORT_PATH = "/v1/directory/report"
-REPORT_INTERVAL_S = 0.25
+REPORT_INTERVAL_S = 0.2
+# Changes that come close together are reported together.
+REPORT_SPACING_S = 0.01
+RETRY_INTERVAL_S = 0.05
 REPORT_TIMEOUT_S = 0.6
 MISDIRECTED = 421
 UNKNOWN_AGE_MS = 1_000_000
@@ -76,7 +79,12 @@
         """Reports for as long as the process runs."""
         while True:
             found = self.report()
-            sleep(REPORT_INTERVAL_S if found else REPORT_INTERVAL_S / 5)
+            if found:
+                # A change of what this proxy believes is reported at once.
+                self.board.changed.wait(REPORT_INTERVAL_S)
+                sleep(REPORT_SPACING_S)
+            else:
+                sleep(RETRY_INTERVAL_S)
 
     def report(self) -> bool:
         """Reports once.
@@ -108,10 +116,9 @@
         reports = []
         for service in board.view.table.services:
             belief = board.belief(service)
-            age_ms = UNKNOWN_AGE_MS
-            if belief.proved_at is not None:
-                age_ms = round(1000 * (now - belief.proved_at))
-            reports.append(PrimaryReport(service, belief.target_id, age_ms))
+            age_ms = round(min(1000 * (now - belief.last_proof_at), UNKNOWN_AGE_MS))
+            is_proven = belief.proved_at is not None
+            reports.append(PrimaryReport(service, belief.target_id, is_proven, age_ms))
         unreachable = [
             target_id
             for target_id, status in board.statuses.items()
--- a/src/godwitwheel/sessions/sampler.py
+++ b/src/godwitwheel/sessions/sampler.py
@@ -15,11 +15,11 @@
 from .statements import ErrorCode
 
 # Traffic that proves the lead this often makes a question of our own unnecessary.
-SAMPLE_INTERVAL_S = 0.25
+SAMPLE_INTERVAL_S = 0.15
 # Time between two searches while no target has proved to lead.
 SEARCH_INTERVAL_S = 0.06
 # A question costs only the way, so a longer silence means a dead target or path.
-ANSWER_TIMEOUT_S = 0.3
+ANSWER_TIMEOUT_S = 0.2
 LOWEST_PRIORITY = 99
 
 
@@ -70,6 +70,7 @@
         if primary is not None and age_s is not None:
             if not self.ask(primary):
                 belief.proved_at = None
+                board.changed.notify()
             return 0.0
         for target in board.targets_of(service):
             if target.target_id not in self.asking:
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -95,7 +95,8 @@
         """Whether the statement has waited for long enough."""
         now = self.context.now()
         if self._has_no_primary():
-            return now >= self.patience.no_primary_at
+            belief = self.context.board.belief(self.route.service)
+            return not self.patience.waits_for_primary(belief.expected_at, now)
         return now >= self.patience.give_up_at
 
     def give_up(self) -> Answer:
@@ -107,6 +108,9 @@
         return error_answer(ErrorCode.overloaded, text)
 
     def _has_no_primary(self) -> bool:
+        if self.refusal is not None and self.refusal.error is ErrorCode.overloaded:
+            # It is there, but has no room.
+            return False
         return self.context.board.belief(self.route.service).proved_at is None
 
     def primary(self) -> TargetEntry | None:
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -157,8 +157,9 @@
 
     def _is_over(self, patience: Patience) -> bool:
         now = self.context.now()
-        if self.context.board.belief(self.route.service).proved_at is None:
-            return now >= patience.no_primary_at
+        belief = self.context.board.belief(self.route.service)
+        if belief.proved_at is None:
+            return not patience.waits_for_primary(belief.expected_at, now)
         return now >= patience.give_up_at
 
     def _floor(self) -> Position | Refusal | None:
@@ -253,10 +254,11 @@
             commands.append(Run(statement, prepared_name=name))
             asked_at = self.context.now()
             try:
-                timeout_s = patience.left_s(asked_at)
+                timeout_s = patience.attempt_s(asked_at)
                 answers = exchange(self.context, pooled, commands, timeout_s)
             except ConnectionLost as error:
-                # No commit was sent, so closing the connection keeps nothing.
+                # No commit was sent, so closing the connection keeps nothing, and
+                # the caller may start again while it still has time.
                 return error_answer(ErrorCode.aborted, str(error))
             answer = answers[-1]
             if answer.error is None and self._is_guarded(pooled.pool.target):
--- a/src/godwitwheel/sessions/waiting.py
+++ b/src/godwitwheel/sessions/waiting.py
@@ -8,9 +8,11 @@
 # that comes back later is better served than one that is held without a chance.
 WAIT_SHARE = 0.9
 # The same while no primary is known, when only an unlikely chance is waited for.
-NO_PRIMARY_SHARE = 0.25
+NO_PRIMARY_SHARE = 0.15
 # Pause between two attempts at targets that refused, in seconds.
 RETRY_PAUSE_S = 0.015
+# How much later than expected a promotion may come, in seconds.
+PROMOTION_SLACK_S = 0.1
 # Part of a route's statement timeout after which a read tries another target.
 READ_ATTEMPT_SHARE = 0.35
 SHORTEST_ATTEMPT_S = 0.15
@@ -32,6 +34,16 @@
         self.give_up_at = min(now + WAIT_SHARE * objective_s, self.expires_at)
         self.no_primary_at = min(now + NO_PRIMARY_SHARE * objective_s, self.expires_at)
 
+    def waits_for_primary(self, expected_at: float, now: float) -> bool:
+        """Whether to wait while no target is known to lead.
+
+        A promotion that should be over within the objective is waited for; nothing
+        is known of any other, so its callers are better told at once.
+        """
+        if now < min(expected_at + PROMOTION_SLACK_S, self.give_up_at):
+            return expected_at <= self.give_up_at
+        return now < self.no_primary_at
+
     def attempt_s(self, now: float) -> float:
         """Returns how long a read may wait for one target's answer."""
         left_s = self.expires_at - now
