Find a new control leader sooner, and send callers elsewhere when cut off

Causes, from the processes' logs: after the leader froze, proxies asked it again on the hint of followers, so a new leader judged a primary by 2 of 7 proxies and replaced one that the others reached; clients of a cut zone stayed with proxies that could serve nothing; reads at the primary took two exchanges although their floor was known.

--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -14,6 +14,9 @@
 # Share of the proxies that must miss the primary before it is replaced although the
 # others reach it: a promotion holds up all writes, a cut only those of its side.
 PARTIAL_SHARE = 0.34
+# Share of the known proxies that must report before a primary is taken for lost: a
+# zone's may be cut off together with it, but a few say nothing of the others.
+REPORTING_SHARE = 0.4
 # A promotion takes several hundred ms; until then nothing can be said of it.
 ORDER_PAUSE_S = 2.0
 # Announcements reach a new leader within their interval.
@@ -98,10 +101,15 @@
 
 
 def assess(
-    service: str, view: DirectoryView, sights: list[Sight], led_for_s: float
+    service: str,
+    view: DirectoryView,
+    sights: list[Sight],
+    proxies: int,
+    led_for_s: float,
 ) -> Assessment:
     """Decides about a service's primary.
 
+    :param proxies: how many proxies are known, whether they reported lately or not.
     :param led_for_s: how long this member has led, in seconds.
     """
     proved = [sight for sight in sights if sight.is_proven]
@@ -116,8 +124,10 @@
         return Assessment(Verdict.keep, "this member leads only since a moment ago")
     if primary is not None and primary.leaving:
         return Assessment(Verdict.replace, f"{primary_id} is leaving")
-    if not sights:
-        return Assessment(Verdict.keep, "no proxy reports")
+    if len(sights) < REPORTING_SHARE * proxies or not sights:
+        return Assessment(
+            Verdict.keep, f"only {len(sights)} of {proxies} proxies report"
+        )
     if not proved:
         return Assessment(
             Verdict.replace,
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -209,7 +209,9 @@
             return
         view = self.state.directory.view
         sights = sights_of(service, leadership.reports, now)
-        assessment = assess(service, view, sights, now - leadership.since)
+        proxies = len(leadership.reports)
+        led_for_s = now - leadership.since
+        assessment = assess(service, view, sights, proxies, led_for_s)
         if assessment.verdict is Verdict.keep:
             return
         leadership.busy.add(service)
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -27,8 +27,8 @@
 STOP_POLL_S = 0.05
 # Pause before a member whose disk failed opens its log again, in seconds.
 REOPEN_PAUSE_S = 0.5
-ELECTION_TIMEOUT_S = 0.5
-APPEND_INTERVAL_S = 0.1
+ELECTION_TIMEOUT_S = 0.4
+APPEND_INTERVAL_S = 0.08
 
 Routes = dict[tuple[str, str], Handler]
 
--- a/src/godwitwheel/sessions/choosing.py
+++ b/src/godwitwheel/sessions/choosing.py
@@ -7,7 +7,7 @@
 from .board import SessionBoard, TargetStatus
 
 # Added to a target's expected wait for each hop to another data centre, in seconds.
-OTHER_DATA_CENTRE_S = 0.002
+OTHER_DATA_CENTRE_S = 0.004
 # Assumed time of a statement where none has been measured, in seconds.
 DEFAULT_LATENCY_S = 0.01
 # Share of a new measurement in the moving average of a target's latency.
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -16,6 +16,7 @@
 from .connection import Connector
 from .context import SessionContext
 from .events import StatementLog
+from .isolation import Isolation
 from .metrics import SessionMetrics
 from .reporting import ControlMembers, Reporter
 from .sampler import Sampler
@@ -26,8 +27,7 @@
 READINESS_NOTICED_S = 2.3
 # Kept back from the grace period for the process's own end, in seconds.
 END_MARGIN_S = 0.7
-# A proxy is ready once control answered within this time, or it has served before.
-FIRST_ANSWER_S = 5.0
+ISOLATION_POLL_S = 0.1
 
 
 class SessionProxySettings:
@@ -86,6 +86,7 @@
         "context",
         "members",
         "server",
+        "isolation",
         "stopping",
     )
 
@@ -97,11 +98,31 @@
         self.context = SessionContext(self.board, StatementLog(), metrics)
         self.members = ControlMembers(settings.seeds, random.Random())
         self.server = SessionServer(self.context)
+        self.isolation = Isolation()
         self.stopping = False
 
     def is_ready(self) -> bool:
         """Whether new callers are welcome."""
-        return not self.stopping and self.board.view.table.version > 0
+        if self.stopping or self.board.view.table.version == 0:
+            return False
+        return not self.isolation.is_isolated
+
+    def watch_isolation(self, reporter: Reporter) -> None:
+        """Sends callers elsewhere while this proxy can serve hardly any."""
+        while True:
+            sleep(ISOLATION_POLL_S)
+            now = self.clock.now()
+            proofs = [
+                self.board.belief(service).last_proof_at
+                for service in self.board.view.table.services
+            ]
+            changed = self.isolation.update(reporter.answered_at, proofs, now)
+            if changed:
+                record_event(
+                    EventName.isolation_changed, isolated=self.isolation.is_isolated
+                )
+            if self.isolation.should_end_sessions(now):
+                self.server.end_idle()
 
     def run(self, stop: StopRequest, make_link: Callable[[Stream], CallerLink]) -> None:
         """Serves until the process is told to stop.
@@ -132,6 +153,11 @@
             stack.enter_context(callers.listening(settings.listen))
             stack.enter_context(running_task(reporter.run, record_failure))
             stack.enter_context(running_task(sampler.run, record_failure))
+
+            def watch() -> None:
+                self.watch_isolation(reporter)
+
+            stack.enter_context(running_task(watch, record_failure))
             while not stop.requested:
                 sleep(STOP_POLL_S)
             self._stop(callers, reporter)
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -15,7 +15,9 @@
 # Changes that come close together are reported together.
 REPORT_SPACING_S = 0.01
 RETRY_INTERVAL_S = 0.05
-REPORT_TIMEOUT_S = 0.6
+REPORT_TIMEOUT_S = 0.4
+# Other members are tried for so long before one that did not answer, in seconds.
+SILENT_PAUSE_S = 2.0
 MISDIRECTED = 421
 UNKNOWN_AGE_MS = 1_000_000
 
@@ -26,22 +28,41 @@
     :ivar seeds: addresses from the settings.
     :ivar members: addresses that the leader named last.
     :ivar leader: address to try first, or empty.
+    :ivar silent_until: addresses that did not answer, and until when others are
+        tried before them.
     """
 
-    __slots__ = ("seeds", "members", "leader", "rng")
+    __slots__ = ("seeds", "members", "leader", "rng", "silent_until")
 
     def __init__(self, seeds: list[str], rng: random.Random):
         self.seeds = seeds
         self.members: list[str] = []
         self.leader = ""
         self.rng = rng
+        self.silent_until: dict[str, float] = {}
 
-    def next_address(self) -> str:
+    def next_address(self, now: float) -> str:
         """Returns the leader, or any other member while none is known."""
         if self.leader:
             return self.leader
         known = sorted({*self.seeds, *self.members})
-        return self.rng.choice(known) if known else ""
+        heard = [each for each in known if now >= self.silent_until.get(each, now)]
+        choices = heard or known
+        return self.rng.choice(choices) if choices else ""
+
+    def note_silent(self, address: str, now: float) -> None:
+        """Takes in that a member did not answer."""
+        self.leader = ""
+        self.silent_until[address] = now + SILENT_PAUSE_S
+
+    def note_leader(self, address: str, now: float) -> None:
+        """Takes in which member another one takes for the leader.
+
+        A follower goes on naming a leader that has just been lost; one that did not
+        answer this proxy is not asked again on such a hint.
+        """
+        is_silent = now < self.silent_until.get(address, now)
+        self.leader = "" if is_silent else address
 
 
 class Reporter:
@@ -91,7 +112,8 @@
 
         :returns: whether a leader answered.
         """
-        address = self.members.next_address()
+        now = self.board.clock.now()
+        address = self.members.next_address(now)
         if not address:
             return False
         try:
@@ -103,9 +125,9 @@
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
-                self.members.leader = decode(body, Redirect).leader
+                self.members.note_leader(decode(body, Redirect).leader, now)
         except (WireError, BadMessage) as error:
-            self.members.leader = ""
+            self.members.note_silent(address, self.board.clock.now())
             self._note_lost(address, str(error))
         return False
 
@@ -136,6 +158,7 @@
     def _take(self, address: str, reply: ProxyReply) -> None:
         board = self.board
         self.members.leader = address
+        self.members.silent_until.pop(address, None)
         self.members.members = reply.members
         self.answered_at = board.clock.now()
         if self.is_lost:
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -279,10 +279,7 @@
         if isinstance(target, Refusal):
             self.excluded.clear()
             return super().attempt()
-        if target.target_id == board.belief(service).target_id:
-            self.excluded.add(target.target_id)
-            return super().attempt()
-        return self._read_replica(target, floor)
+        return self._read_at(target, floor)
 
     def give_up(self) -> Answer:
         if not self.is_lagging:
@@ -300,7 +297,7 @@
             self.context.now(),
         )
 
-    def _read_replica(self, target: TargetEntry, floor: Position) -> Answer | None:
+    def _read_at(self, target: TargetEntry, floor: Position) -> Answer | None:
         pooled = self.borrow(target)
         if pooled is None:
             self.excluded.add(target.target_id)
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -35,8 +35,9 @@
     return Sight(proxy, target_id, proven, age_ms, list(unreachable))
 
 
-def verdict(sights, led_for_s=LED_FOR_S, leaving=False):
-    return assess(SERVICE, view(leaving), sights, led_for_s).verdict
+def verdict(sights, led_for_s=LED_FOR_S, leaving=False, proxies=0):
+    proxies = proxies or len(sights)
+    return assess(SERVICE, view(leaving), sights, proxies, led_for_s).verdict
 
 
 def test_a_primary_that_leads_is_kept():
@@ -52,6 +53,12 @@
     assert verdict([]) is Verdict.keep
 
 
+def test_a_few_proxies_of_many_do_not_replace_a_primary():
+    sights = [sight("p1", False, 2300), sight("p2", False, 2400)]
+    assert verdict(sights, proxies=7) is Verdict.keep
+    assert verdict(sights, proxies=4) is Verdict.replace
+
+
 def test_a_new_leader_waits_for_announcements():
     assert verdict([sight("p1", False, 900)], led_for_s=0.5) is Verdict.keep
 
@@ -78,7 +85,7 @@
 
 
 def test_a_primary_that_proxies_found_is_adopted():
-    found = assess(SERVICE, view(), [sight("p1", target_id="t2")], LED_FOR_S)
+    found = assess(SERVICE, view(), [sight("p1", target_id="t2")], 1, LED_FOR_S)
     assert found.verdict is Verdict.adopt
     assert found.target_id == "t2"
 
--- /dev/null
+++ b/tests/cover/test_isolation.py
@@ -0,0 +1,39 @@
+"""When a proxy sends its callers elsewhere."""
+
+from godwitwheel.sessions.isolation import NOTICED_S, SILENCE_S, Isolation
+
+NOW = 100.0
+LATE = NOW - SILENCE_S - 0.1
+
+
+def isolated(answered_at, proofs):
+    isolation = Isolation()
+    isolation.update(answered_at, proofs, NOW)
+    return isolation.is_isolated
+
+
+def test_a_proxy_that_reaches_control_is_not_isolated():
+    assert not isolated(NOW, [LATE, LATE, LATE])
+
+
+def test_a_proxy_that_reaches_most_primaries_is_not_isolated():
+    assert not isolated(LATE, [NOW, NOW, LATE])
+
+
+def test_a_proxy_that_reaches_neither_is_isolated():
+    assert isolated(LATE, [LATE, LATE, NOW])
+
+
+def test_sessions_end_once_and_only_after_the_balancer_noticed():
+    isolation = Isolation()
+    isolation.update(LATE, [LATE], NOW)
+    assert not isolation.should_end_sessions(NOW + NOTICED_S / 2)
+    assert isolation.should_end_sessions(NOW + NOTICED_S + 0.1)
+    assert not isolation.should_end_sessions(NOW + NOTICED_S + 0.2)
+
+
+def test_a_proxy_that_reaches_control_again_is_ready_at_once():
+    isolation = Isolation()
+    isolation.update(LATE, [LATE], NOW)
+    assert isolation.update(NOW + 1.0, [LATE], NOW + 1.0)
+    assert not isolation.is_isolated
