--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -17,7 +17,8 @@
 RETRY_INTERVAL_S = 0.05
 REPORT_TIMEOUT_S = 0.4
 # Other members are tried for so long before one that did not answer, in seconds.
-SILENT_PAUSE_S = 2.0
+SILENT_PAUSE_S = 1.5
+REFUSED_PAUSE_S = 0.15
 MISDIRECTED = 421
 UNKNOWN_AGE_MS = 1_000_000
 
@@ -50,10 +51,17 @@
         choices = heard or known
         return self.rng.choice(choices) if choices else ""
 
-    def note_silent(self, address: str, now: float) -> None:
-        """Takes in that a member did not answer."""
+    def note_silent(self, address: str, waited_s: float, now: float) -> None:
+        """Takes in that a member did not answer.
+
+        One that refused at once is there, and its process about to start.
+
+        :param waited_s: how long its answer was waited for.
+        """
         self.leader = ""
-        self.silent_until[address] = now + SILENT_PAUSE_S
+        is_silent = waited_s >= REPORT_TIMEOUT_S / 2
+        pause_s = SILENT_PAUSE_S if is_silent else REFUSED_PAUSE_S
+        self.silent_until[address] = now + pause_s
 
     def note_leader(self, address: str, now: float) -> None:
         """Takes in which member another one takes for the leader.
@@ -127,7 +135,8 @@
             if status == MISDIRECTED:
                 self.members.note_leader(decode(body, Redirect).leader, now)
         except (WireError, BadMessage) as error:
-            self.members.note_silent(address, self.board.clock.now())
+            failed_at = self.board.clock.now()
+            self.members.note_silent(address, failed_at - now, failed_at)
             self._note_lost(address, str(error))
         return False
 
--- a/tests/cover/test_control_members.py
+++ b/tests/cover/test_control_members.py
@@ -9,7 +9,7 @@
 
 def test_a_member_that_did_not_answer_is_tried_after_the_others():
     members = ControlMembers(SEEDS, random.Random(1))
-    members.note_silent(SEEDS[0], 10.0)
+    members.note_silent(SEEDS[0], 0.4, 10.0)
     tried = {members.next_address(10.1) for _ in range(50)}
     assert tried == set(SEEDS[1:])
     assert SEEDS[0] in {members.next_address(10.1 + SILENT_PAUSE_S) for _ in range(50)}
@@ -17,11 +17,18 @@
 
 def test_a_follower_that_names_a_silent_leader_is_not_followed():
     members = ControlMembers(SEEDS, random.Random(1))
-    members.note_silent(SEEDS[0], 10.0)
+    members.note_silent(SEEDS[0], 0.4, 10.0)
     members.note_leader(SEEDS[0], 10.1)
     assert members.next_address(10.1) != SEEDS[0]
 
 
+def test_a_member_that_refused_is_soon_tried_again():
+    members = ControlMembers(SEEDS, random.Random(1))
+    members.note_silent(SEEDS[0], 0.001, 10.0)
+    members.note_leader(SEEDS[0], 10.3)
+    assert members.next_address(10.3) == SEEDS[0]
+
+
 def test_a_named_leader_is_asked_next():
     members = ControlMembers(SEEDS, random.Random(1))
     members.note_leader(SEEDS[2], 10.0)
@@ -31,5 +38,5 @@
 def test_members_that_all_were_silent_are_tried_again():
     members = ControlMembers(SEEDS, random.Random(1))
     for seed in SEEDS:
-        members.note_silent(seed, 10.0)
+        members.note_silent(seed, 0.4, 10.0)
     assert members.next_address(10.1) in SEEDS
