--- /dev/null
+++ b/tests/adapter/test_callers.py
@@ -0,0 +1,163 @@
+"""A whole session over loopback, and callers that break the protocol."""
+
+import contextlib
+
+import pytest
+
+from fleet.callers import LineCallerLink
+from godwitwheel.sessions.serving import SessionServer
+from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
+from tests.common.fake_sessions import FakeGroup
+
+TIMEOUT_S = 5.0
+
+
+class Caller:
+    """A connection to the session server under test."""
+
+    def __init__(self, address):
+        self.stream = open_stream(address, TIMEOUT_S)
+
+    def send(self, *lines):
+        text = "".join(f"{line}\r\n" for line in lines)
+        self.stream.write(text.encode(), TIMEOUT_S)
+
+    def line(self):
+        return self.stream.read_line(TIMEOUT_S, 1 << 20).decode()
+
+    def ask(self, request_id, text):
+        self.send(f"QUERY {request_id} {text}")
+        lines = [self.line()]
+        while not lines[-1].startswith("READY"):
+            lines.append(self.line())
+        return lines
+
+    def is_closed(self):
+        with contextlib.suppress(StreamClosed):
+            while True:
+                self.line()
+        return True
+
+
+@pytest.fixture
+def served():
+    """A session server on a fake group; yields a function that connects."""
+    group = FakeGroup()
+    server = SessionServer(group.context)
+    errors = []
+    listener = StreamServer(lambda s: server.serve(LineCallerLink(s)), errors.append)
+    with listener.listening("127.0.0.1:0") as listening:
+
+        def connect(database="primary"):
+            caller = Caller(listening.address)
+            if database:
+                caller.send(f"START {database} u3f1")
+            return caller
+
+        connect.group = group
+        connect.server = server
+        yield connect
+    assert errors == []
+
+
+def test_a_session_of_all_statements(served):
+    caller = served()
+    assert caller.line() == "READY I -"
+    assert caller.ask("a", "SET tz utc") == ["COMPLETE -", "READY I -"]
+    assert caller.ask("b", "PREPARE s1 WRITE q") == ["COMPLETE -", "READY I -"]
+    assert caller.ask("c", "BEGIN") == ["COMPLETE -", "READY T -"]
+    assert caller.ask("d", "EXECUTE s1 1a4 data")[-2] == "COMPLETE sig-d"
+    assert caller.ask("e", "COMMIT")[0] == "COMPLETE sig-e"
+    assert caller.ask("f", "READ 1a4")[0] == "DATAROW d"
+    assert caller.ask("g", "DEALLOCATE s1") == ["COMPLETE -", "READY I -"]
+    assert caller.ask("h", "EXECUTE s1 1a4 x")[0].startswith("ERROR NOSTMT")
+    caller.send("TERMINATE")
+    assert caller.is_closed()
+
+
+def test_an_unknown_database_is_refused_and_closed(served):
+    caller = served("nowhere")
+    assert caller.line() == "ERROR NODB nowhere"
+    assert caller.is_closed()
+
+
+def test_a_malformed_statement_leaves_the_session_open(served):
+    caller = served()
+    caller.line()
+    assert caller.ask("a", "DROP everything")[0].startswith("ERROR MALFORMED")
+    assert caller.ask("b", "READ 1a4")[-2] == "COMPLETE sig-b"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HELLO\r\n",
+        b"START\r\n",
+        b"\r\n",
+        b"START \xff\xfe\r\n",
+        b"GET / HTTP/1.1\r\n",
+    ],
+)
+def test_a_start_out_of_shape_ends_the_connection(served, data):
+    caller = served(database=None)
+    caller.stream.write(data, TIMEOUT_S)
+    assert caller.line().startswith("ERROR MALFORMED")
+    assert caller.is_closed()
+    assert served().line() == "READY I -"
+
+
+@pytest.mark.parametrize(
+    "data", [b"NONSENSE x\r\n", b"QUERY a\r\n", b"QUERY\r\n", b"QUERY a \xff\r\n"]
+)
+def test_a_message_out_of_shape_ends_the_session(served, data):
+    caller = served()
+    caller.line()
+    caller.stream.write(data, TIMEOUT_S)
+    assert caller.line().startswith("ERROR MALFORMED")
+    assert caller.is_closed()
+    assert served().line() == "READY I -"
+
+
+def test_an_oversized_line_ends_the_session(served):
+    caller = served()
+    caller.line()
+    with contextlib.suppress(StreamClosed):
+        caller.stream.write(b"QUERY a READ " + b"x" * (1 << 20) + b"\r\n", TIMEOUT_S)
+    with contextlib.suppress(StreamClosed):
+        assert caller.line().startswith("ERROR MALFORMED")
+    assert served().line() == "READY I -"
+
+
+def test_a_cut_line_runs_nothing(served):
+    caller = served()
+    caller.line()
+    caller.stream.write(b"QUERY a WRITE 1a4 da", TIMEOUT_S)
+    caller.stream.close()
+    second = served()
+    second.line()
+    second.ask("b", "READ 1a4")
+    assert [run.request_id for run in served.group.runs()] == ["b"]
+
+
+def test_a_caller_that_leaves_in_a_transaction_keeps_nothing(served):
+    caller = served()
+    caller.line()
+    caller.ask("a", "BEGIN")
+    caller.ask("b", "WRITE 1a4 x")
+    caller.stream.close()
+    second = served()
+    second.line()
+    assert second.ask("c", "READ 1a4")[0] == "DATAROW "
+
+
+def test_idle_sessions_end_at_a_stop_and_busy_ones_after_their_transaction(served):
+    idle, busy = served(), served()
+    idle.line()
+    busy.line()
+    busy.ask("a", "BEGIN")
+    busy.ask("b", "WRITE 1a4 x")
+    served.server.is_ending = True
+    served.server.end_idle()
+    assert idle.is_closed()
+    assert busy.ask("c", "COMMIT")[0] == "COMPLETE sig-c"
+    assert busy.is_closed()
--- /dev/null
+++ b/tests/adapter/test_lines.py
@@ -0,0 +1,131 @@
+"""The line protocol: what callers may send, what targets answer."""
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleet.lines import (
+    ProtocolViolation,
+    format_answer,
+    format_command,
+    format_position,
+    parse_position,
+    parse_statement,
+)
+from godwitwheel.sessions.connection import (
+    Begin,
+    Discard,
+    PauseReceiving,
+    Prepare,
+    Run,
+    SetValue,
+)
+from godwitwheel.sessions.statements import (
+    Answer,
+    ErrorCode,
+    Position,
+    StatementKind,
+    TransactionState,
+)
+from godwitwheel.wire.service import Access
+
+
+@pytest.mark.parametrize(
+    "text, kind",
+    [
+        ("BEGIN", StatementKind.begin),
+        ("BEGIN READ", StatementKind.begin),
+        ("COMMIT", StatementKind.commit),
+        ("ROLLBACK", StatementKind.rollback),
+        ("READ 1a4", StatementKind.read),
+        ("WRITE 1a4 data with blanks", StatementKind.write),
+        ("SET tz utc", StatementKind.set_value),
+        ("PREPARE s1 WRITE q2c", StatementKind.prepare),
+        ("EXECUTE s1 1a4 xkqpwnzd", StatementKind.execute),
+        ("DEALLOCATE s1", StatementKind.deallocate),
+    ],
+)
+def test_statements_keep_their_text(text, kind):
+    statement = parse_statement("id", text)
+    assert statement.kind is kind
+    assert statement.text == text
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "BEGIN WRITE",
+        "COMMIT now",
+        "READ",
+        "WRITE 1a4",
+        "SET tz",
+        "PREPARE s1 q2c",
+        "PREPARE s1 DELETE q2c",
+        "EXECUTE s1",
+        "DEALLOCATE",
+        "AFTER 3.1 READ 1a4",
+        "STATUS",
+        "DISCARD",
+        "STEPDOWN 9",
+        "begin",
+        "",
+    ],
+)
+def test_statements_that_callers_may_not_send_are_refused(text):
+    with pytest.raises(ProtocolViolation):
+        parse_statement("id", text)
+
+
+@given(st.text(alphabet=st.characters(exclude_characters="\r\n"), max_size=40))
+def test_any_text_is_a_statement_or_a_violation(text):
+    with contextlib.suppress(ProtocolViolation):
+        assert parse_statement("id", text).text == text
+
+
+@pytest.mark.parametrize("text", ["3", "3.", ".4", "a.b", "3.4.5", "3.x", "²3.1"])
+def test_positions_out_of_shape_are_refused(text):
+    with pytest.raises(ProtocolViolation):
+        parse_position(text)
+
+
+def test_positions_survive():
+    assert parse_position("3.1207") == Position(3, 1207)
+    assert parse_position("-") is None
+    assert format_position(Position(3, 1207)) == "3.1207"
+
+
+def test_commands_of_our_own_carry_no_id():
+    assert format_command(Begin()) == "QUERY - BEGIN\r\n"
+    after = Begin(read_only=True, floor=Position(2, 5))
+    assert format_command(after) == "QUERY - AFTER 2.5 BEGIN READ\r\n"
+    assert format_command(SetValue("tz", "utc")) == "QUERY - SET tz utc\r\n"
+    assert format_command(Discard()) == "QUERY - DISCARD\r\n"
+    assert format_command(PauseReceiving(4)) == "QUERY - PAUSE 4\r\n"
+    prepare = Prepare("g0", Access.write, "q2c")
+    assert format_command(prepare) == "QUERY - PREPARE g0 WRITE q2c\r\n"
+
+
+def test_a_statement_runs_under_its_id_with_its_text():
+    read = parse_statement("5c0e", "READ 1a4")
+    line = format_command(Run(read, Position(3, 1207)))
+    assert line == "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n"
+
+
+def test_only_the_name_of_a_prepared_statement_changes():
+    execute = parse_statement("5c0e", "EXECUTE s1 1a4 some data")
+    line = format_command(Run(execute, prepared_name="g7"))
+    assert line == "QUERY 5c0e EXECUTE g7 1a4 some data\r\n"
+
+
+def test_answers_name_error_and_state():
+    done = Answer([b"row"], "7.1f3", position=Position(3, 9))
+    assert format_answer(done) == b"DATAROW row\r\nCOMPLETE 7.1f3\r\nREADY I 3.9\r\n"
+    refused = Answer(
+        error=ErrorCode.overloaded,
+        detail="not run,\r\nretry",
+        state=TransactionState.failed,
+    )
+    expected = b"ERROR BUSY not run,  retry\r\nREADY E -\r\n"
+    assert format_answer(refused) == expected
