Remember how a transaction began; let the oracle see every fault put in

Cause: whether a transaction may be taken as proof of the lead was worked out again after each answer, from what the proxy took for the primary then; a promotion in between made a read-only transaction at a replica a proof, and its position a floor. The transaction now remembers how it began.

--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -40,6 +40,8 @@
         target then refuses its statements once it has lost the lead.
     :ivar pooled: the connection, from the first statement on.
     :ivar has_failed: nothing is kept; the caller has yet to end it.
+    :ivar is_guarded: whether it began as one that may write, so that the target
+        refuses its statements once it has lost the lead.
     :ivar has_written: whether a write has run.
     """
 
@@ -51,6 +53,7 @@
         "runs_at_primary",
         "pooled",
         "has_failed",
+        "is_guarded",
         "has_written",
         "excluded",
         "reason",
@@ -72,6 +75,7 @@
         self.runs_at_primary = is_primary_route or not read_only
         self.pooled: PooledConnection | None = None
         self.has_failed = False
+        self.is_guarded = False
         self.has_written = False
         self.excluded: set[str] = set()
         self.reason = ""
@@ -210,16 +214,11 @@
         if answer is None or answer.error is not None:
             self.excluded.add(target.target_id)
             return answer is not None and answer.error is ErrorCode.lagging
-        if self._is_guarded(target):
+        if self.is_guarded:
             mark_leading(self.context, target, asked_at, answer.position)
         self.pooled = pooled
         return False
 
-    def _is_guarded(self, target: TargetEntry) -> bool:
-        """Whether the target is asked for a transaction that may write."""
-        belief = self.context.board.belief(self.route.service)
-        return self.runs_at_primary or target.target_id == belief.target_id
-
     def _ask_to_begin(
         self,
         pooled: PooledConnection,
@@ -228,8 +227,10 @@
         patience: Patience,
     ) -> Answer | None:
         commands, _ = setup_commands(pooled, self.state, None)
-        is_guarded = self._is_guarded(target)
-        begin = Begin() if is_guarded else Begin(read_only=True, floor=floor)
+        needs_floor = not self.runs_at_primary and isinstance(floor, Position)
+        # What this proxy takes for the primary may change while it waits.
+        self.is_guarded = not needs_floor
+        begin = Begin(read_only=True, floor=floor) if needs_floor else Begin()
         answers: list[Answer] = []
         try:
             timeout_s = patience.attempt_s(self.context.now())
@@ -261,7 +262,7 @@
                 # the caller may start again while it still has time.
                 return error_answer(ErrorCode.aborted, str(error))
             answer = answers[-1]
-            if answer.error is None and self._is_guarded(pooled.pool.target):
+            if answer.error is None and self.is_guarded:
                 mark_leading(
                     self.context, pooled.pool.target, asked_at, answer.position
                 )
--- a/tests/cover/test_sessions_machine.py
+++ b/tests/cover/test_sessions_machine.py
@@ -73,6 +73,7 @@
         self.told: list[Told] = []
         self.ids = 0
         self.meant: dict[str, int] = {}
+        self.ask_all()
 
     def teardown(self):
         for patch in self.patches:
@@ -146,8 +147,64 @@
         self.open_writes[number] = []
         self.sessions[number].execute(rollback(self.new_id(number)))
 
+    @rule(number=SESSIONS)
+    def write_and_read(self, number):
+        self.run(number, write(self.new_id(number)), True)
+        self.run(number, read(self.new_id(number)), False)
+
+    @rule(writer=SESSIONS, number=SESSIONS, seconds=st.sampled_from([0.0, 1.6]))
+    def write_and_read_elsewhere(self, writer, number, seconds):
+        self.run(writer, write(self.new_id(writer)), True)
+        self.group.clock.advance(seconds)
+        self.ask_all()
+        self.run(number, read(self.new_id(number)), False)
+
+    @rule(number=SESSIONS, read_only=st.booleans(), loses=st.booleans())
+    def a_whole_transaction(self, number, read_only, loses):
+        if self.sessions[number].transaction is not None:
+            return
+        self.begin_a_transaction(number, read_only)
+        self.run(number, read(self.new_id(number)), False)
+        if not read_only:
+            self.run(number, write(self.new_id(number)), True)
+        if loses:
+            self.group.primary.lost_answers = 1
+        self.commit_a_transaction(number)
+
+    @rule(name=TARGETS, number=SESSIONS)
+    def promote_and_read(self, name, number):
+        """A former primary has what was committed so far and nothing later."""
+        self.group.replicate_all()
+        self.group.promote(name)
+        writer = self.group.session("primary")
+        Sampler(writer.context).ask(self.group.board.view.targets[name])
+        self.run_of_another_proxy()
+        self.run(number, read(self.new_id(number)), False)
+
+    def run_of_another_proxy(self):
+        """A commit that this proxy can't know of."""
+        self.ids += 1
+        told = Told(-1, [f"q{self.ids}"])
+        self.group.commit(f"q{self.ids}")
+        told.acknowledged_at = self.group.clock.now()
+        self.told.append(told)
+
+    @rule(name=TARGETS, number=SESSIONS)
+    def promote_elsewhere_and_read(self, name, number):
+        """Nobody has told this proxy of the promotion."""
+        self.group.replicate_all()
+        self.group.promote(name)
+        self.run_of_another_proxy()
+        self.run(number, read(self.new_id(number)), False)
+
+    def ask_all(self):
+        for entry in self.group.board.view.targets.values():
+            Sampler(self.group.context).ask(entry)
+
     def run(self, number, statement, is_write):
         session = self.sessions[number]
+        # Nothing happens at the same instant as what was told before.
+        self.group.clock.advance(0.001)
         started_at = self.group.clock.now()
         in_transaction = session.transaction is not None
         if in_transaction and self.began_at[number] is None:
@@ -214,6 +271,15 @@
     def go_dark(self, name, dark):
         self.group.targets[name].is_dark = dark
 
+    @rule()
+    def recover(self):
+        for target in self.group.targets.values():
+            target.is_dark = False
+            target.lost_answers = 0
+            target.busy_answers = 0
+        self.group.clock.advance(3.0)
+        self.ask_all()
+
     @rule(seconds=st.sampled_from([0.05, 0.5, 2.0]))
     def wait(self, seconds):
         self.group.clock.advance(seconds)
@@ -245,5 +311,5 @@
 
 def test_sessions_keep_their_promises():
     run_state_machine_as_test(
-        SessionsMachine, settings=settings(max_examples=150, stateful_step_count=50)
+        SessionsMachine, settings=settings(max_examples=200, stateful_step_count=40)
     )
