--- /dev/null
+++ b/tests/adapter/test_control_api.py
@@ -0,0 +1,220 @@
+"""Heartbeats and the operator's calls, on a cell of one member."""
+
+import json
+
+import pytest
+
+from fleet.control_api import ControlApi
+from fleet.tables import FleetTableCodec
+from godwitwheel.control.committer import Committer, LeadershipConfirmer
+from godwitwheel.control.state import ControlState
+from godwitwheel.directory.errors import InvalidTable, PromotionFailed
+from godwitwheel.directory.member import DirectoryMember
+from godwitwheel.directory.promotion import PromotionCall
+from godwitwheel.internal.clock import ManualClock
+from godwitwheel.wire.server import Server
+from tests.common.control import OneMemberLog
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "database": "fiti",
+            "path_prefix": "/",
+            "type": "read_your_writes",
+            "timeout_ms": 800,
+            "target_latency_ms": 250,
+            "priority": 2,
+            "service": "huvo",
+            "max_attempts": 2,
+            "max_staleness_ms": 2500,
+        }
+    ],
+    "services": [
+        {"name": "huvo", "max_connections": 41, "protocol": "h1", "sync_replicas": 0}
+    ],
+    "limits": {"header_timeout_ms": 3000, "tx_idle_ms": 2000},
+}
+BEAT = {
+    "service": "huvo",
+    "address": "10.128.0.9:8080",
+    "zone": "parana-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "db_role": "replica",
+    "sequence": 4,
+    "born": 100,
+}
+
+
+class NoPromotions(PromotionCall):
+    def promote(self, service, target_id, token, timeout_s):
+        raise PromotionFailed("none here")
+
+
+class Api:
+    """The routes of a member whose log commits at once."""
+
+    def __init__(self):
+        self.log = OneMemberLog()
+        self.state = ControlState(table_codec=FleetTableCodec())
+        self.log.state_machine = self.state
+        self.member = DirectoryMember(
+            self.log, self.state, ManualClock(), None, NoPromotions()
+        )
+        self.member.committer = Committer(self.log)
+        self.member.confirmer = LeadershipConfirmer(self.log)
+        self.server = Server(ControlApi(self.member, None, 8782).routes(), self.fail)
+
+    def fail(self, error):
+        raise error
+
+    def call(self, method, path, body=None):
+        content = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
+
+        class Input:
+            def read(self, length):
+                return content
+
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "CONTENT_LENGTH": str(len(content)),
+            "wsgi.input": Input(),
+        }
+        return self.server.respond(environ)
+
+    def put(self, body):
+        return self.call("POST", "/api/config/put", body)
+
+    def beat(self, target_id="i-1", **changes):
+        path = f"/api/instances/{target_id}/heartbeat"
+        return self.call("POST", path, {**BEAT, **changes})
+
+
+@pytest.fixture
+def api():
+    return Api()
+
+
+def test_a_configuration_is_read_back_as_it_was_sent(api):
+    assert api.call("GET", "/api/config/get").status == 503
+    document = json.dumps(CONFIG, indent=1).encode()
+    assert api.put(document).status == 200
+    reply = api.call("GET", "/api/config/get")
+    assert (reply.status, reply.body) == (200, document)
+
+
+def test_what_is_overtaken_is_acknowledged_and_changes_nothing(api):
+    api.put(CONFIG)
+    assert api.put({**CONFIG, "version": 6}).status == 200
+    assert api.put({**CONFIG, "routes": []}).status == 200
+    assert json.loads(api.call("GET", "/api/config/get").body) == CONFIG
+    assert api.put(CONFIG).status == 200
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": [{**CONFIG["routes"][0], "service": "none"}]},
+        {"routes": [{**CONFIG["routes"][0], "timeout_ms": 0}]},
+        {"routes": [CONFIG["routes"][0], {**CONFIG["routes"][0], "name": "r-2"}]},
+        {"version": "eight"},
+        {"routes": None},
+    ],
+)
+def test_an_invalid_configuration_is_refused_and_changes_nothing(api, change):
+    api.put(CONFIG)
+    assert api.put({**CONFIG, "version": 8, **change}).status == 400
+    assert json.loads(api.call("GET", "/api/config/get").body) == CONFIG
+
+
+def test_a_configuration_that_is_cut_short_is_refused(api):
+    assert api.put(json.dumps(CONFIG).encode()[:-9]).status == 400
+
+
+def test_a_configuration_decodes_into_our_words(api):
+    api.put(CONFIG)
+    table = api.state.directory.view.table
+    route = table.routes["fiti"]
+    assert route.max_staleness_ms == 2500
+    assert route.statement_timeout_ms == 800
+    assert table.services["huvo"].max_connections == 41
+    assert table.limits.transaction_idle_ms == 2000
+
+
+def test_a_heartbeat_is_committed_before_it_is_acknowledged(api):
+    assert api.beat().status == 200
+    entry = api.state.directory.view.targets["i-1"]
+    assert entry.address == "10.128.0.9:8080"
+    assert entry.data_centre == "parana-a"
+    assert api.beat(state="draining", sequence=5).status == 200
+    assert api.state.directory.view.targets["i-1"].leaving
+
+
+def test_a_heartbeat_that_was_overtaken_changes_nothing(api):
+    api.beat(state="draining", sequence=9)
+    assert api.beat(sequence=8).status == 200
+    assert api.state.directory.view.targets["i-1"].leaving
+
+
+def test_an_unchanged_heartbeat_commits_nothing(api):
+    api.beat()
+    proposed = api.log.proposed
+    api.beat(sequence=5)
+    assert api.log.proposed == proposed
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": "three"},
+        {"address": "nowhere"},
+        {"db_role": "witness"},
+        {"born": "then"},
+        {"sequence": None},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_target(api, change):
+    assert api.beat(**change).status == 400
+    assert api.state.directory.view.targets == {}
+
+
+def test_a_heartbeat_that_is_not_text_is_refused(api):
+    path = "/api/instances/i-1/heartbeat"
+    assert api.call("POST", path, b"\xff\xfe").status == 400
+
+
+def test_a_target_that_left_does_not_come_back_with_a_late_heartbeat(api):
+    api.beat()
+    assert api.call("POST", "/api/instances/i-1/deregister").status == 200
+    api.beat(sequence=50)
+    assert api.state.directory.view.targets == {}
+    api.beat(born=200, sequence=1)
+    assert "i-1" in api.state.directory.view.targets
+
+
+def test_without_a_leader_nothing_is_acknowledged(api):
+    api.log.leads = False
+    assert api.beat().status == 503
+    assert api.put(CONFIG).status == 503
+    assert api.call("GET", "/api/config/get").status == 503
+
+
+def test_a_follower_sends_the_operator_to_the_leader(api):
+    api.log.leads = False
+    api.log.leader = "10.0.0.4:7440"
+    reply = api.put(CONFIG)
+    assert reply.status == 307
+    location = dict(reply.headers)["Location"]
+    assert location == "http://10.0.0.4:8782/api/config/put"
+
+
+def test_the_codec_names_what_is_wrong():
+    with pytest.raises(InvalidTable, match="none"):
+        broken = {**CONFIG, "routes": [{**CONFIG["routes"][0], "service": "none"}]}
+        FleetTableCodec().decode(json.dumps(broken).encode())
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,90 @@
+"""The platform's settings file."""
+
+import json
+
+import pytest
+
+from fleet.core import directory_settings
+from fleet.front import proxy_settings
+from fleet.settings import InvalidSettingsFile, SettingsFile, decode_settings
+
+SETTINGS = {
+    "node_name": "core-1",
+    "ip": "10.1.0.10",
+    "zone": "carrasco",
+    "listen_addresses": {"control": "10.1.0.10:8782"},
+    "internal_port_range": [7440, 7455],
+    "seeds": ["10.1.0.10:8782", "10.2.0.9:8782"],
+    "bootstrap": True,
+    "data_dir": "/data/core",
+    "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
+    "bounds": {"grace_period_s": 6},
+    "cloud_api": {"address": "10.200.0.160:8783", "duties": ["failover"]},
+    "a_field_of_next_year": {"x": 1},
+}
+
+
+def settings(**changes):
+    return decode_settings(json.dumps({**SETTINGS, **changes}).encode())
+
+
+def test_a_member_is_known_by_its_internal_address():
+    member = directory_settings(settings())
+    assert member.member_id == "10.1.0.10:7440"
+    assert member.founders == {
+        "10.1.0.10:7440": "10.1.0.10:7440",
+        "10.2.0.9:7440": "10.2.0.9:7440",
+    }
+    assert member.may_found
+
+
+def test_voters_bear_the_losses_that_the_file_names():
+    assert directory_settings(settings()).voters == 5
+
+
+@pytest.mark.parametrize(
+    "changes", [{"bootstrap": False}, {"seeds": ["10.9.0.1:8782"]}]
+)
+def test_only_a_seed_at_the_first_start_may_found(changes):
+    assert not directory_settings(settings(**changes)).may_found
+
+
+def test_a_proxy_looks_for_control_at_the_seeds():
+    listen = {"front": "10.1.0.8:8784", "ready": "10.1.0.8:8785"}
+    proxy = proxy_settings(settings(listen_addresses=listen))
+    assert proxy.seeds == ["10.1.0.10:7440", "10.2.0.9:7440"]
+    assert proxy.listen == "10.1.0.8:8784"
+    assert proxy.grace_period_s == 6
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"",
+        b"{",
+        json.dumps(SETTINGS).encode()[:-20],
+        b"\xff\xfe",
+        b"[]",
+        json.dumps({**SETTINGS, "seeds": 7}).encode(),
+        json.dumps({**SETTINGS, "internal_port_range": []}).encode(),
+    ],
+)
+def test_a_file_that_is_not_whole_is_refused(content):
+    with pytest.raises(InvalidSettingsFile):
+        decode_settings(content)
+
+
+def test_a_change_without_a_signal_is_noticed(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    file = SettingsFile(str(path))
+    file.read()
+    assert not file.has_changed()
+    path.write_text(json.dumps({**SETTINGS, "seeds": []}))
+    assert file.has_changed()
+    assert file.read().seeds == []
+
+
+def test_a_missing_file_is_refused(tmp_path):
+    with pytest.raises(InvalidSettingsFile):
+        SettingsFile(str(tmp_path / "none")).read()
--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -16,7 +16,7 @@
     VoteRequest,
 )
 from godwitwheel.consensus.replicated import StateMachine
-from godwitwheel.consensus.state import ConsensusOptions
+from godwitwheel.consensus.state import MAX_VOTERS, ConsensusOptions
 from godwitwheel.consensus.storage import Storage
 from godwitwheel.consensus.transport import Transport
 from godwitwheel.consensus.work import SavedState
@@ -152,12 +152,16 @@
 
 
 class Member:
-    """One member with its disk; ``log`` is ``None`` while it is down."""
+    """One member with its disk; ``log`` is ``None`` while it is down.
+
+    :ivar told: members that its settings name, the founders if empty.
+    """
 
     def __init__(self, cell: "Cell", member_id: str, join: bool = False):
         self.cell = cell
         self.member_id = member_id
         self.join = join
+        self.told: list[str] = []
         self.log: ConsensusLog | None = None
         self.replace_disk()
 
@@ -173,10 +177,11 @@
         options = ConsensusOptions(
             self.member_id,
             self.member_id,
-            {member_id: member_id for member_id in self.cell.founders},
+            {member_id: member_id for member_id in self.told or self.cell.founders},
             may_found=not self.join,
             election_timeout_s=ELECTION_TIMEOUT_S,
             append_interval_s=STEP_S,
+            voters=self.cell.voter_limit,
         )
         self.log = ConsensusLog(
             options,
@@ -211,6 +216,7 @@
     :ivar cut: pairs of members that don't reach each other.
     :ivar paused: members that stand still, as a suspended VM does.
     :ivar drops: says whether the network loses a message.
+    :ivar voter_limit: most voters, for members that start later.
     """
 
     def __init__(self, size: int = 3, seed: int = 1, snapshot_entries: int = 4096):
@@ -224,6 +230,7 @@
         self.cut: set[frozenset[str]] = set()
         self.paused: set[str] = set()
         self.drops = lambda message: False
+        self.voter_limit = MAX_VOTERS
         self.founders = [f"m{number}" for number in range(size)]
         self.members = {name: Member(self, name) for name in self.founders}
         for member in self.members.values():
--- /dev/null
+++ b/tests/common/control.py
@@ -0,0 +1,47 @@
+"""A replicated log of one member, which commits at once."""
+
+from types import SimpleNamespace
+
+from godwitwheel.consensus.errors import NotLeader
+from godwitwheel.consensus.messages import Membership
+from godwitwheel.consensus.replicated import ReplicatedLog
+
+OWN_ADDRESS = "10.0.0.1:7440"
+
+
+class OneMemberLog(ReplicatedLog):
+    """Leads unless ``leads`` is false; then ``leader`` is taken for the leader.
+
+    :ivar proposed: entries committed so far.
+    """
+
+    def __init__(self):
+        self.state_machine = None
+        self.leads = True
+        self.leader = ""
+        self.proposed = 0
+        state = SimpleNamespace(
+            term=1,
+            membership=Membership(),
+            options=SimpleNamespace(address=OWN_ADDRESS),
+        )
+        self.core = SimpleNamespace(state=state)
+
+    def propose(self, command, timeout_s):
+        if not self.leads:
+            raise NotLeader(self.leader)
+        self.proposed += 1
+        return self.state_machine.apply(self.proposed, command)
+
+    def confirm_leadership(self, timeout_s):
+        if not self.leads:
+            raise NotLeader(self.leader)
+
+    def leader_id(self):
+        return self.leader
+
+    def leader_address(self):
+        return self.leader or (OWN_ADDRESS if self.leads else "")
+
+    def leading_since(self):
+        return 0.0 if self.leads else None
--- /dev/null
+++ b/tests/cover/test_directory.py
@@ -0,0 +1,168 @@
+"""The replicated directory: tables by version, targets by incarnation, primaries."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitwheel.directory.commands import DropEntry, PutEntry, PutTable, SetPrimary
+from godwitwheel.directory.errors import InvalidTable
+from godwitwheel.directory.leadership import DirectoryLeadership
+from godwitwheel.directory.promotion import fencing_token
+from godwitwheel.directory.records import (
+    Consistency,
+    ProxyReport,
+    Route,
+    RoutingTable,
+    ServicePolicy,
+    TargetEntry,
+)
+from godwitwheel.directory.state import Directory
+from godwitwheel.directory.tables import JsonTableCodec
+
+SERVICE = "bookings"
+
+
+def table(version, timeout_ms=800, service=SERVICE):
+    route = Route("db", service, Consistency.primary, timeout_ms, 100)
+    services = {SERVICE: ServicePolicy(SERVICE, 16)}
+    return msgspec.json.encode(RoutingTable(version, {"db": route}, services))
+
+
+def entry(target_id="t1", started_at_ms=10, **fields):
+    fields.setdefault("address", f"10.0.0.1:{target_id[1:]}")
+    return TargetEntry(
+        target_id,
+        SERVICE,
+        data_centre="dc-1",
+        slots=2,
+        started_at_ms=started_at_ms,
+        **fields,
+    )
+
+
+@pytest.fixture
+def directory():
+    return Directory(JsonTableCodec())
+
+
+@given(st.lists(st.integers(0, 6), max_size=20))
+def test_the_highest_version_is_in_force_whatever_the_order(versions):
+    directory = Directory(JsonTableCodec())
+    highest = -1
+    for index, version in enumerate(versions, 1):
+        result = directory.put_table(index, PutTable(table(version)))
+        assert result.applied is (version > highest)
+        highest = max(highest, version)
+        assert result.version == highest
+        assert directory.view.table.version == highest
+
+
+def test_other_content_under_the_same_version_changes_nothing(directory):
+    directory.put_table(1, PutTable(table(5, timeout_ms=800)))
+    directory.put_table(2, PutTable(table(5, timeout_ms=900)))
+    assert directory.view.table.routes["db"].statement_timeout_ms == 800
+    assert directory.document == table(5, timeout_ms=800)
+
+
+@pytest.mark.parametrize(
+    "document",
+    [b"", b"{", table(3)[:-5], table(3, timeout_ms=0), table(3, service="none")],
+)
+def test_an_invalid_table_is_refused(directory, document):
+    with pytest.raises(InvalidTable):
+        directory.codec.decode(document)
+
+
+def test_a_late_announcement_of_an_incarnation_that_left_changes_nothing(directory):
+    directory.put_entry(1, PutEntry(entry(started_at_ms=10)))
+    directory.drop_entry(2, DropEntry("t1", 10))
+    assert not directory.put_entry(3, PutEntry(entry(started_at_ms=10))).applied
+    assert directory.put_entry(4, PutEntry(entry(started_at_ms=11))).applied
+
+
+def test_a_target_that_was_only_silent_may_come_back(directory):
+    directory.put_entry(1, PutEntry(entry(started_at_ms=10)))
+    directory.drop_entry(2, DropEntry("t1", 10, may_return=True))
+    assert directory.put_entry(3, PutEntry(entry(started_at_ms=10))).applied
+
+
+def test_a_new_incarnation_at_an_address_replaces_the_old_one(directory):
+    directory.put_entry(1, PutEntry(entry("t1", 10, address="10.0.0.1:1")))
+    directory.put_entry(2, PutEntry(entry("t2", 20, address="10.0.0.1:1")))
+    assert set(directory.view.targets) == {"t2"}
+    late = entry("t1", 10, address="10.0.0.1:1", leaving=True)
+    assert not directory.put_entry(3, PutEntry(late)).applied
+
+
+def test_the_first_target_that_claims_the_lead_is_the_primary(directory):
+    directory.put_entry(1, PutEntry(entry("t1")))
+    directory.put_entry(2, PutEntry(entry("t2", claims_lead=True)))
+    assert directory.view.primaries == {SERVICE: "t2"}
+
+
+def test_a_target_that_goes_on_claiming_the_lead_does_not_take_it_back(directory):
+    directory.put_entry(1, PutEntry(entry("t1", claims_lead=True)))
+    directory.put_entry(2, PutEntry(entry("t2")))
+    directory.set_primary(3, SetPrimary(SERVICE, "t2", 7))
+    directory.put_entry(4, PutEntry(entry("t1", claims_lead=True, leaving=True)))
+    assert directory.view.primaries == {SERVICE: "t2"}
+
+
+def test_a_target_that_newly_claims_the_lead_has_it(directory):
+    directory.put_entry(1, PutEntry(entry("t1", claims_lead=True)))
+    directory.put_entry(2, PutEntry(entry("t2")))
+    directory.put_entry(3, PutEntry(entry("t2", claims_lead=True)))
+    assert directory.view.primaries == {SERVICE: "t2"}
+
+
+def test_an_order_with_a_lower_token_changes_nothing(directory):
+    directory.set_primary(1, SetPrimary(SERVICE, "t2", 8))
+    assert not directory.set_primary(2, SetPrimary(SERVICE, "t3", 7)).applied
+    assert directory.view.primaries == {SERVICE: "t2"}
+
+
+def test_a_snapshot_holds_all(directory):
+    directory.put_table(1, PutTable(table(5)))
+    directory.put_entry(2, PutEntry(entry("t1", claims_lead=True)))
+    directory.put_entry(3, PutEntry(entry("t2")))
+    directory.drop_entry(4, DropEntry("t2", 10))
+    directory.set_primary(5, SetPrimary(SERVICE, "t1", 9))
+    copy = Directory(JsonTableCodec())
+    copy.restore(directory.snapshot())
+    assert copy.view == directory.view
+    assert copy.snapshot() == directory.snapshot()
+    assert not copy.put_entry(6, PutEntry(entry("t2"))).applied
+    assert not copy.set_primary(7, SetPrimary(SERVICE, "t3", 8)).applied
+
+
+def test_tokens_rise_with_each_order_and_each_term():
+    first, second = DirectoryLeadership(0.0, 3), DirectoryLeadership(9.0, 4)
+    tokens = [fencing_token(first), fencing_token(first), fencing_token(second)]
+    assert tokens == sorted(set(tokens))
+
+
+def test_announcements_that_were_overtaken_are_told_apart():
+    leadership = DirectoryLeadership(0.0, 1)
+    assert leadership.hear(entry(started_at_ms=10), 5, 1.0)
+    assert not leadership.hear(entry(started_at_ms=10), 4, 2.0)
+    assert not leadership.hear(entry(started_at_ms=9), 90, 2.0)
+    assert leadership.hear(entry(started_at_ms=11), 1, 3.0)
+    assert leadership.silence_s("t1", 5.0) == 2.0
+
+
+def test_silent_proxies_are_forgotten_after_a_while():
+    leadership = DirectoryLeadership(0.0, 1)
+    leadership.receive_report(ProxyReport("p1", "dc-1", 0), 1.0)
+    assert leadership.forget_proxies(3.0) == []
+    assert leadership.forget_proxies(30.0) == ["p1"]
+
+
+def test_a_target_is_out_of_reach_only_if_every_proxy_says_so():
+    leadership = DirectoryLeadership(0.0, 1)
+    assert not leadership.is_reported("t1", 1.0)
+    missing = ProxyReport("p1", "dc-1", 0, unreachable=["t1"])
+    leadership.receive_report(missing, 1.0)
+    assert leadership.is_reported("t1", 1.0)
+    leadership.receive_report(ProxyReport("p2", "dc-1", 0), 1.0)
+    assert not leadership.is_reported("t1", 1.0)
