--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -19,8 +19,8 @@
 REPORTING_SHARE = 0.4
 # A promotion takes several hundred ms; until then nothing can be said of it.
 ORDER_PAUSE_S = 2.0
-# Announcements reach a new leader within their interval.
-FIRST_ANNOUNCEMENTS_S = 1.5
+# A proxy has given up the old leader and found the new one within this time.
+FIRST_REPORTS_S = 0.8
 
 
 class Verdict(enum.Enum):
@@ -120,7 +120,7 @@
         return Assessment(
             Verdict.adopt, "proxies found another primary", elsewhere[0].target_id
         )
-    if led_for_s < FIRST_ANNOUNCEMENTS_S:
+    if led_for_s < FIRST_REPORTS_S:
         return Assessment(Verdict.keep, "this member leads only since a moment ago")
     if primary is not None and primary.leaving:
         return Assessment(Verdict.replace, f"{primary_id} is leaving")
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -59,7 +59,7 @@
     assert verdict(sights, proxies=4) is Verdict.replace
 
 
-def test_a_new_leader_waits_for_announcements():
+def test_a_new_leader_waits_for_the_proxies_reports():
     assert verdict([sight("p1", False, 900)], led_for_s=0.5) is Verdict.keep
 
 
