--- a/src/godwitwheel/sessions/pool.py
+++ b/src/godwitwheel/sessions/pool.py
@@ -9,7 +9,7 @@
 from .connection import Connector, DatabaseConnection
 from .errors import ConnectFailed, PoolExhausted, TooManyConnections
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.25
 # After a refusal for lack of room the pool opens no further connection for so long.
 FULL_PAUSE_S = 0.5
 
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -46,6 +46,7 @@
     :ivar refusal: the last refusal by a target, or ``None``.
     :ivar reason: why the last attempt came to nothing.
     :ivar attempts: targets tried so far.
+    :ivar was_sent: whether a target was sent the statement and did not answer.
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "reason",
         "attempts",
         "target_id",
+        "was_sent",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         self.reason = ""
         self.attempts = 0
         self.target_id = ""
+        self.was_sent = False
 
     def run(self) -> Answer:
         """Returns the final answer."""
@@ -94,13 +97,18 @@
     def is_over(self) -> bool:
         """Whether the statement has waited for long enough."""
         now = self.context.now()
+        if self.was_sent:
+            # A target was given the statement, so it goes on as long as it may.
+            return now >= self.patience.expires_at
         if self._has_no_primary():
             belief = self.context.board.belief(self.route.service)
             return not self.patience.waits_for_primary(belief.expected_at, now)
         return now >= self.patience.give_up_at
 
     def give_up(self) -> Answer:
-        """Returns the answer to a statement that has not run."""
+        """Returns the answer to a statement that no target has answered."""
+        if self.was_sent:
+            return error_answer(ErrorCode.timed_out, self.reason)
         if self._has_no_primary():
             text = refusal_text(self.reason or "no primary", RETRY_NO_PRIMARY_MS)
             return error_answer(ErrorCode.overloaded, text)
@@ -230,7 +238,7 @@
     def _read(self, target: TargetEntry, pooled, answers: list[Answer]):
         commands, name = setup_commands(pooled, self.state, self.statement)
         asked_at = self.context.now()
-        timeout_s = self.patience.attempt_s(asked_at)
+        timeout_s = self.patience.read_attempt_s(asked_at)
         begun = exchange(self.context, pooled, [*commands, Begin()], timeout_s)
         answers += begun
         if begun[-1].error is not None:
@@ -238,7 +246,7 @@
             return None
         mark_leading(self.context, target, asked_at, begun[-1].position)
         run = Run(self.statement, prepared_name=name)
-        timeout_s = self.patience.attempt_s(self.context.now())
+        timeout_s = self.patience.read_attempt_s(self.context.now())
         answers += exchange(self.context, pooled, [run, Rollback()], timeout_s)
         answer = answers[-2]
         if answer.was_not_run():
@@ -248,6 +256,7 @@
         return answer
 
     def _after_loss(self) -> Answer | None:
+        self.was_sent = True
         if self.context.now() >= self.patience.expires_at:
             return error_answer(ErrorCode.timed_out, self.reason)
         return None
@@ -282,7 +291,7 @@
         return self._read_at(target, floor)
 
     def give_up(self) -> Answer:
-        if not self.is_lagging:
+        if self.was_sent or not self.is_lagging:
             return super().give_up()
         text = refusal_text(self.reason, RETRY_LAGGING_MS)
         return error_answer(ErrorCode.lagging, text)
@@ -306,7 +315,7 @@
         commands.append(Run(self.statement, floor, name))
         answers: list[Answer] = []
         try:
-            timeout_s = self.patience.attempt_s(self.context.now())
+            timeout_s = self.patience.read_attempt_s(self.context.now())
             answers = exchange(self.context, pooled, commands, timeout_s)
         except ConnectionLost as error:
             self.excluded.add(target.target_id)
--- a/src/godwitwheel/sessions/waiting.py
+++ b/src/godwitwheel/sessions/waiting.py
@@ -13,8 +13,13 @@
 RETRY_PAUSE_S = 0.015
 # How much later than expected a promotion may come, in seconds.
 PROMOTION_SLACK_S = 0.1
-# Part of a route's statement timeout after which a read tries another target.
-READ_ATTEMPT_SHARE = 0.35
+# Part of the latency objective after which a read tries another target, so that the
+# second one can still answer within it.
+READ_ATTEMPT_SHARE = 0.6
+SHORTEST_READ_ATTEMPT_S = 0.1
+# Part of a route's statement timeout after which a transaction is given up: its caller
+# has to begin it anew.
+ATTEMPT_SHARE = 0.35
 SHORTEST_ATTEMPT_S = 0.15
 
 
@@ -25,10 +30,17 @@
     :ivar expires_at: it has timed out then, whether it runs or not.
     """
 
-    __slots__ = ("started_at", "give_up_at", "no_primary_at", "expires_at")
+    __slots__ = (
+        "objective_s",
+        "started_at",
+        "give_up_at",
+        "no_primary_at",
+        "expires_at",
+    )
 
     def __init__(self, route: Route, now: float):
         objective_s = route.latency_objective_ms / 1000.0
+        self.objective_s = objective_s
         self.started_at = now
         self.expires_at = now + route.statement_timeout_ms / 1000.0
         self.give_up_at = min(now + WAIT_SHARE * objective_s, self.expires_at)
@@ -44,10 +56,16 @@
             return expected_at <= self.give_up_at
         return now < self.no_primary_at
 
-    def attempt_s(self, now: float) -> float:
+    def read_attempt_s(self, now: float) -> float:
         """Returns how long a read may wait for one target's answer."""
+        share_s = READ_ATTEMPT_SHARE * self.objective_s
+        left_s = self.expires_at - now
+        return max(min(max(share_s, SHORTEST_READ_ATTEMPT_S), left_s), 0.001)
+
+    def attempt_s(self, now: float) -> float:
+        """Returns how long a transaction waits for an answer before it is given up."""
         left_s = self.expires_at - now
-        share_s = READ_ATTEMPT_SHARE * (self.expires_at - self.started_at)
+        share_s = ATTEMPT_SHARE * (self.expires_at - self.started_at)
         return min(max(share_s, SHORTEST_ATTEMPT_S), left_s)
 
     def left_s(self, now: float) -> float:
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -60,6 +60,21 @@
     assert answer.signature == "sig-r1"
 
 
+def test_a_read_at_a_silent_target_is_answered_by_another_in_time(group):
+    """A cut leaves connections silent; the read has most of its time left."""
+    sample(group)
+    group.replicate_all()
+    session = group.session("read_your_writes")
+    session.execute(read("r1"))
+    (used,) = [t for t in group.targets.values() if t.ran]
+    used.is_dark = True
+    started_at = group.clock.now()
+    answer = session.execute(read("r2"))
+    assert answer.signature == "sig-r2"
+    objective_s = 0.2
+    assert group.clock.now() - started_at <= objective_s
+
+
 def test_a_primary_read_never_runs_at_a_former_primary(group):
     session = group.session("primary")
     session.execute(write("w1"))
