--- a/src/godwitwheel/control/commands.py
+++ b/src/godwitwheel/control/commands.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from ..directory.commands import DropEntry, PutEntry, PutTable, SetPrimary
+from ..directory.commands import (
+    DropEntry,
+    PutEntry,
+    PutTable,
+    SetOwners,
+    SetPrimary,
+)
 from ..wire.codec import encode
 from ..wire.control import Claim, GroupView, Publish, RecordOutcome, TargetRecord
 
@@ -90,6 +96,7 @@
     | PutEntry
     | DropEntry
     | SetPrimary
+    | SetOwners
 )
 
 
--- a/src/godwitwheel/control/state.py
+++ b/src/godwitwheel/control/state.py
@@ -6,7 +6,13 @@
 
 from ..consensus.replicated import StateMachine
 from ..decisions.claims import ClaimRecord, ClaimsSnapshot, ClaimTable
-from ..directory.commands import DropEntry, PutEntry, PutTable, SetPrimary
+from ..directory.commands import (
+    DropEntry,
+    PutEntry,
+    PutTable,
+    SetOwners,
+    SetPrimary,
+)
 from ..directory.state import Directory, DirectorySnapshot
 from ..directory.tables import JsonTableCodec, TableCodec
 from ..wire.caller import CallerAnswer
@@ -75,6 +81,7 @@
             PutEntry: self.directory.put_entry,
             DropEntry: self.directory.drop_entry,
             SetPrimary: self.directory.set_primary,
+            SetOwners: self.directory.set_owners,
         }
 
     def apply(self, index: int, command: bytes) -> bytes:
--- a/src/godwitwheel/directory/commands.py
+++ b/src/godwitwheel/directory/commands.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .records import TargetEntry
+from .records import OwnerEntry, TargetEntry
 
 
 class PutTable(msgspec.Struct, frozen=True, tag="put_table"):
@@ -42,6 +42,12 @@
     token: int = 0
 
 
+class SetOwners(msgspec.Struct, frozen=True, tag="set_owners"):
+    """Names the owners of the services that need one."""
+
+    owners: dict[str, OwnerEntry]
+
+
 class TableResult(msgspec.Struct, frozen=True):
     """What became of a :class:`PutTable`.
 
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -6,6 +6,8 @@
 # A proxy that says nothing for so long no longer counts for the split of
 # connections; it may have opened its share all the same until then.
 PROXY_FORGOTTEN_S = 6.0
+# An owner that is silent for so long loses its services.
+OWNER_SILENCE_S = 0.8
 
 
 class Heard:
@@ -86,6 +88,29 @@
             del self.reports[proxy_id]
         return silent
 
+    def callers_proxies(self) -> int:
+        """Returns how many proxies that serve callers are known."""
+        return sum(
+            1 for received in self.reports.values() if not received.report.owner_address
+        )
+
+    def owners(self, now: float) -> dict[str, str]:
+        """Returns the addresses of the owners that reported lately, by id."""
+        return {
+            proxy_id: received.report.owner_address
+            for proxy_id, received in self.reports.items()
+            if received.report.owner_address
+            and now - received.received_at <= OWNER_SILENCE_S
+        }
+
+    def reporting_on(self, service: str) -> int:
+        """Returns how many proxies report on a service's primary."""
+        return sum(
+            1
+            for received in self.reports.values()
+            if any(p.service == service for p in received.report.primaries)
+        )
+
     def is_reported(self, target_id: str, now: float) -> bool:
         """Whether every proxy that reports can't reach a target."""
         fresh = [
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -12,14 +12,16 @@
     EntryResult,
     PutEntry,
     PutTable,
+    SetOwners,
     SetPrimary,
     TableResult,
 )
 from .errors import InvalidTable, PromotionFailed
-from .failover import Verdict, assess, sights_of
+from .failover import FIRST_REPORTS_S, Verdict, assess, sights_of
 from .leadership import DirectoryLeadership, PromotionOrder
+from .ownership import assign_owners
 from .promotion import Promoter, PromotionCall, pause_after
-from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
+from .records import OwnerEntry, ProxyReply, ProxyReport, RoutingTable, TargetEntry
 
 COMMIT_TIMEOUT_S = 2.0
 CONFIRM_TIMEOUT_S = 0.4
@@ -27,6 +29,9 @@
 # A target that neither announces itself nor is reached by any proxy for so long is
 # forgotten; it comes back with its next announcement.
 TARGET_FORGOTTEN_S = 12.0
+# Stands for the owners among the services whose change is on its way; no service has
+# an empty name.
+OWNERS = ""
 
 
 class DirectoryMember:
@@ -78,7 +83,7 @@
         view = self.state.directory.view
         return ProxyReply(
             view.version,
-            max(len(leadership.reports), 1),
+            max(leadership.callers_proxies(), 1),
             self.member_addresses(),
             view if report.view_version < view.version else None,
         )
@@ -199,8 +204,34 @@
         for service in view.table.services:
             if service not in leadership.busy:
                 self._decide_service(leadership, service, now)
+        self._decide_owners(leadership, now)
         self._forget_silent(leadership, now)
 
+    def _decide_owners(self, leadership: DirectoryLeadership, now: float) -> None:
+        if now - leadership.since < FIRST_REPORTS_S or OWNERS in leadership.busy:
+            return
+        view = self.state.directory.view
+        owners = leadership.owners(now)
+        assigned = assign_owners(view, owners, leadership.callers_proxies())
+        if assigned == view.owners or (view.owners and not owners):
+            return
+        leadership.busy.add(OWNERS)
+        spawn(self._set_owners, leadership, assigned)
+
+    def _set_owners(
+        self, leadership: DirectoryLeadership, assigned: dict[str, OwnerEntry]
+    ) -> None:
+        try:
+            self._commit_entry(SetOwners(assigned))
+            record_event(
+                EventName.owners_changed,
+                owners={name: entry.proxy_id for name, entry in assigned.items()},
+            )
+        except ControlError as error:
+            record_failure(error)
+        finally:
+            leadership.busy.discard(OWNERS)
+
     def _decide_service(
         self, leadership: DirectoryLeadership, service: str, now: float
     ) -> None:
@@ -209,7 +240,7 @@
             return
         view = self.state.directory.view
         sights = sights_of(service, leadership.reports, now)
-        proxies = len(leadership.reports)
+        proxies = leadership.reporting_on(service)
         led_for_s = now - leadership.since
         assessment = assess(service, view, sights, proxies, led_for_s)
         if assessment.verdict is Verdict.keep:
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -91,18 +91,27 @@
     claims_lead: bool = False
 
 
+class OwnerEntry(msgspec.Struct, frozen=True):
+    """The process that holds the connections to a service's targets."""
+
+    proxy_id: str
+    address: str
+
+
 class DirectoryView(msgspec.Struct, frozen=True):
     """What proxies route by.
 
     :ivar version: log index of the latest change.
     :ivar primaries: target that leads, or was ordered to, by service.
-    :ivar proxies: number of proxies that share the targets' connections.
+    :ivar owners: by service, who holds its connections; a service that is not named
+        has connections from every proxy.
     """
 
     version: Count = 0
     table: RoutingTable = RoutingTable()
     targets: dict[str, TargetEntry] = {}
     primaries: dict[str, str] = {}
+    owners: dict[str, OwnerEntry] = {}
 
 
 class PrimaryReport(msgspec.Struct, frozen=True):
@@ -124,6 +133,8 @@
 
     :ivar view_version: version of the view that the proxy holds.
     :ivar unreachable: targets that the proxy can't reach at present.
+    :ivar owner_address: where it runs statements of other proxies; empty for a proxy
+        that serves callers.
     """
 
     proxy_id: str
@@ -132,6 +143,7 @@
     primaries: list[PrimaryReport] = []
     unreachable: list[str] = []
     leaving: bool = False
+    owner_address: str = ""
 
 
 class ProxyReply(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -7,10 +7,11 @@
     EntryResult,
     PutEntry,
     PutTable,
+    SetOwners,
     SetPrimary,
     TableResult,
 )
-from .records import DirectoryView, RoutingTable, TargetEntry
+from .records import DirectoryView, OwnerEntry, RoutingTable, TargetEntry
 from .tables import TableCodec
 
 MAX_GONE = 1024
@@ -25,6 +26,7 @@
     primaries: dict[str, str] = {}
     tokens: dict[str, int] = {}
     gone: dict[str, int] = {}
+    owners: dict[str, OwnerEntry] = {}
 
 
 class Directory:
@@ -102,6 +104,13 @@
             self._replace(index, primaries=primaries)
         return EntryResult(True)
 
+    def set_owners(self, index: int, command: SetOwners) -> EntryResult:
+        """Names the owners of services."""
+        if command.owners == self.view.owners:
+            return EntryResult(False)
+        self._replace(index, owners=command.owners)
+        return EntryResult(True)
+
     def snapshot(self) -> DirectorySnapshot:
         """Returns all that :meth:`restore` needs."""
         view = self.view
@@ -112,6 +121,7 @@
             view.primaries,
             self.tokens,
             self.gone,
+            view.owners,
         )
 
     def restore(self, snapshot: DirectorySnapshot) -> None:
@@ -121,7 +131,11 @@
         if snapshot.document:
             table = self.codec.decode(snapshot.document)
         self.view = DirectoryView(
-            snapshot.version, table, snapshot.targets, snapshot.primaries
+            snapshot.version,
+            table,
+            snapshot.targets,
+            snapshot.primaries,
+            snapshot.owners,
         )
         self.tokens = dict(snapshot.tokens)
         self.gone = dict(snapshot.gone)
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -54,6 +54,8 @@
     settings_reloaded = "settings_reloaded"
     settings_rejected = "settings_rejected"
     storage_failed = "storage_failed"
+    owners_changed = "owners_changed"
+    owner_unreachable = "owner_unreachable"
     isolation_changed = "isolation_changed"
     proxy_lost = "proxy_lost"
     proxy_seen = "proxy_seen"
--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -1,5 +1,8 @@
 """One attempt at a target: lend a connection, exchange commands, note the outcome."""
 
+import contextlib
+from collections.abc import Iterator
+
 from ..directory.records import TargetEntry
 from ..observe.events import EventName
 from .carrying import command_for_prepared, commands_for_values
@@ -63,7 +66,6 @@
     target = pooled.pool.target
     status = board.status(target.target_id)
     started_at = board.clock.now()
-    status.in_flight += 1
     try:
         answers = pooled.connection.exchange(commands, max(timeout_s, 0.001))
     except ConnectionLost as error:
@@ -76,8 +78,7 @@
         # A task that is killed here leaves answers unread.
         pooled.is_broken = True
         raise
-    finally:
-        status.in_flight -= 1
+    pooled.state = answers[-1].state
     was_failing = status.failing_since is not None
     note_answered(status, board.clock.now() - started_at)
     if was_failing:
@@ -108,13 +109,62 @@
         )
 
 
-def give_back(pooled: PooledConnection, answers: list[Answer]) -> None:
+def give_back(pooled: PooledConnection) -> None:
     """Returns a connection; one inside a transaction is closed."""
-    if answers and answers[-1].state is not TransactionState.idle:
+    if pooled.state is not TransactionState.idle:
         pooled.is_broken = True
     pooled.pool.release(pooled)
 
 
+@contextlib.contextmanager
+def turn(
+    context: SessionContext, target: TargetEntry, priority: int, timeout_s: float
+) -> Iterator[bool]:
+    """Waits for the turn of a statement that takes one of the target's slots.
+
+    Only the owner of a target's connections sees all that runs there, so only it
+    makes statements wait.
+
+    :returns: whether the turn came in time.
+    """
+    board = context.board
+    status = board.status(target.target_id)
+    gate = board.gate(target) if board.owns(target.service) else None
+    status.in_flight += 1
+    try:
+        granted = gate is None or gate.enter(priority, timeout_s)
+        try:
+            yield granted
+        finally:
+            if gate is not None and granted:
+                gate.leave()
+    finally:
+        status.in_flight -= 1
+
+
+@contextlib.contextmanager
+def lent(
+    context: SessionContext,
+    target: TargetEntry,
+    state: SessionState,
+    priority: int,
+    timeout_s: float,
+) -> Iterator[PooledConnection | None]:
+    """Lends a connection for one statement, once its turn has come.
+
+    :returns: ``None`` if there is none in time; nothing ran.
+    """
+    with turn(context, target, priority, timeout_s) as granted:
+        pooled = None
+        if granted:
+            pooled = borrow(context, target, state, priority, timeout_s)
+        try:
+            yield pooled
+        finally:
+            if pooled is not None:
+                give_back(pooled)
+
+
 def mark_unanswered(context: SessionContext, target: TargetEntry, reason: str) -> None:
     """Notes that a target can't be reached or stayed silent."""
     now = context.now()
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -7,6 +7,7 @@
 from ..internal.signals import ChangeSignal
 from .connection import Connector
 from .floors import PositionHistory
+from .gate import RunGate
 from .pool import TargetPool
 
 # Connections of a target that no proxy counts on: those of control and of proxies
@@ -44,9 +45,17 @@
     :ivar last_proof_at: the same, kept after a failure, in seconds of the clock.
     :ivar expected_at: when a target that was ordered to lead should do so.
     :ivar term: term in which it led last.
+    :ivar asked_at: when this process first asked for it, or ``None``.
     """
 
-    __slots__ = ("target_id", "term", "proved_at", "last_proof_at", "expected_at")
+    __slots__ = (
+        "target_id",
+        "term",
+        "proved_at",
+        "last_proof_at",
+        "expected_at",
+        "asked_at",
+    )
 
     def __init__(self, target_id: str = "", term: int = 0):
         self.target_id = target_id
@@ -54,6 +63,7 @@
         self.proved_at: float | None = None
         self.last_proof_at = -math.inf
         self.expected_at = -math.inf
+        self.asked_at: float | None = None
 
     def prove(self, asked_at: float) -> None:
         """Notes that it proved to lead."""
@@ -64,12 +74,18 @@
 class SessionBoard:
     """The proxy's blackboard for interactive sessions.
 
+    :ivar serves_callers: whether this process serves callers, or only owns
+        connections for those that do.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
+    :ivar lost_owners: services whose owner did not answer the last call.
     :ivar changed: notified when a primary or the view changes.
     """
 
     __slots__ = (
+        "process_id",
+        "serves_callers",
+        "gates",
         "clock",
         "connector",
         "data_centre",
@@ -79,10 +95,21 @@
         "statuses",
         "beliefs",
         "histories",
+        "lost_owners",
         "changed",
     )
 
-    def __init__(self, clock: Clock, connector: Connector, data_centre: str):
+    def __init__(
+        self,
+        clock: Clock,
+        connector: Connector,
+        data_centre: str,
+        process_id: str = "",
+        serves_callers: bool = True,
+    ):
+        self.process_id = process_id
+        self.serves_callers = serves_callers
+        self.gates: dict[str, RunGate] = {}
         self.clock = clock
         self.connector = connector
         self.data_centre = data_centre
@@ -92,6 +119,7 @@
         self.statuses: dict[str, TargetStatus] = {}
         self.beliefs: dict[str, PrimaryBelief] = {}
         self.histories: dict[str, PositionHistory] = {}
+        self.lost_owners: set[str] = set()
         self.changed = ChangeSignal()
 
     def targets_of(self, service: str) -> list[TargetEntry]:
@@ -131,11 +159,30 @@
             self.pools[target.target_id] = pool
         return pool
 
+    def owns(self, service: str) -> bool:
+        """Whether this process holds the connections of a service."""
+        owner = self.view.owners.get(service)
+        return owner is not None and owner.proxy_id == self.process_id
+
+    def uses_targets(self, service: str) -> bool:
+        """Whether this process has connections to a service's targets."""
+        if service in self.view.owners:
+            return self.owns(service)
+        return self.serves_callers
+
+    def gate(self, target: TargetEntry) -> RunGate:
+        """Returns the turns of a target's statements."""
+        gate = self.gates.get(target.target_id)
+        if gate is None:
+            gate = self.gates[target.target_id] = RunGate(self.clock, target.slots)
+        return gate
+
     def pool_limit(self, service: str) -> int:
-        """Returns this proxy's share of a target's connections."""
+        """Returns this process's share of a target's connections."""
         policy = self.view.table.services.get(service)
         cap = policy.max_connections if policy is not None else 0
-        share = (cap - RESERVED_CONNECTIONS) // max(self.proxies, 1)
+        sharing = 1 if self.owns(service) else max(self.proxies, 1)
+        share = (cap - RESERVED_CONNECTIONS) // sharing
         return max(share, MIN_POOL)
 
     def policy(self, service: str) -> ServicePolicy | None:
@@ -155,6 +202,8 @@
             if target_id not in view.targets:
                 self.pools.pop(target_id).close()
                 self.statuses.pop(target_id, None)
+                self.gates.pop(target_id, None)
+        self._close_unused_pools()
         for service, target_id in view.primaries.items():
             # What this proxy found out since the last order goes before it.
             if previous.primaries.get(service) != target_id:
@@ -163,6 +212,11 @@
         self.changed.notify()
         return True
 
+    def _close_unused_pools(self) -> None:
+        for target_id, pool in list(self.pools.items()):
+            if not self.uses_targets(pool.target.service):
+                self.pools.pop(target_id).close()
+
     def apply_limits(self) -> None:
         """Gives every pool its present share."""
         for pool in self.pools.values():
--- /dev/null
+++ b/src/godwitwheel/sessions/owner_process.py
@@ -0,0 +1,115 @@
+"""The process that owns targets' connections: wiring only."""
+
+import contextlib
+import random
+
+from ..internal.clock import BootClock
+from ..internal.loop import running_task, sleep
+from ..internal.requests import StopRequest
+from ..observe.events import EventName, record_event, record_failure
+from ..observe.health import observe_routes
+from ..wire.client import Client
+from ..wire.server import Server
+from .board import SessionBoard
+from .connection import Connector
+from .context import SessionContext
+from .events import StatementLog
+from .metrics import SessionMetrics
+from .owner import Owner
+from .reporting import ControlMembers, Reporter
+from .sampler import Sampler
+
+STOP_POLL_S = 0.05
+# After it has told control that it leaves, its services go to others within this time.
+HANDOVER_S = 1.0
+
+
+class OwnerSettings:
+    """What an owner is told.
+
+    :ivar listen: address for proxies.
+    :ivar seeds: addresses at which control may be found.
+    :ivar grace_period_s: time from the request to stop until the process is killed.
+    """
+
+    __slots__ = ("process_id", "data_centre", "listen", "seeds", "grace_period_s")
+
+    def __init__(
+        self,
+        process_id: str,
+        data_centre: str,
+        listen: str,
+        seeds: list[str],
+        grace_period_s: float,
+    ):
+        self.process_id = process_id
+        self.data_centre = data_centre
+        self.listen = listen
+        self.seeds = seeds
+        self.grace_period_s = grace_period_s
+
+
+class OwnerProcess:
+    """One running owner.
+
+    :ivar members: where control is looked for; its seeds may be replaced.
+    """
+
+    __slots__ = ("settings", "clock", "board", "context", "members", "owner")
+
+    def __init__(self, settings: OwnerSettings, connector: Connector):
+        self.settings = settings
+        self.clock = BootClock()
+        self.board = SessionBoard(
+            self.clock,
+            connector,
+            settings.data_centre,
+            settings.process_id,
+            serves_callers=False,
+        )
+        metrics = SessionMetrics(settings.process_id)
+        self.context = SessionContext(self.board, StatementLog(), metrics)
+        self.members = ControlMembers(settings.seeds, random.Random())
+        # A handle of an earlier run of this process must not name a transaction.
+        run = f"{random.SystemRandom().getrandbits(32):08x}"
+        self.owner = Owner(self.context, run)
+
+    def run(self, stop: StopRequest) -> None:
+        """Serves until the process is told to stop."""
+        settings = self.settings
+        routes = {
+            **self.owner.routes(),
+            **observe_routes(self.context.metrics, lambda: True),
+        }
+        with contextlib.ExitStack() as stack:
+            client = stack.enter_context(Client())
+            reporter = Reporter(
+                self.board,
+                self.members,
+                client,
+                settings.process_id,
+                settings.listen,
+            )
+            server = Server(routes, record_failure)
+            stack.enter_context(server.listening(settings.listen))
+            for task in (
+                reporter.run,
+                Sampler(self.context).run,
+                self.owner.run_expiry,
+            ):
+                stack.enter_context(running_task(task, record_failure))
+            while not stop.requested:
+                sleep(STOP_POLL_S)
+            self._stop(reporter)
+
+    def _stop(self, reporter: Reporter) -> None:
+        """Hands the services over and lets open transactions end."""
+        record_event(EventName.process_stopping, transactions=len(self.owner.open))
+        reporter.leaving = True
+        reporter.report()
+        deadline = self.clock.now() + self.settings.grace_period_s / 2
+        handed_over_at = self.clock.now() + HANDOVER_S
+        while self.clock.now() < deadline:
+            sleep(STOP_POLL_S)
+            if not self.owner.open and self.clock.now() >= handed_over_at:
+                return
--- a/src/godwitwheel/sessions/pool.py
+++ b/src/godwitwheel/sessions/pool.py
@@ -8,6 +8,7 @@
 from .carrying import CarriedState
 from .connection import Connector, DatabaseConnection
 from .errors import ConnectFailed, PoolExhausted, TooManyConnections
+from .statements import TransactionState
 
 CONNECT_TIMEOUT_S = 0.25
 # After a refusal for lack of room the pool opens no further connection for so long.
@@ -17,15 +18,17 @@
 class PooledConnection:
     """A connection and what it carries.
 
+    :ivar state: where its last answer left it.
     :ivar is_broken: it must not be used again.
     """
 
-    __slots__ = ("connection", "carried", "pool", "is_broken")
+    __slots__ = ("connection", "carried", "pool", "state", "is_broken")
 
     def __init__(self, connection: DatabaseConnection, pool: "TargetPool"):
         self.connection = connection
         self.carried = CarriedState()
         self.pool = pool
+        self.state = TransactionState.idle
         self.is_broken = False
 
 
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -1,6 +1,7 @@
 """The session proxy's process: wiring only."""
 
 import contextlib
+import math
 import random
 from collections.abc import Callable
 
@@ -18,7 +19,9 @@
 from .events import StatementLog
 from .isolation import Isolation
 from .metrics import SessionMetrics
+from .remote import OwnerCalls, RemoteRunner
 from .reporting import ControlMembers, Reporter
+from .runner import RunnerChoice
 from .sampler import Sampler
 from .serving import CallerLink, SessionServer
 
@@ -85,6 +88,7 @@
         "board",
         "context",
         "members",
+        "runners",
         "server",
         "isolation",
         "stopping",
@@ -97,7 +101,8 @@
         metrics = SessionMetrics(settings.proxy_id)
         self.context = SessionContext(self.board, StatementLog(), metrics)
         self.members = ControlMembers(settings.seeds, random.Random())
-        self.server = SessionServer(self.context)
+        self.runners = RunnerChoice(self.context)
+        self.server = SessionServer(self.context, self.runners)
         self.isolation = Isolation()
         self.stopping = False
 
@@ -113,7 +118,7 @@
             sleep(ISOLATION_POLL_S)
             now = self.clock.now()
             proofs = [
-                self.board.belief(service).last_proof_at
+                self._proof_of(service, now)
                 for service in self.board.view.table.services
             ]
             changed = self.isolation.update(reporter.answered_at, proofs, now)
@@ -124,6 +129,12 @@
             if self.isolation.should_end_sessions(now):
                 self.server.end_idle()
 
+    def _proof_of(self, service: str, now: float) -> float:
+        """Returns when a service was last known to be within reach."""
+        if service not in self.board.view.owners:
+            return self.board.belief(service).last_proof_at
+        return -math.inf if service in self.board.lost_owners else now
+
     def run(self, stop: StopRequest, make_link: Callable[[Stream], CallerLink]) -> None:
         """Serves until the process is told to stop.
 
@@ -144,6 +155,8 @@
         }
         with contextlib.ExitStack() as stack:
             client = stack.enter_context(Client())
+            calls = OwnerCalls(self.context, client, settings.proxy_id)
+            self.runners.remote = RemoteRunner(calls)
             reporter = Reporter(self.board, self.members, client, settings.proxy_id)
             sampler = Sampler(self.context)
             for address in {settings.readiness_listen, settings.internal_listen}:
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -12,6 +12,10 @@
 
 REPORT_PATH = "/v1/directory/report"
 REPORT_INTERVAL_S = 0.2
+# Reports a second that the leader gets from all proxies that have nothing new.
+IDLE_REPORTS_PER_S = 100
+# A process that began to ask for a primary needs so long to find it.
+FIRST_SEARCH_S = 0.5
 # Changes that come close together are reported together.
 REPORT_SPACING_S = 0.01
 RETRY_INTERVAL_S = 0.05
@@ -85,6 +89,7 @@
         "client",
         "proxy_id",
         "leaving",
+        "owner_address",
         "answered_at",
         "is_lost",
     )
@@ -95,7 +100,9 @@
         members: ControlMembers,
         client: Client,
         proxy_id: str,
+        owner_address: str = "",
     ):
+        self.owner_address = owner_address
         self.board = board
         self.members = members
         self.client = client
@@ -110,11 +117,16 @@
             found = self.report()
             if found:
                 # A change of what this proxy believes is reported at once.
-                self.board.changed.wait(REPORT_INTERVAL_S)
+                self.board.changed.wait(self._interval_s())
                 sleep(REPORT_SPACING_S)
             else:
                 sleep(RETRY_INTERVAL_S)
 
+    def _interval_s(self) -> float:
+        if any(self.board.uses_targets(s) for s in self.board.view.table.services):
+            return REPORT_INTERVAL_S
+        return max(REPORT_INTERVAL_S, self.board.proxies / IDLE_REPORTS_PER_S)
+
     def report(self) -> bool:
         """Reports once.
 
@@ -147,6 +159,8 @@
         reports = []
         for service in board.view.table.services:
             belief = board.belief(service)
+            if not self._can_tell(service, now):
+                continue
             age_ms = round(min(1000 * (now - belief.last_proof_at), UNKNOWN_AGE_MS))
             is_proven = belief.proved_at is not None
             reports.append(PrimaryReport(service, belief.target_id, is_proven, age_ms))
@@ -162,8 +176,16 @@
             reports,
             sorted(unreachable),
             self.leaving,
+            self.owner_address,
         )
 
+    def _can_tell(self, service: str, now: float) -> bool:
+        """Whether this process has had time to find the service's primary."""
+        belief = self.board.belief(service)
+        if not self.board.uses_targets(service) or belief.asked_at is None:
+            return False
+        return belief.proved_at is not None or now - belief.asked_at >= FIRST_SEARCH_S
+
     def _take(self, address: str, reply: ProxyReply) -> None:
         board = self.board
         self.members.leader = address
--- /dev/null
+++ b/src/godwitwheel/sessions/runner.py
@@ -0,0 +1,64 @@
+"""Who runs a session's statements: this process, or the owner of the connections."""
+
+from abc import ABC, abstractmethod
+
+from ..directory.records import Route
+from .context import SessionContext, SessionState
+from .single import run_single
+from .statements import Answer, Statement
+from .transaction import OpenTransaction, Transaction
+
+
+class StatementRunner(ABC):
+    """Runs statements at targets."""
+
+    @abstractmethod
+    def run_single(
+        self, state: SessionState, route: Route, statement: Statement
+    ) -> Answer:
+        """Runs a statement outside a transaction."""
+
+    @abstractmethod
+    def begin(
+        self, state: SessionState, route: Route, read_only: bool
+    ) -> OpenTransaction:
+        """Begins a transaction; no target is asked yet."""
+
+
+class LocalRunner(StatementRunner):
+    """Runs statements on this process's own connections."""
+
+    __slots__ = ("context",)
+
+    def __init__(self, context: SessionContext):
+        self.context = context
+
+    def run_single(
+        self, state: SessionState, route: Route, statement: Statement
+    ) -> Answer:
+        return run_single(self.context, state, route, statement)
+
+    def begin(
+        self, state: SessionState, route: Route, read_only: bool
+    ) -> OpenTransaction:
+        return Transaction(self.context, state, route, read_only)
+
+
+class RunnerChoice:
+    """Says who runs the statements of a route.
+
+    :ivar remote: ``None`` where every service has local connections.
+    """
+
+    __slots__ = ("context", "local", "remote")
+
+    def __init__(self, context: SessionContext, remote: StatementRunner | None = None):
+        self.context = context
+        self.local = LocalRunner(context)
+        self.remote = remote
+
+    def for_route(self, route: Route) -> StatementRunner:
+        """Returns who runs a route's statements now."""
+        if self.remote is not None and route.service in self.context.board.view.owners:
+            return self.remote
+        return self.local
--- a/src/godwitwheel/sessions/sampler.py
+++ b/src/godwitwheel/sessions/sampler.py
@@ -41,19 +41,24 @@
         """Follows the services of the present view."""
         board = self.context.board
         while True:
-            services = set(board.view.table.services)
+            services = {s for s in board.view.table.services if board.uses_targets(s)}
             for service in services - set(self.tasks):
                 self.tasks[service] = spawn(self._follow, service)
             board.changed.wait(SAMPLE_INTERVAL_S)
 
     def _follow(self, service: str) -> None:
         try:
-            while service in self.context.board.view.table.services:
+            while self._is_followed(service):
                 sleep(self.sample(service))
         finally:
             # The next round starts it again if the service is still there.
             self.tasks.pop(service, None)
 
+    def _is_followed(self, service: str) -> bool:
+        board = self.context.board
+        is_known = service in board.view.table.services
+        return is_known and board.uses_targets(service)
+
     def sample(self, service: str) -> float:
         """Asks what is due.
 
@@ -61,6 +66,8 @@
         """
         board = self.context.board
         belief = board.belief(service)
+        if belief.asked_at is None:
+            belief.asked_at = board.clock.now()
         age_s = None
         if belief.proved_at is not None:
             age_s = board.clock.now() - belief.proved_at
@@ -95,14 +102,13 @@
         if pooled is None:
             return False
         asked_at = context.now()
-        answers = []
         try:
             commands = [Begin(), Rollback()]
             answers = exchange(context, pooled, commands, ANSWER_TIMEOUT_S)
         except ConnectionLost:
             return False
         finally:
-            give_back(pooled, answers)
+            give_back(pooled)
         if answers[0].error is None:
             mark_leading(context, target, asked_at, answers[0].position)
             return True
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -7,6 +7,7 @@
 from ..observe.events import EventName, record_event
 from ..wire.streams import StreamClosed, StreamTimeout
 from .context import SessionContext, SessionState
+from .runner import RunnerChoice
 from .session import Session
 from .statements import Answer, ErrorCode, Statement, error_answer
 
@@ -80,10 +81,11 @@
     :ivar is_ending: idle sessions are ended as soon as they are idle.
     """
 
-    __slots__ = ("context", "open_sessions", "is_ending", "next_number")
+    __slots__ = ("context", "runners", "open_sessions", "is_ending", "next_number")
 
-    def __init__(self, context: SessionContext):
+    def __init__(self, context: SessionContext, runners: RunnerChoice):
         self.context = context
+        self.runners = runners
         self.open_sessions: set[OpenSession] = set()
         self.is_ending = False
         self.next_number = 0
@@ -96,7 +98,7 @@
             return
         self.next_number += 1
         state = SessionState(str(self.next_number), database)
-        with Session(self.context, state) as session:
+        with Session(self.context, self.runners, state) as session:
             record = OpenSession(link, session)
             self.open_sessions.add(record)
             self.context.metrics.sessions.set({}, len(self.open_sessions))
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -4,7 +4,7 @@
 from ..observe.events import EventName
 from .carrying import PreparedStatement
 from .context import SessionContext, SessionState
-from .single import run_single
+from .runner import RunnerChoice
 from .statements import (
     Answer,
     ErrorCode,
@@ -13,7 +13,7 @@
     TransactionState,
     error_answer,
 )
-from .transaction import Transaction
+from .transaction import OpenTransaction
 
 MAX_SESSION_VALUES = 256
 MAX_SESSION_PREPARED = 1024
@@ -28,12 +28,15 @@
     :ivar transaction: the open or failed transaction, or ``None``.
     """
 
-    __slots__ = ("context", "state", "transaction")
+    __slots__ = ("context", "runners", "state", "transaction")
 
-    def __init__(self, context: SessionContext, state: SessionState):
+    def __init__(
+        self, context: SessionContext, runners: RunnerChoice, state: SessionState
+    ):
         self.context = context
+        self.runners = runners
         self.state = state
-        self.transaction: Transaction | None = None
+        self.transaction: OpenTransaction | None = None
 
     def __enter__(self) -> "Session":
         return self
@@ -94,8 +97,8 @@
         route = self.route()
         if route is None:
             return self._no_route(statement)
-        self.transaction = Transaction(
-            self.context, self.state, route, statement.read_only
+        self.transaction = self.runners.for_route(route).begin(
+            self.state, route, statement.read_only
         )
         return Answer()
 
@@ -119,7 +122,7 @@
         route = self.route()
         if route is None:
             return self._no_route(statement)
-        return run_single(self.context, self.state, route, statement)
+        return self.runners.for_route(route).run_single(self.state, route, statement)
 
     def _end(self, statement: Statement) -> Answer:
         transaction = self.transaction
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -1,14 +1,16 @@
 """Runs one statement outside a transaction."""
 
+import contextlib
+from collections.abc import Iterator
+
 from ..directory.records import Consistency, Route, TargetEntry
 from ..internal.loop import sleep
 from ..internal.sentinel import Refusal
 from ..observe.events import EventName
 from ..wire.service import Access
 from .attempts import (
-    borrow,
     exchange,
-    give_back,
+    lent,
     mark_leading,
     mark_not_leading,
     setup_commands,
@@ -18,6 +20,7 @@
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost
 from .floors import read_floor
+from .pool import PooledConnection
 from .statements import Answer, ErrorCode, Position, Statement, error_answer
 from .waiting import RETRY_PAUSE_S, Patience, refusal_text
 
@@ -130,18 +133,18 @@
             return None
         return target
 
-    def borrow(self, target: TargetEntry):
-        """Lends a connection to a target, or ``None``."""
+    @contextlib.contextmanager
+    def lent(self, target: TargetEntry) -> Iterator[PooledConnection | None]:
+        """Lends a connection to a target, or ``None`` if there is none in time."""
         now = self.context.now()
         self.attempts += 1
         self.target_id = target.target_id
         timeout_s = max(self.patience.give_up_at - now, 0.0)
-        pooled = borrow(
-            self.context, target, self.state, self.route.priority, timeout_s
-        )
-        if pooled is None:
-            self.reason = f"no connection to {target.target_id}"
-        return pooled
+        priority = self.route.priority
+        with lent(self.context, target, self.state, priority, timeout_s) as pooled:
+            if pooled is None:
+                self.reason = f"no connection to {target.target_id}"
+            yield pooled
 
     def note_refusal(self, target: TargetEntry, answer: Answer) -> None:
         """Takes in that a target has not run the statement."""
@@ -184,24 +187,23 @@
 
     def attempt(self) -> Answer | None:
         target = self.primary()
-        pooled = self.borrow(target) if target is not None else None
-        if pooled is None:
+        if target is None:
             return None
+        with self.lent(target) as pooled:
+            return self._write(target, pooled) if pooled is not None else None
+
+    def _write(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
         commands, name = setup_commands(pooled, self.state, self.statement)
         commands.append(Run(self.statement, prepared_name=name))
         asked_at = self.context.now()
-        answers: list[Answer] = []
         try:
             timeout_s = self.patience.left_s(asked_at)
-            answers = exchange(self.context, pooled, commands, timeout_s)
+            answer = exchange(self.context, pooled, commands, timeout_s)[-1]
         except ConnectionLost as error:
             self.reason = f"{target.target_id}: {error}"
             return error_answer(
                 ErrorCode.in_doubt, "the write was sent and not answered"
             )
-        finally:
-            give_back(pooled, answers)
-        answer = answers[-1]
         if answer.was_not_run():
             pooled.carried.prepared.clear()
             self.note_refusal(target, answer)
@@ -223,32 +225,29 @@
 
     def attempt(self) -> Answer | None:
         target = self.primary()
-        pooled = self.borrow(target) if target is not None else None
-        if pooled is None:
+        if target is None:
             return None
-        answers: list[Answer] = []
-        try:
-            return self._read(target, pooled, answers)
-        except ConnectionLost as error:
-            self.reason = f"{target.target_id}: {error}"
-            return self._after_loss()
-        finally:
-            give_back(pooled, answers)
-
-    def _read(self, target: TargetEntry, pooled, answers: list[Answer]):
+        with self.lent(target) as pooled:
+            if pooled is None:
+                return None
+            try:
+                return self._read(target, pooled)
+            except ConnectionLost as error:
+                self.reason = f"{target.target_id}: {error}"
+                return self._after_loss()
+
+    def _read(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
         commands, name = setup_commands(pooled, self.state, self.statement)
         asked_at = self.context.now()
         timeout_s = self.patience.read_attempt_s(asked_at)
-        begun = exchange(self.context, pooled, [*commands, Begin()], timeout_s)
-        answers += begun
-        if begun[-1].error is not None:
-            self.note_refusal(target, begun[-1])
+        begun = exchange(self.context, pooled, [*commands, Begin()], timeout_s)[-1]
+        if begun.error is not None:
+            self.note_refusal(target, begun)
             return None
-        mark_leading(self.context, target, asked_at, begun[-1].position)
+        mark_leading(self.context, target, asked_at, begun.position)
         run = Run(self.statement, prepared_name=name)
         timeout_s = self.patience.read_attempt_s(self.context.now())
-        answers += exchange(self.context, pooled, [run, Rollback()], timeout_s)
-        answer = answers[-2]
+        answer, _ = exchange(self.context, pooled, [run, Rollback()], timeout_s)
         if answer.was_not_run():
             pooled.carried.prepared.clear()
             self.note_refusal(target, answer)
@@ -307,23 +306,16 @@
         )
 
     def _read_at(self, target: TargetEntry, floor: Position) -> Answer | None:
-        pooled = self.borrow(target)
-        if pooled is None:
-            self.excluded.add(target.target_id)
-            return None
-        commands, name = setup_commands(pooled, self.state, self.statement)
-        commands.append(Run(self.statement, floor, name))
-        answers: list[Answer] = []
-        try:
-            timeout_s = self.patience.read_attempt_s(self.context.now())
-            answers = exchange(self.context, pooled, commands, timeout_s)
-        except ConnectionLost as error:
-            self.excluded.add(target.target_id)
-            self.reason = f"{target.target_id}: {error}"
-            return self._after_loss()
-        finally:
-            give_back(pooled, answers)
-        answer = answers[-1]
+        with self.lent(target) as pooled:
+            if pooled is None:
+                self.excluded.add(target.target_id)
+                return None
+            try:
+                answer = self._exchange(pooled, floor)
+            except ConnectionLost as error:
+                self.excluded.add(target.target_id)
+                self.reason = f"{target.target_id}: {error}"
+                return self._after_loss()
         if answer.was_not_run() or answer.error is ErrorCode.failed:
             pooled.carried.prepared.clear()
             self.excluded.add(target.target_id)
@@ -331,3 +323,9 @@
             self.note_refusal(target, answer)
             return None
         return answer
+
+    def _exchange(self, pooled: PooledConnection, floor: Position) -> Answer:
+        commands, name = setup_commands(pooled, self.state, self.statement)
+        commands.append(Run(self.statement, floor, name))
+        timeout_s = self.patience.read_attempt_s(self.context.now())
+        return exchange(self.context, pooled, commands, timeout_s)[-1]
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -1,5 +1,7 @@
 """One transaction of a caller, on one connection from its first statement on."""
 
+from abc import ABC, abstractmethod
+
 from ..directory.records import Consistency, Route, TargetEntry
 from ..internal.loop import sleep
 from ..internal.sentinel import Refusal
@@ -12,6 +14,7 @@
     mark_leading,
     mark_not_leading,
     setup_commands,
+    turn,
 )
 from .choosing import choose_primary, choose_reader
 from .connection import Begin, Rollback, Run
@@ -31,15 +34,44 @@
 from .waiting import RETRY_PAUSE_S, Patience, refusal_text
 
 ROLLBACK_TIMEOUT_S = 0.5
+# Goes before every route's priority.
+TRANSACTION_PRIORITY = -1
+
+
+class OpenTransaction(ABC):
+    """A transaction that its caller has not ended.
+
+    :ivar has_failed: nothing is kept; the caller has yet to end it.
+    """
+
+    __slots__ = ("has_failed",)
+
+    def __init__(self):
+        self.has_failed = False
+
+    @abstractmethod
+    def run(self, statement: Statement) -> Answer:
+        """Runs a statement."""
+
+    @abstractmethod
+    def commit(self, statement: Statement) -> Answer:
+        """Commits; an answer that does not come leaves the outcome in doubt."""
+
+    @abstractmethod
+    def fail(self, reason: str) -> None:
+        """Ends the transaction at its target; the caller has yet to end it here."""
+
+    @abstractmethod
+    def abandon(self, reason: str) -> None:
+        """Rolls back what is open."""
 
 
-class Transaction:
+class Transaction(OpenTransaction):
     """Opens at a target with the first statement and ends there.
 
     :ivar runs_at_primary: whether it may write, or must see every commit; the
         target then refuses its statements once it has lost the lead.
     :ivar pooled: the connection, from the first statement on.
-    :ivar has_failed: nothing is kept; the caller has yet to end it.
     :ivar is_guarded: whether it began as one that may write, so that the target
         refuses its statements once it has lost the lead.
     :ivar has_written: whether a write has run.
@@ -52,7 +84,6 @@
         "read_only",
         "runs_at_primary",
         "pooled",
-        "has_failed",
         "is_guarded",
         "has_written",
         "excluded",
@@ -67,6 +98,7 @@
         route: Route,
         read_only: bool,
     ):
+        super().__init__()
         self.context = context
         self.state = state
         self.route = route
@@ -74,7 +106,6 @@
         is_primary_route = route.consistency is Consistency.primary
         self.runs_at_primary = is_primary_route or not read_only
         self.pooled: PooledConnection | None = None
-        self.has_failed = False
         self.is_guarded = False
         self.has_written = False
         self.excluded: set[str] = set()
@@ -103,7 +134,6 @@
         return self._finish(statement, answer, patience)
 
     def commit(self, statement: Statement) -> Answer:
-        """Commits; an answer that does not come leaves the outcome in doubt."""
         patience = Patience(self.route, self.context.now())
         if self.has_failed:
             text = "the transaction had failed; nothing is kept"
@@ -114,27 +144,23 @@
         return self._finish(statement, refusal, patience)
 
     def fail(self, reason: str) -> None:
-        """Ends the transaction at its target; the caller has yet to end it here."""
         self.abandon(reason)
         self.has_failed = True
         self.reason = reason
 
     def abandon(self, reason: str) -> None:
-        """Rolls back what is open and gives the connection back."""
+        """Rolls back what is open, and gives the connection back."""
         pooled, self.pooled = self.pooled, None
         if pooled is None:
             return
-        answers: list[Answer] = []
         try:
             if not pooled.is_broken:
-                answers = exchange(
-                    self.context, pooled, [Rollback()], ROLLBACK_TIMEOUT_S
-                )
+                exchange(self.context, pooled, [Rollback()], ROLLBACK_TIMEOUT_S)
         except ConnectionLost as error:
             # Closing the connection rolls back as well.
             reason = f"{reason}; {error}"
         finally:
-            give_back(pooled, answers)
+            give_back(pooled)
 
     def _open(self, patience: Patience) -> Answer | None:
         """Begins at a target.
@@ -231,46 +257,55 @@
         # What this proxy takes for the primary may change while it waits.
         self.is_guarded = not needs_floor
         begin = Begin(read_only=True, floor=floor) if needs_floor else Begin()
-        answers: list[Answer] = []
         try:
             timeout_s = patience.attempt_s(self.context.now())
-            answers = exchange(self.context, pooled, [*commands, begin], timeout_s)
+            answer = exchange(self.context, pooled, [*commands, begin], timeout_s)[-1]
         except ConnectionLost as error:
             self.reason = f"{target.target_id}: {error}"
-            give_back(pooled, answers)
+            give_back(pooled)
             return None
-        answer = answers[-1]
         if answer.error is not None:
             self.reason = f"{target.target_id} answered {answer.error.value}"
             if answer.error is ErrorCode.read_only:
                 mark_not_leading(self.context, target)
-            give_back(pooled, answers)
+            give_back(pooled)
         return answer
 
     def _run(self, statement: Statement, patience: Patience) -> Answer:
         """Runs a statement, again as long as the target says it has not run it."""
         while True:
             pooled = self.pooled
-            commands, name = setup_commands(pooled, self.state, statement)
-            commands.append(Run(statement, prepared_name=name))
             asked_at = self.context.now()
             try:
                 timeout_s = patience.attempt_s(asked_at)
-                answers = exchange(self.context, pooled, commands, timeout_s)
+                answer = self._exchange(statement, timeout_s)
             except ConnectionLost as error:
                 # No commit was sent, so closing the connection keeps nothing, and
                 # the caller may start again while it still has time.
                 return error_answer(ErrorCode.aborted, str(error))
-            answer = answers[-1]
             if answer.error is None and self.is_guarded:
-                mark_leading(
-                    self.context, pooled.pool.target, asked_at, answer.position
-                )
+                target = pooled.pool.target
+                mark_leading(self.context, target, asked_at, answer.position)
             if not self._may_repeat(answer, patience):
                 return answer
             pooled.carried.prepared.clear()
             sleep(RETRY_PAUSE_S)
 
+    def _exchange(self, statement: Statement, timeout_s: float) -> Answer:
+        """Runs a statement on the connection once its turn has come.
+
+        Transactions go first: while they wait they hold connections, and what they
+        have done so far is lost if they are refused.
+        """
+        pooled = self.pooled
+        target = pooled.pool.target
+        with turn(self.context, target, TRANSACTION_PRIORITY, timeout_s) as granted:
+            if not granted:
+                return error_answer(ErrorCode.overloaded, "no turn in time")
+            commands, name = setup_commands(pooled, self.state, statement)
+            commands.append(Run(statement, prepared_name=name))
+            return exchange(self.context, pooled, commands, timeout_s)[-1]
+
     def _may_repeat(self, answer: Answer, patience: Patience) -> bool:
         is_open = answer.state is TransactionState.open
         return (
@@ -286,16 +321,12 @@
         while True:
             asked_at = self.context.now()
             try:
-                commands, _ = setup_commands(pooled, self.state, None)
-                commands.append(Run(statement))
-                timeout_s = patience.left_s(asked_at)
-                answers = exchange(self.context, pooled, commands, timeout_s)
+                answer = self._exchange(statement, patience.left_s(asked_at))
             except ConnectionLost as error:
                 self.abandon("the commit was not answered")
                 if not self.has_written:
                     return error_answer(ErrorCode.aborted, str(error))
                 return error_answer(ErrorCode.in_doubt, str(error))
-            answer = answers[-1]
             if not self._may_repeat(answer, patience):
                 break
             sleep(RETRY_PAUSE_S)
@@ -304,7 +335,7 @@
             self.state.note_commit(self.route.service, answer.position)
         if answer.state is TransactionState.idle:
             self.pooled = None
-            give_back(pooled, answers)
+            give_back(pooled)
         else:
             self.abandon("the commit was refused")
         return answer
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fleet.callers import LineCallerLink
+from godwitwheel.sessions.runner import RunnerChoice
 from godwitwheel.sessions.serving import SessionServer
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
 from tests.common.fake_sessions import FakeGroup
@@ -43,7 +44,7 @@
 def served():
     """A session server on a fake group; yields a function that connects."""
     group = FakeGroup()
-    server = SessionServer(group.context)
+    server = SessionServer(group.context, RunnerChoice(group.context))
     errors = []
     listener = StreamServer(lambda s: server.serve(LineCallerLink(s)), errors.append)
     with listener.listening("127.0.0.1:0") as listening:
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -37,6 +37,7 @@
 )
 from godwitwheel.sessions.events import StatementLog
 from godwitwheel.sessions.metrics import SessionMetrics
+from godwitwheel.sessions.runner import RunnerChoice
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import (
     Answer,
@@ -296,7 +297,8 @@
             target.log = [c for c in target.log if c.request_id in held]
 
     def session(self, database: str) -> Session:
-        return Session(self.context, SessionState("s1", database))
+        runners = RunnerChoice(self.context)
+        return Session(self.context, runners, SessionState("s1", database))
 
     def runs(self) -> list[FakeRun]:
         return [run for target in self.targets.values() for run in target.ran]
