--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -25,14 +25,16 @@
     """The last order for a service.
 
     :ivar retry_at: no other order is given before that time.
+    :ivar is_open: whether it had no clear answer, so that it may still be carried out.
     """
 
-    __slots__ = ("target_id", "token", "retry_at")
+    __slots__ = ("target_id", "token", "retry_at", "is_open")
 
     def __init__(self, target_id: str, token: int, retry_at: float):
         self.target_id = target_id
         self.token = token
         self.retry_at = retry_at
+        self.is_open = True
 
 
 class DirectoryLeadership:
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -270,7 +270,8 @@
         retry_at = self.clock.now() + pause_s
         order = leadership.orders.get(service)
         if order is None:
-            leadership.orders[service] = PromotionOrder("", 0, retry_at)
+            order = leadership.orders[service] = PromotionOrder("", 0, retry_at)
+            order.is_open = False
         else:
             order.retry_at = retry_at
         record_event(
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -21,9 +21,10 @@
 from .records import DirectoryView, TargetEntry
 
 STATUS_TIMEOUT_S = 0.4
-ORDER_TIMEOUT_S = 0.8
+# The platform answers within some 20 ms unless the order or its answer is held up.
+ORDER_TIMEOUT_S = 0.4
 # Pause after an order that came to nothing, in seconds.
-RETRY_PAUSE_S = 0.3
+RETRY_PAUSE_S = 0.15
 # Tokens of one leader's orders; the term decides between leaders.
 TOKENS_PER_TERM = 1_000_000
 
@@ -94,11 +95,9 @@
             raise PromotionFailed("no candidate")
         # A leader that was cut off or frozen meanwhile must not give the order.
         self.confirm()
-        token = fencing_token(leadership)
         target_id = candidate.entry.target_id
-        leadership.orders[service] = PromotionOrder(
-            target_id, token, self.clock.now() + ORDER_PAUSE_S
-        )
+        order = self._order(leadership, service, target_id)
+        token = order.token
         record_event(
             EventName.promotion_ordered,
             service=service,
@@ -109,7 +108,7 @@
             received=repr(candidate.received),
             missed_by=candidate.missed_by,
         )
-        self.call.promote(service, target_id, token, ORDER_TIMEOUT_S)
+        self._give(order, service)
         self.commit(SetPrimary(service, target_id, token))
         record_event(
             EventName.promotion_answered,
@@ -119,6 +118,31 @@
             outcome="done",
         )
 
+    def _order(
+        self, leadership: DirectoryLeadership, service: str, target_id: str
+    ) -> PromotionOrder:
+        """Returns the order to give.
+
+        One without an answer is given again as it was: with a higher token it would
+        fence itself off where it is carried out late.
+        """
+        retry_at = self.clock.now() + ORDER_PAUSE_S
+        order = leadership.orders.get(service)
+        if order is not None and order.is_open and order.target_id == target_id:
+            order.retry_at = retry_at
+            return order
+        order = PromotionOrder(target_id, fencing_token(leadership), retry_at)
+        leadership.orders[service] = order
+        return order
+
+    def _give(self, order: PromotionOrder, service: str) -> None:
+        try:
+            self.call.promote(service, order.target_id, order.token, ORDER_TIMEOUT_S)
+        except PromotionFenced:
+            order.is_open = False
+            raise
+        order.is_open = False
+
     def _choose(
         self, service: str, view: DirectoryView, sights: list[Sight]
     ) -> Candidate | None:
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -14,6 +14,7 @@
 # that started a moment ago.
 RESERVED_CONNECTIONS = 2
 MIN_POOL = 1
+LEAVING_GRACE_S = 5.0
 # Time from an order to promote until the target leads, about.
 PROMOTION_S = 0.6
 
@@ -79,6 +80,9 @@
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
     :ivar lost_owners: services whose owner did not answer the last call.
+    :ivar leaving_grace_s: how long a primary that leaves may get new work while its
+        replacement is on its way.
+    :ivar leaving_since: targets that leave, and when this process learned of it.
     :ivar changed: notified when a primary or the view changes.
     """
 
@@ -96,6 +100,8 @@
         "beliefs",
         "histories",
         "lost_owners",
+        "leaving_grace_s",
+        "leaving_since",
         "changed",
     )
 
@@ -120,6 +126,8 @@
         self.beliefs: dict[str, PrimaryBelief] = {}
         self.histories: dict[str, PositionHistory] = {}
         self.lost_owners: set[str] = set()
+        self.leaving_grace_s = LEAVING_GRACE_S
+        self.leaving_since: dict[str, float] = {}
         self.changed = ChangeSignal()
 
     def targets_of(self, service: str) -> list[TargetEntry]:
@@ -203,6 +211,7 @@
                 self.pools.pop(target_id).close()
                 self.statuses.pop(target_id, None)
                 self.gates.pop(target_id, None)
+        self._note_leaving()
         self._close_unused_pools()
         for service, target_id in view.primaries.items():
             # What this proxy found out since the last order goes before it.
@@ -212,6 +221,19 @@
         self.changed.notify()
         return True
 
+    def _note_leaving(self) -> None:
+        now = self.clock.now()
+        self.leaving_since = {
+            target_id: self.leaving_since.get(target_id, now)
+            for target_id, entry in self.view.targets.items()
+            if entry.leaving
+        }
+
+    def has_left(self, target_id: str, now: float) -> bool:
+        """Whether a target that leaves has had its time."""
+        since = self.leaving_since.get(target_id)
+        return since is not None and now - since >= self.leaving_grace_s
+
     def _close_unused_pools(self) -> None:
         for target_id, pool in list(self.pools.items()):
             if not self.uses_targets(pool.target.service):
--- a/src/godwitwheel/sessions/choosing.py
+++ b/src/godwitwheel/sessions/choosing.py
@@ -35,6 +35,8 @@
     target = board.view.targets.get(target_id)
     if target is None:
         return Refusal(NoTarget.no_primary, "control names none")
+    if board.has_left(target_id, now):
+        return Refusal(NoTarget.no_primary, f"{target_id} leaves")
     status = board.status(target_id)
     if now < status.retry_at:
         return Refusal(NoTarget.no_primary, f"{target_id} does not answer")
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -1,5 +1,6 @@
 """Sessions on pooled connections: consistency, transactions, true refusals."""
 
+import msgspec
 import pytest
 
 from godwitwheel.sessions.sampler import Sampler
@@ -228,6 +229,24 @@
     assert group.targets["t2"].opened == 1
 
 
+def test_a_leaving_primary_gets_no_new_work_once_its_time_is_over(group):
+    """Its replacement may be held up for longer than it stays."""
+    session = group.session("primary")
+    group.board.leaving_grace_s = 6.0
+    entries = dict(group.board.view.targets)
+    entries["t1"] = msgspec.structs.replace(entries["t1"], leaving=True)
+    group.board.apply_view(
+        msgspec.structs.replace(group.board.view, version=2, targets=entries)
+    )
+    group.clock.advance(5.0)
+    assert session.execute(write("w1")).error is None
+    group.clock.advance(1.5)
+    assert session.execute(write("w2")).error is ErrorCode.overloaded
+    session.execute(begin("-"))
+    assert session.execute(read("r1")).error is ErrorCode.overloaded
+    assert [run.request_id for run in group.runs()] == ["w1"]
+
+
 def test_a_statement_without_a_route_is_refused(group):
     answer = group.session("nowhere").execute(read("r1"))
     assert answer.error is ErrorCode.unknown_database
