Refuse HTTP requests that can't be read in our own form, and in time

Two Content-Length headers that differ were taken, a first line or headers sent in part held a connection for 300 s, and a malformed first line was answered in HTML and written to standard error. Now: 400 and a closed connection, 10 s for a line or headers once their first byte has come, JSON, and one event. Also tests owners, turns and ownership.

--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -12,6 +12,7 @@
     process_stopping = "process_stopping"
     process_stopped = "process_stopped"
     handler_failed = "handler_failed"
+    request_unreadable = "request_unreadable"
     leader_elected = "leader_elected"
     leader_lost = "leader_lost"
     snapshot_written = "snapshot_written"
--- a/src/godwitwheel/wire/server.py
+++ b/src/godwitwheel/wire/server.py
@@ -5,8 +5,9 @@
 import warnings
 from collections.abc import Callable, Iterator
 
-from ..internal.loop import Task, spawn
+from ..internal.loop import LoopTimeout, Task, spawn
 from ..internal.validation import is_whole_number, split_address
+from ..observe.events import EventName, record_event
 from .codec import encode
 from .errors import BadMessage
 from .numbers import MAX_NUMBER
@@ -20,6 +21,9 @@
 MAX_CONNECTIONS = 20_000
 KEEP_ALIVE_S = 300.0
 LISTEN_BACKLOG = 1024
+# Limit for all headers of a request, and for a peer that sends or takes nothing.
+HEADER_TIMEOUT_S = 10.0
+SOCKET_TIMEOUT_S = 30.0
 READ_BUFFER_BYTES = 1024
 WRITE_BUFFER_BYTES = 1024
 
@@ -119,6 +123,51 @@
         self.headers = None
         self.environ = None
 
+    def _read_request_line(self) -> bytes | str:
+        """Waits for a request for long, but for the rest of its line shortly."""
+        try:
+            self.connection.settimeout(self.server.keepalive)
+            if not self.rfile.peek(1):
+                return ""
+            with LoopTimeout(HEADER_TIMEOUT_S):
+                return super()._read_request_line()
+        except (OSError, LoopTimeout):
+            # The peer is gone, or never ends its line; nothing can be answered.
+            self.close_connection = True
+            return ""
+
+    def parse_request(self) -> bool:
+        """Reads the headers within their time, and checks where the body ends."""
+        try:
+            with LoopTimeout(HEADER_TIMEOUT_S):
+                if not super().parse_request():
+                    return False
+        except LoopTimeout:
+            self.send_error(408, f"headers not whole in {HEADER_TIMEOUT_S} s")
+            return False
+        lengths = set(self.headers.get_all("Content-Length", []))
+        if len(lengths) > 1:
+            # Two readers that take different ones see different requests.
+            self.send_error(400, "Content-Length: given more than once")
+            return False
+        return True
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Answers a request that can't be read, in the form of all other answers."""
+        body = encode({"message": message or "the request can't be read"})
+        head = (
+            f"HTTP/1.1 {int(code)} -\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.close_connection = True
+        self.wfile.write(head.encode() + body)
+        record_event(EventName.request_unreadable, status=int(code), reason=message)
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Writes nothing: events go to the log."""
+
 
 class BodyTooLarge(BadMessage):
     """Raised when a body is longer than the server takes."""
@@ -212,6 +261,7 @@
             max_size=MAX_CONNECTIONS,
             keepalive=KEEP_ALIVE_S,
             protocol=self.protocol,
+            socket_timeout=SOCKET_TIMEOUT_S,
         )
         try:
             yield self
--- /dev/null
+++ b/tests/cover/test_owner.py
@@ -0,0 +1,205 @@
+"""Statements that the owner of the connections runs for a proxy."""
+
+import msgspec
+import pytest
+
+from godwitwheel.directory.records import OwnerEntry
+from godwitwheel.internal.signals import ChangeSignal
+from godwitwheel.sessions.context import SessionState
+from godwitwheel.sessions.owner import EXPIRY_SLACK_S, Owner
+from godwitwheel.sessions.remote import OwnerCalls, RemoteRunner
+from godwitwheel.sessions.runner import RunnerChoice
+from godwitwheel.sessions.session import Session
+from godwitwheel.sessions.statements import ErrorCode, TransactionState
+from godwitwheel.wire.errors import NoReply, NotSent
+from godwitwheel.wire.server import Request
+from godwitwheel.wire.service import Access
+from tests.common.fake_sessions import (
+    SERVICE,
+    FakeGroup,
+    begin,
+    commit,
+    execute,
+    prepare,
+    read,
+    rollback,
+    set_value,
+    write,
+)
+
+OWNERS = {SERVICE: OwnerEntry("owner-1", "10.0.0.9:7441")}
+
+
+class DirectClient:
+    """Hands requests to the owner, or fails as the test says.
+
+    :ivar fail_before: the owner can't be reached.
+    :ivar fail_after: the owner's answers are lost.
+    """
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.fail_before = False
+        self.fail_after = False
+
+    def exchange(self, address, method, path, body, timeout_s):
+        if self.fail_before:
+            raise NotSent("refused")
+        handler = self.owner.routes()[(method, path)]
+        response = handler(Request(method, path, body, {}))
+        if self.fail_after:
+            raise NoReply("lost")
+        return response.status, response.body
+
+
+class Deployment:
+    """An owner on a fake group, and a proxy that has no connections."""
+
+    def __init__(self, monkeypatch):
+        self.targets = FakeGroup()
+        self.targets.board.process_id = "owner-1"
+        self.name_owners(self.targets)
+        self.owner = Owner(self.targets.context, "run1")
+        self.front = FakeGroup()
+        self.front.clock = self.front.board.clock = self.targets.clock
+        self.name_owners(self.front)
+        self.client = DirectClient(self.owner)
+        calls = OwnerCalls(self.front.context, self.client, "front-1")
+        self.runners = RunnerChoice(self.front.context, RemoteRunner(calls))
+        for module in ("single", "transaction"):
+            monkeypatch.setattr(
+                f"godwitwheel.sessions.{module}.sleep", self.targets.clock.advance
+            )
+        monkeypatch.setattr(
+            "godwitwheel.sessions.remote.spawn", lambda function, *args: function(*args)
+        )
+        monkeypatch.setattr(
+            ChangeSignal, "wait", lambda signal, seconds: self.wait(seconds)
+        )
+
+    def wait(self, seconds):
+        self.targets.clock.advance(seconds)
+
+    def name_owners(self, group):
+        view = msgspec.structs.replace(group.board.view, version=9, owners=OWNERS)
+        group.board.apply_view(view)
+
+    def session(self, database="primary"):
+        state = SessionState("s1", database)
+        return Session(self.front.context, self.runners, state)
+
+
+@pytest.fixture
+def deployment(monkeypatch):
+    return Deployment(monkeypatch)
+
+
+def test_a_statement_runs_on_the_owners_connections(deployment):
+    answer = deployment.session().execute(write("w1"))
+    assert answer.signature == "sig-w1"
+    assert [run.request_id for run in deployment.targets.runs()] == ["w1"]
+    assert deployment.front.runs() == []
+
+
+def test_values_and_prepared_statements_go_along(deployment):
+    session = deployment.session()
+    session.execute(set_value("tz", "utc"))
+    session.execute(prepare("s1", Access.write, "q1"))
+    session.execute(execute("e1", "s1"))
+    (run,) = deployment.targets.runs()
+    assert run.values == {"tz": "utc"}
+    assert run.shape == (Access.write, "q1")
+
+
+def test_a_session_sees_its_own_write_through_any_statement(deployment):
+    session = deployment.session("read_your_writes")
+    session.execute(write("w1"))
+    for number in range(4):
+        assert b"w1" in session.execute(read(f"r{number}")).rows[0]
+
+
+def test_a_transaction_keeps_its_connection(deployment):
+    first, second = deployment.session(), deployment.session()
+    for session, name in ((first, "a"), (second, "b")):
+        session.execute(begin("-"))
+        session.execute(write(f"{name}1"))
+    for session, name in ((first, "a"), (second, "b")):
+        session.execute(write(f"{name}2"))
+        assert session.execute(commit(f"{name}3")).signature == f"sig-{name}3"
+    by_id = {run.request_id: run.transaction for run in deployment.targets.runs()}
+    assert by_id["a1"] == by_id["a2"] != by_id["b1"] == by_id["b2"]
+    assert deployment.owner.open == {}
+
+
+def test_a_rollback_ends_the_owners_transaction(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    assert session.execute(rollback("-")).error is None
+    assert deployment.owner.open == {}
+    assert deployment.targets.primary.log == []
+
+
+def test_a_write_whose_answer_is_lost_is_in_doubt(deployment):
+    deployment.client.fail_after = True
+    answer = deployment.session().execute(write("w1"))
+    assert answer.error is ErrorCode.in_doubt
+    assert [run.request_id for run in deployment.targets.runs()] == ["w1"]
+
+
+def test_an_owner_that_is_gone_has_run_nothing(deployment):
+    deployment.client.fail_before = True
+    answer = deployment.session().execute(write("w1"))
+    assert answer.error is ErrorCode.overloaded
+    assert deployment.targets.runs() == []
+
+
+def test_a_statement_of_a_transaction_that_is_lost_aborts_it(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    deployment.client.fail_after = True
+    answer = session.execute(write("w2"))
+    assert answer.error is ErrorCode.aborted
+    assert answer.state is TransactionState.failed
+    deployment.client.fail_after = False
+    assert session.execute(commit("c1")).error is ErrorCode.aborted
+    assert deployment.targets.primary.log == []
+
+
+def test_a_commit_whose_answer_is_lost_is_in_doubt(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    deployment.client.fail_after = True
+    assert session.execute(commit("c1")).error is ErrorCode.in_doubt
+
+
+def test_a_restarted_owner_knows_no_earlier_transaction(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    deployment.client.owner = Owner(deployment.targets.context, "run2")
+    assert session.execute(commit("c1")).error is ErrorCode.aborted
+
+
+def test_a_transaction_of_a_proxy_that_is_gone_is_ended(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    idle_s = deployment.targets.board.view.table.limits.transaction_idle_ms / 1000
+    deployment.owner.expire(deployment.targets.clock.now() + idle_s)
+    assert len(deployment.owner.open) == 1
+    later = deployment.targets.clock.now() + idle_s + EXPIRY_SLACK_S + 0.1
+    deployment.owner.expire(later)
+    assert deployment.owner.open == {}
+    assert deployment.targets.primary.log == []
+
+
+def test_a_proxy_without_ownership_drops_its_connections(deployment):
+    group = FakeGroup()
+    group.session("primary").execute(write("w1"))
+    assert len(group.primary.connections) == 1
+    deployment.name_owners(group)
+    assert group.primary.connections == []
+    assert not group.board.uses_targets(SERVICE)
