Pass over replicas that are known to lag; send owners short messages

Every answer names the target's position, so one that was behind the floor within 0.1 s is not asked.

--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -79,6 +79,9 @@
         pooled.is_broken = True
         raise
     pooled.state = answers[-1].state
+    if answers[-1].position is not None:
+        status.position = answers[-1].position
+        status.position_at = board.clock.now()
     was_failing = status.failing_since is not None
     note_answered(status, board.clock.now() - started_at)
     if was_failing:
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -9,6 +9,7 @@
 from .floors import PositionHistory
 from .gate import RunGate
 from .pool import TargetPool
+from .statements import Position
 
 # Connections of a target that no proxy counts on: those of control and of proxies
 # that started a moment ago.
@@ -27,9 +28,19 @@
     :ivar retry_at: no new work goes there before that time, unless all fail.
     :ivar latency_s: moving average of the time that a read takes.
     :ivar in_flight: statements sent and not answered.
+    :ivar position: log position that it gave last, or ``None``.
+    :ivar position_at: when it gave it, in seconds of the clock.
     """
 
-    __slots__ = ("failing_since", "failures", "retry_at", "latency_s", "in_flight")
+    __slots__ = (
+        "failing_since",
+        "failures",
+        "retry_at",
+        "latency_s",
+        "in_flight",
+        "position",
+        "position_at",
+    )
 
     def __init__(self):
         self.failing_since: float | None = None
@@ -37,6 +48,8 @@
         self.retry_at = 0.0
         self.latency_s = 0.0
         self.in_flight = 0
+        self.position: Position | None = None
+        self.position_at = 0.0
 
 
 class PrimaryBelief:
--- a/src/godwitwheel/sessions/choosing.py
+++ b/src/godwitwheel/sessions/choosing.py
@@ -5,6 +5,7 @@
 from ..directory.records import TargetEntry
 from ..internal.sentinel import Refusal
 from .board import SessionBoard, TargetStatus
+from .statements import Position
 
 # Added to a target's expected wait for each hop to another data centre, in seconds.
 OTHER_DATA_CENTRE_S = 0.004
@@ -15,6 +16,8 @@
 # The primary alone can take writes, so a read waits there as if it were this much
 # busier, in statements.
 PRIMARY_HANDICAP = 1
+# For so long a target that was behind a position is taken for behind it still.
+LAG_KNOWN_S = 0.1
 # First pause after a failure; it doubles with each further one, up to the longest.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0
@@ -44,11 +47,16 @@
 
 
 def choose_reader(
-    board: SessionBoard, service: str, excluded: set[str], now: float
+    board: SessionBoard,
+    service: str,
+    excluded: set[str],
+    floor: Position,
+    now: float,
 ) -> TargetEntry | Refusal:
     """Returns the target that is expected to answer a read soonest.
 
     :param excluded: targets that refused this read already.
+    :param floor: position that the target's log must hold.
     """
     candidates = [
         target
@@ -56,12 +64,20 @@
         if target.target_id not in excluded
         and not target.leaving
         and now >= board.status(target.target_id).retry_at
+        and not lags(board.status(target.target_id), floor, now)
     ]
     if not candidates:
         return Refusal(NoTarget.none_reachable, f"tried {sorted(excluded)}")
     return min(candidates, key=lambda target: expected_wait_s(board, target))
 
 
+def lags(status: TargetStatus, floor: Position, now: float) -> bool:
+    """Whether a target was behind a position a moment ago."""
+    if status.position is None or now - status.position_at > LAG_KNOWN_S:
+        return False
+    return status.position < floor
+
+
 def expected_wait_s(board: SessionBoard, target: TargetEntry) -> float:
     """Returns how long a read would take at a target, in seconds."""
     status = board.status(target.target_id)
--- a/src/godwitwheel/sessions/owner.py
+++ b/src/godwitwheel/sessions/owner.py
@@ -16,6 +16,7 @@
     RunRequest,
     reply_with,
     restore_session,
+    route_of,
     statement_of,
 )
 from .single import run_single
@@ -109,7 +110,8 @@
     def _run_single(self, request: RunRequest) -> RunReply:
         state = SessionState(request.proxy_id, request.route.database)
         restore_session(state, request)
-        answer = run_single(self.context, state, request.route, statement_of(request))
+        route = route_of(request.route)
+        answer = run_single(self.context, state, route, statement_of(request))
         return reply_with(answer, "", state.own_positions.get(request.route.service))
 
     def _transaction(self, request: RunRequest) -> OwnedTransaction | None:
--- a/src/godwitwheel/sessions/owner_messages.py
+++ b/src/godwitwheel/sessions/owner_messages.py
@@ -1,8 +1,12 @@
-"""Messages between a proxy and the owner of a service's connections."""
+"""Messages between a proxy and the owner of a service's connections.
+
+They are arrays rather than objects: one goes each way for every statement, and a proxy
+has a narrow link.
+"""
 
 import msgspec
 
-from ..directory.records import Route
+from ..directory.records import Consistency, Route
 from ..wire.service import Access
 from .carrying import PreparedStatement
 from .context import SessionState
@@ -19,6 +23,18 @@
 END_PATH = "/v1/sessions/end"
 
 
+class RoutePart(msgspec.Struct, frozen=True, array_like=True):
+    """The route that is in force for a session; see :class:`Route`."""
+
+    database: str
+    service: str
+    consistency: Consistency
+    statement_timeout_ms: int
+    latency_objective_ms: int
+    priority: int
+    max_staleness_ms: int
+
+
 class PositionPart(msgspec.Struct, frozen=True, array_like=True):
     """A log position."""
 
@@ -26,7 +42,7 @@
     number: int
 
 
-class SessionPart(msgspec.Struct, frozen=True, omit_defaults=True):
+class SessionPart(msgspec.Struct, frozen=True, array_like=True):
     """What the owner has to know of a session.
 
     :ivar prepared_access: with ``prepared_shape``, the statement to execute.
@@ -39,18 +55,17 @@
     own_position: PositionPart | None = None
 
 
-class RunRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+class RunRequest(msgspec.Struct, frozen=True, array_like=True):
     """Runs one statement.
 
     :ivar proxy_id: process and session that asks, for the owner's log.
-    :ivar route: the route that is in force for the session.
     :ivar handle: transaction that the statement belongs to; empty if it is to be
         opened with this statement.
     :ivar in_transaction: whether the statement belongs to a transaction.
     """
 
     proxy_id: str
-    route: Route
+    route: RoutePart
     kind: StatementKind
     request_id: str
     text: str
@@ -62,7 +77,7 @@
     handle: str = ""
 
 
-class RunReply(msgspec.Struct, frozen=True, omit_defaults=True):
+class RunReply(msgspec.Struct, frozen=True, array_like=True):
     """The answer to a statement.
 
     :ivar handle: the open transaction; empty once it has ended.
@@ -89,6 +104,16 @@
     """Tells that the transaction has ended."""
 
 
+def route_part(route: Route) -> RoutePart:
+    """Returns a route as it is sent."""
+    return RoutePart(*msgspec.structs.astuple(route))
+
+
+def route_of(part: RoutePart) -> Route:
+    """Returns a route that was sent."""
+    return Route(*msgspec.structs.astuple(part))
+
+
 def position_part(position: Position | None) -> PositionPart | None:
     """Returns a position as it is sent."""
     if position is None:
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -16,6 +16,7 @@
     RunRequest,
     answer_of,
     position_of,
+    route_part,
     session_part,
 )
 from .runner import StatementRunner
@@ -121,7 +122,7 @@
         """Returns a statement as it is sent."""
         return RunRequest(
             f"{self.proxy_id}/{state.session_id}",
-            route,
+            route_part(route),
             statement.kind,
             statement.request_id,
             statement.text,
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -283,7 +283,7 @@
             return super().attempt()
         service = self.route.service
         board = self.context.board
-        target = choose_reader(board, service, self.excluded, self.context.now())
+        target = choose_reader(board, service, self.excluded, floor, self.context.now())
         if isinstance(target, Refusal):
             self.excluded.clear()
             return super().attempt()
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -207,7 +207,7 @@
         board, service = self.context.board, self.route.service
         now = self.context.now()
         if not self.runs_at_primary and not isinstance(floor, Refusal):
-            reader = choose_reader(board, service, self.excluded, now)
+            reader = choose_reader(board, service, self.excluded, floor, now)
             if not isinstance(reader, Refusal):
                 return reader
             self.excluded.clear()
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -70,6 +70,7 @@
     :ivar refuses: it can't be connected to.
     :ivar lost_answers: so many of its next answers to runs are lost.
     :ivar busy_answers: so many of its next runs are refused as busy.
+    :ivar asked: runs that it was asked for, whether it ran them or not.
     :ivar ran: ids of all statements that it has run, with their connection.
     """
 
@@ -84,6 +85,7 @@
         self.max_connections = 100
         self.connections: list[FakeConnection] = []
         self.opened = 0
+        self.asked = 0
         self.ran: list[FakeRun] = []
 
     def leads(self) -> bool:
@@ -186,6 +188,7 @@
         return Answer()
 
     def _run(self, command):
+        self.target.asked += 1
         statement = command.statement
         if self.target.busy_answers:
             self.target.busy_answers -= 1
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -122,6 +122,26 @@
     assert group.primary.ran == []
 
 
+def test_a_replica_that_is_known_to_lag_is_not_asked_for_now(group):
+    """When replicas fall behind, every blind question costs a way and a turn."""
+    sample(group)
+    session = group.session("read_your_writes")
+    session.execute(write("w1"))
+    group.clock.advance(0.001)
+    session.execute(read("r1"))
+    for name in ("t2", "t3"):
+        group.targets[name].asked = 0
+    for number in range(2, 6):
+        group.clock.advance(0.001)
+        session.execute(read(f"r{number}"))
+    assert group.targets["t2"].asked == group.targets["t3"].asked == 0
+    group.replicate_all()
+    group.clock.advance(1.0)
+    sample(group)
+    session.execute(read("r9"))
+    assert group.targets["t2"].asked + group.targets["t3"].asked == 1
+
+
 def test_without_a_recent_position_a_read_asks_the_primary(group):
     sample(group)
     group.clock.advance(5.0)
