--- a/src/godwitwheel/control/metrics.py
+++ b/src/godwitwheel/control/metrics.py
@@ -1,39 +1,36 @@
 """Metrics of a control member."""
 
-from ..observe.metrics import ProcessMetrics
+from ..observe.metrics import SampledMetrics
 from .member import Member
 
 
-class MemberMetrics(ProcessMetrics):
+class MemberMetrics(SampledMetrics):
     """Renders a member's counts as they are when asked for."""
 
-    __slots__ = ("member", "gauges")
+    __slots__ = ("member",)
+
+    descriptions = {
+        "leading": "1 while this member leads.",
+        "heartbeats": "Heartbeats taken since the start.",
+        "read_rounds": "Quorum rounds that confirmed the leadership.",
+        "commands": "Commands committed here as leader.",
+        "batches": "Log entries that carried them.",
+        "live_proxies": "Proxies with a valid lease.",
+        "view_version": "Version of the committed view.",
+        "revision": "Revision of the committed configuration.",
+        "claims": "Idempotency keys remembered.",
+        "claim_answer_bytes": "Size of the recorded answers, in bytes.",
+    }
 
     def __init__(self, member_id: str, member: Member):
         super().__init__(member_id, "control")
         self.member = member
-        self.gauges = {
-            name: self.gauge(name, doc)
-            for name, doc in (
-                ("leading", "1 while this member leads."),
-                ("heartbeats", "Heartbeats taken since the start."),
-                ("read_rounds", "Quorum rounds that confirmed the leadership."),
-                ("commands", "Commands committed here as leader."),
-                ("batches", "Log entries that carried them."),
-                ("live_proxies", "Proxies with a valid lease."),
-                ("view_version", "Version of the committed view."),
-                ("revision", "Revision of the committed configuration."),
-                ("claims", "Idempotency keys remembered."),
-                ("claim_answer_bytes", "Size of the recorded answers, in bytes."),
-            )
-        }
 
-    def render(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
+    def values(self) -> dict[str, float]:
         member = self.member
         leadership = member.leadership
         live = leadership.leases.live(member.clock.now()) if leadership else []
-        values = {
+        return {
             "leading": int(leadership is not None),
             "heartbeats": member.heartbeats,
             "read_rounds": member.confirmer.rounds,
@@ -45,6 +42,3 @@
             "claims": len(member.state.claims.records),
             "claim_answer_bytes": member.state.claims.answer_bytes,
         }
-        for name, value in values.items():
-            self.gauges[name].set({}, value)
-        return super().render()
--- a/src/godwitwheel/directory/metrics.py
+++ b/src/godwitwheel/directory/metrics.py
@@ -1,40 +1,37 @@
 """Metrics of a directory member."""
 
-from ..observe.metrics import ProcessMetrics
+from ..observe.metrics import SampledMetrics
 from .member import DirectoryMember
 
 
-class DirectoryMetrics(ProcessMetrics):
+class DirectoryMetrics(SampledMetrics):
     """Renders a member's counts as they are when asked for."""
 
-    __slots__ = ("member", "gauges")
+    __slots__ = ("member",)
+
+    descriptions = {
+        "leading": "1 while this member leads.",
+        "term": "Term of the replicated log.",
+        "voters": "Members that vote.",
+        "commands": "Commands committed here as leader.",
+        "read_rounds": "Quorum rounds that confirmed the leadership.",
+        "proxies": "Proxies that reported lately.",
+        "directory_version": "Version of the committed directory.",
+        "table_version": "Version of the routing table in force.",
+        "targets": "Targets in the directory.",
+    }
 
     def __init__(self, member_id: str, member: DirectoryMember):
         super().__init__(member_id, "control")
         self.member = member
-        self.gauges = {
-            name: self.gauge(name, doc)
-            for name, doc in (
-                ("leading", "1 while this member leads."),
-                ("term", "Term of the replicated log."),
-                ("voters", "Members that vote."),
-                ("commands", "Commands committed here as leader."),
-                ("read_rounds", "Quorum rounds that confirmed the leadership."),
-                ("proxies", "Proxies that reported lately."),
-                ("directory_version", "Version of the committed directory."),
-                ("table_version", "Version of the routing table in force."),
-                ("targets", "Targets in the directory."),
-            )
-        }
 
-    def render(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
+    def values(self) -> dict[str, float]:
         member = self.member
         state = member.log.core.state
         view = member.state.directory.view
         leadership = member.leadership
         members = state.membership.members.values()
-        values = {
+        return {
             "leading": int(leadership is not None),
             "term": state.term,
             "voters": sum(record.voter for record in members),
@@ -45,6 +42,3 @@
             "table_version": view.table.version,
             "targets": len(view.targets),
         }
-        for name, value in values.items():
-            self.gauges[name].set({}, value)
-        return super().render()
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -18,6 +18,7 @@
 from ..sessions.connection import Connector
 from ..wire.client import Client
 from ..wire.server import Handler, Server
+from .controllers import DirectoryControllers
 from .member import DirectoryMember
 from .metrics import DirectoryMetrics
 from .promotion import PromotionCall
@@ -119,7 +120,8 @@
             running_log(options, state, settings.data_folder, clock, random.Random())
         )
         client = stack.enter_context(Client())
-        member = DirectoryMember(log, state, clock, connector, call)
+        member = DirectoryMember(log, state, clock)
+        controllers = DirectoryControllers(member, connector, call)
         metrics = DirectoryMetrics(settings.member_id, member)
         internal = {
             **consensus_routes(log),
@@ -133,7 +135,7 @@
         ):
             server = Server(routes, record_failure)
             stack.enter_context(server.listening(address))
-        stack.enter_context(running_task(member.run_controllers, record_failure))
+        stack.enter_context(running_task(controllers.run, record_failure))
         _wait(stop, log)
 
 
--- a/src/godwitwheel/observe/metrics.py
+++ b/src/godwitwheel/observe/metrics.py
@@ -3,6 +3,7 @@
 import math
 import os
 import resource
+from abc import abstractmethod
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -61,3 +62,30 @@
         self.resident_memory.set({}, resident_bytes())
         content, _ = render(self.registry, [])
         return content
+
+
+class SampledMetrics(ProcessMetrics):
+    """Gauges that are read when they are asked for.
+
+    :ivar gauges: gauges by name, as ``descriptions`` lists them.
+    """
+
+    __slots__ = ("gauges",)
+
+    descriptions: dict[str, str] = {}
+
+    def __init__(self, process_id: str, role: str):
+        super().__init__(process_id, role)
+        self.gauges = {
+            name: self.gauge(name, doc) for name, doc in self.descriptions.items()
+        }
+
+    @abstractmethod
+    def values(self) -> dict[str, float]:
+        """Returns the present value of each gauge."""
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        for name, value in self.values().items():
+            self.gauges[name].set({}, value)
+        return super().render()
--- /dev/null
+++ b/src/godwitwheel/sessions/outcomes.py
@@ -0,0 +1,60 @@
+"""Counts and logs what became of a statement."""
+
+from ..directory.records import Route
+from ..observe.events import EventName
+from .context import SessionContext, SessionState
+from .statements import Answer, Statement
+from .waiting import Patience
+
+
+class Attempts:
+    """What was tried for a statement.
+
+    :ivar target_id: target that was asked last, or empty.
+    :ivar count: targets asked so far.
+    :ivar reason: why the last attempt came to nothing.
+    """
+
+    __slots__ = ("target_id", "count", "reason")
+
+    def __init__(self):
+        self.target_id = ""
+        self.count = 0
+        self.reason = ""
+
+
+def record_outcome(
+    context: SessionContext,
+    state: SessionState,
+    route: Route,
+    statement: Statement,
+    answer: Answer,
+    attempts: Attempts,
+    patience: Patience,
+    in_transaction: bool,
+) -> None:
+    """Records the answer that a statement got, and what decided it."""
+    now = context.now()
+    held_s = now - patience.started_at
+    is_done = answer.error is None
+    outcome = "done" if is_done else answer.error.value
+    labels = {"kind": statement.kind.value, "outcome": outcome}
+    context.metrics.statements.inc(labels)
+    if is_done:
+        context.metrics.latency.observe({}, held_s)
+    context.log.record(
+        EventName.statement_done if is_done else EventName.statement_failed,
+        now,
+        routine=is_done,
+        request_id=statement.request_id,
+        kind=statement.kind.value,
+        in_transaction=in_transaction,
+        database=state.database,
+        consistency=route.consistency.value,
+        target_id=attempts.target_id,
+        attempts=attempts.count,
+        outcome=outcome,
+        reason="" if is_done else attempts.reason,
+        held_ms=round(1000 * held_s),
+        view_version=context.board.view.version,
+    )
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -8,6 +8,7 @@
 from ..wire.errors import BadMessage, NotSent, WireError
 from ..wire.service import Access
 from .context import SessionContext, SessionState
+from .open_transaction import OpenTransaction
 from .owner_messages import (
     END_PATH,
     RUN_PATH,
@@ -27,7 +28,6 @@
     StatementKind,
     error_answer,
 )
-from .transaction import OpenTransaction
 from .waiting import Patience, refusal_text
 
 # What the owner may take beyond the statement's own time, in seconds.
--- a/src/godwitwheel/sessions/runner.py
+++ b/src/godwitwheel/sessions/runner.py
@@ -4,9 +4,10 @@
 
 from ..directory.records import Route
 from .context import SessionContext, SessionState
+from .open_transaction import OpenTransaction
 from .single import run_single
 from .statements import Answer, Statement
-from .transaction import OpenTransaction, Transaction
+from .transaction import Transaction
 
 
 class StatementRunner(ABC):
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -4,6 +4,7 @@
 from ..observe.events import EventName
 from .carrying import PreparedStatement
 from .context import SessionContext, SessionState
+from .open_transaction import OpenTransaction
 from .runner import RunnerChoice
 from .statements import (
     Answer,
@@ -13,7 +14,6 @@
     TransactionState,
     error_answer,
 )
-from .transaction import OpenTransaction
 
 MAX_SESSION_VALUES = 256
 MAX_SESSION_PREPARED = 1024
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -6,7 +6,6 @@
 from ..directory.records import Consistency, Route, TargetEntry
 from ..internal.loop import sleep
 from ..internal.sentinel import Refusal
-from ..observe.events import EventName
 from ..wire.service import Access
 from .attempts import (
     exchange,
@@ -20,6 +19,7 @@
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost
 from .floors import read_floor
+from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
 from .statements import Answer, ErrorCode, Position, Statement, error_answer
 from .waiting import RETRY_PAUSE_S, Patience, refusal_text
@@ -47,8 +47,7 @@
     """Tries targets until one has answered, or the statement's time is over.
 
     :ivar refusal: the last refusal by a target, or ``None``.
-    :ivar reason: why the last attempt came to nothing.
-    :ivar attempts: targets tried so far.
+    :ivar attempts: what was tried so far.
     :ivar was_sent: whether a target was sent the statement and did not answer.
     """
 
@@ -59,9 +58,7 @@
         "statement",
         "patience",
         "refusal",
-        "reason",
         "attempts",
-        "target_id",
         "was_sent",
     )
 
@@ -78,9 +75,7 @@
         self.statement = statement
         self.patience = Patience(route, context.now())
         self.refusal: Answer | None = None
-        self.reason = ""
-        self.attempts = 0
-        self.target_id = ""
+        self.attempts = Attempts()
         self.was_sent = False
 
     def run(self) -> Answer:
@@ -111,11 +106,13 @@
     def give_up(self) -> Answer:
         """Returns the answer to a statement that no target has answered."""
         if self.was_sent:
-            return error_answer(ErrorCode.timed_out, self.reason)
+            return error_answer(ErrorCode.timed_out, self.attempts.reason)
         if self._has_no_primary():
-            text = refusal_text(self.reason or "no primary", RETRY_NO_PRIMARY_MS)
+            text = refusal_text(
+                self.attempts.reason or "no primary", RETRY_NO_PRIMARY_MS
+            )
             return error_answer(ErrorCode.overloaded, text)
-        text = refusal_text(self.reason or "no target is free", RETRY_BUSY_MS)
+        text = refusal_text(self.attempts.reason or "no target is free", RETRY_BUSY_MS)
         return error_answer(ErrorCode.overloaded, text)
 
     def _has_no_primary(self) -> bool:
@@ -129,7 +126,7 @@
         service = self.route.service
         target = choose_primary(self.context.board, service, self.context.now())
         if isinstance(target, Refusal):
-            self.reason = f"no primary: {target.detail}"
+            self.attempts.reason = f"no primary: {target.detail}"
             return None
         return target
 
@@ -137,45 +134,32 @@
     def lent(self, target: TargetEntry) -> Iterator[PooledConnection | None]:
         """Lends a connection to a target, or ``None`` if there is none in time."""
         now = self.context.now()
-        self.attempts += 1
-        self.target_id = target.target_id
+        self.attempts.count += 1
+        self.attempts.target_id = target.target_id
         timeout_s = max(self.patience.give_up_at - now, 0.0)
         priority = self.route.priority
         with lent(self.context, target, self.state, priority, timeout_s) as pooled:
             if pooled is None:
-                self.reason = f"no connection to {target.target_id}"
+                self.attempts.reason = f"no connection to {target.target_id}"
             yield pooled
 
     def note_refusal(self, target: TargetEntry, answer: Answer) -> None:
         """Takes in that a target has not run the statement."""
         self.refusal = answer
-        self.reason = f"{target.target_id} answered {answer.error.value}"
+        self.attempts.reason = f"{target.target_id} answered {answer.error.value}"
         if answer.error is ErrorCode.read_only:
             mark_not_leading(self.context, target)
 
     def _finish(self, answer: Answer) -> Answer:
-        now = self.context.now()
-        outcome = answer.error.value if answer.error is not None else "done"
-        labels = {"kind": self.statement.kind.value, "outcome": outcome}
-        self.context.metrics.statements.inc(labels)
-        if answer.error is None:
-            self.context.metrics.latency.observe({}, now - self.patience.started_at)
-        self.context.log.record(
-            EventName.statement_done
-            if answer.error is None
-            else EventName.statement_failed,
-            now,
-            routine=answer.error is None,
-            request_id=self.statement.request_id,
-            kind=self.statement.kind.value,
-            database=self.state.database,
-            consistency=self.route.consistency.value,
-            target_id=self.target_id,
-            attempts=self.attempts,
-            outcome=outcome,
-            reason=self.reason if answer.error is not None else "",
-            held_ms=round(1000 * (now - self.patience.started_at)),
-            view_version=self.context.board.view.version,
+        record_outcome(
+            self.context,
+            self.state,
+            self.route,
+            self.statement,
+            answer,
+            self.attempts,
+            self.patience,
+            in_transaction=False,
         )
         return answer
 
@@ -200,7 +184,7 @@
             timeout_s = self.patience.left_s(asked_at)
             answer = exchange(self.context, pooled, commands, timeout_s)[-1]
         except ConnectionLost as error:
-            self.reason = f"{target.target_id}: {error}"
+            self.attempts.reason = f"{target.target_id}: {error}"
             return error_answer(
                 ErrorCode.in_doubt, "the write was sent and not answered"
             )
@@ -233,7 +217,7 @@
             try:
                 return self._read(target, pooled)
             except ConnectionLost as error:
-                self.reason = f"{target.target_id}: {error}"
+                self.attempts.reason = f"{target.target_id}: {error}"
                 return self._after_loss()
 
     def _read(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
@@ -257,7 +241,7 @@
     def _after_loss(self) -> Answer | None:
         self.was_sent = True
         if self.context.now() >= self.patience.expires_at:
-            return error_answer(ErrorCode.timed_out, self.reason)
+            return error_answer(ErrorCode.timed_out, self.attempts.reason)
         return None
 
 
@@ -279,7 +263,7 @@
         floor = self._floor()
         if isinstance(floor, Refusal):
             self.is_lagging = True
-            self.reason = "no recent position of the primary"
+            self.attempts.reason = "no recent position of the primary"
             return super().attempt()
         service = self.route.service
         board = self.context.board
@@ -292,7 +276,7 @@
     def give_up(self) -> Answer:
         if self.was_sent or not self.is_lagging:
             return super().give_up()
-        text = refusal_text(self.reason, RETRY_LAGGING_MS)
+        text = refusal_text(self.attempts.reason, RETRY_LAGGING_MS)
         return error_answer(ErrorCode.lagging, text)
 
     def _floor(self) -> Position | Refusal:
@@ -314,7 +298,7 @@
                 answer = self._exchange(pooled, floor)
             except ConnectionLost as error:
                 self.excluded.add(target.target_id)
-                self.reason = f"{target.target_id}: {error}"
+                self.attempts.reason = f"{target.target_id}: {error}"
                 return self._after_loss()
         if answer.was_not_run() or answer.error is ErrorCode.failed:
             pooled.carried.prepared.clear()
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -1,11 +1,8 @@
 """One transaction of a caller, on one connection from its first statement on."""
 
-from abc import ABC, abstractmethod
-
 from ..directory.records import Consistency, Route, TargetEntry
 from ..internal.loop import sleep
 from ..internal.sentinel import Refusal
-from ..observe.events import EventName
 from ..wire.service import Access
 from .attempts import (
     borrow,
@@ -21,6 +18,8 @@
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost
 from .floors import read_floor
+from .open_transaction import OpenTransaction
+from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
 from .single import RETRY_BUSY_MS
 from .statements import (
@@ -38,34 +37,6 @@
 TRANSACTION_PRIORITY = -1
 
 
-class OpenTransaction(ABC):
-    """A transaction that its caller has not ended.
-
-    :ivar has_failed: nothing is kept; the caller has yet to end it.
-    """
-
-    __slots__ = ("has_failed",)
-
-    def __init__(self):
-        self.has_failed = False
-
-    @abstractmethod
-    def run(self, statement: Statement) -> Answer:
-        """Runs a statement."""
-
-    @abstractmethod
-    def commit(self, statement: Statement) -> Answer:
-        """Commits; an answer that does not come leaves the outcome in doubt."""
-
-    @abstractmethod
-    def fail(self, reason: str) -> None:
-        """Ends the transaction at its target; the caller has yet to end it here."""
-
-    @abstractmethod
-    def abandon(self, reason: str) -> None:
-        """Rolls back what is open."""
-
-
 class Transaction(OpenTransaction):
     """Opens at a target with the first statement and ends there.
 
@@ -87,8 +58,7 @@
         "is_guarded",
         "has_written",
         "excluded",
-        "reason",
-        "target_id",
+        "attempts",
     )
 
     def __init__(
@@ -109,8 +79,7 @@
         self.is_guarded = False
         self.has_written = False
         self.excluded: set[str] = set()
-        self.reason = ""
-        self.target_id = ""
+        self.attempts = Attempts()
 
     def run(self, statement: Statement) -> Answer:
         """Runs a statement, opening the transaction first if need be."""
@@ -146,7 +115,7 @@
     def fail(self, reason: str) -> None:
         self.abandon(reason)
         self.has_failed = True
-        self.reason = reason
+        self.attempts.reason = reason
 
     def abandon(self, reason: str) -> None:
         """Rolls back what is open, and gives the connection back."""
@@ -180,7 +149,9 @@
             if self._is_over(patience):
                 self.has_failed = True
                 code = ErrorCode.lagging if is_lagging else ErrorCode.overloaded
-                text = refusal_text(self.reason or "no target is free", RETRY_BUSY_MS)
+                text = refusal_text(
+                    self.attempts.reason or "no target is free", RETRY_BUSY_MS
+                )
                 return error_answer(code, text)
             sleep(RETRY_PAUSE_S)
         return None
@@ -214,7 +185,7 @@
         # The primary needs no floor: it proves its lead when the transaction begins.
         target = choose_primary(board, service, now)
         if isinstance(target, Refusal):
-            self.reason = f"no primary: {target.detail}"
+            self.attempts.reason = f"no primary: {target.detail}"
             return None
         return target
 
@@ -231,10 +202,11 @@
             self.context, target, self.state, self.route.priority, timeout_s
         )
         if pooled is None:
-            self.reason = f"no connection to {target.target_id}"
+            self.attempts.reason = f"no connection to {target.target_id}"
             self.excluded.add(target.target_id)
             return False
-        self.target_id = target.target_id
+        self.attempts.target_id = target.target_id
+        self.attempts.count += 1
         asked_at = self.context.now()
         answer = self._ask_to_begin(pooled, target, floor, patience)
         if answer is None or answer.error is not None:
@@ -261,11 +233,11 @@
             timeout_s = patience.attempt_s(self.context.now())
             answer = exchange(self.context, pooled, [*commands, begin], timeout_s)[-1]
         except ConnectionLost as error:
-            self.reason = f"{target.target_id}: {error}"
+            self.attempts.reason = f"{target.target_id}: {error}"
             give_back(pooled)
             return None
         if answer.error is not None:
-            self.reason = f"{target.target_id} answered {answer.error.value}"
+            self.attempts.reason = f"{target.target_id} answered {answer.error.value}"
             if answer.error is ErrorCode.read_only:
                 mark_not_leading(self.context, target)
             give_back(pooled)
@@ -343,27 +315,14 @@
     def _finish(
         self, statement: Statement, answer: Answer, patience: Patience
     ) -> Answer:
-        now = self.context.now()
-        outcome = answer.error.value if answer.error is not None else "done"
-        labels = {"kind": statement.kind.value, "outcome": outcome}
-        self.context.metrics.statements.inc(labels)
-        if answer.error is None:
-            self.context.metrics.latency.observe({}, now - patience.started_at)
-        self.context.log.record(
-            EventName.statement_done
-            if answer.error is None
-            else EventName.statement_failed,
-            now,
-            routine=answer.error is None,
-            request_id=statement.request_id,
-            kind=statement.kind.value,
+        record_outcome(
+            self.context,
+            self.state,
+            self.route,
+            statement,
+            answer,
+            self.attempts,
+            patience,
             in_transaction=True,
-            database=self.state.database,
-            consistency=self.route.consistency.value,
-            target_id=self.target_id,
-            outcome=outcome,
-            reason=self.reason if answer.error is not None else "",
-            held_ms=round(1000 * (now - patience.started_at)),
-            view_version=self.context.board.view.version,
         )
         return answer
--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -6,11 +6,9 @@
 
 from fleet.control_api import ControlApi
 from fleet.tables import FleetTableCodec
-from godwitwheel.control.committer import Committer, LeadershipConfirmer
 from godwitwheel.control.state import ControlState
-from godwitwheel.directory.errors import InvalidTable, PromotionFailed
+from godwitwheel.directory.errors import InvalidTable
 from godwitwheel.directory.member import DirectoryMember
-from godwitwheel.directory.promotion import PromotionCall
 from godwitwheel.internal.clock import ManualClock
 from godwitwheel.wire.server import Server
 from tests.common.control import OneMemberLog
@@ -50,11 +48,6 @@
 }
 
 
-class NoPromotions(PromotionCall):
-    def promote(self, service, target_id, token, timeout_s):
-        raise PromotionFailed("none here")
-
-
 class Api:
     """The routes of a member whose log commits at once."""
 
@@ -62,11 +55,7 @@
         self.log = OneMemberLog()
         self.state = ControlState(table_codec=FleetTableCodec())
         self.log.state_machine = self.state
-        self.member = DirectoryMember(
-            self.log, self.state, ManualClock(), None, NoPromotions()
-        )
-        self.member.committer = Committer(self.log)
-        self.member.confirmer = LeadershipConfirmer(self.log)
+        self.member = DirectoryMember(self.log, self.state, ManualClock())
         self.server = Server(ControlApi(self.member, None, 8782).routes(), self.fail)
 
     def fail(self, error):
