--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -11,6 +11,8 @@
     EntryResult,
     PutEntry,
     PutTable,
+    SetOwners,
+    SetPrimary,
     TableResult,
 )
 from .errors import InvalidTable
