Run nothing of a transaction that is being ended

Now a transaction counts as failed before its rollback is sent, a statement checks that it still holds its connection once its turn has come, and an owner ends a busy transaction only after its statement. All three tests failed before.

--- a/src/godwitwheel/sessions/owner.py
+++ b/src/godwitwheel/sessions/owner.py
@@ -34,15 +34,17 @@
 
     :ivar used_at: when its last statement ended, in seconds of the clock.
     :ivar is_busy: a statement of it is being run.
+    :ivar is_ending: it ends as soon as that statement has.
     """
 
-    __slots__ = ("state", "transaction", "used_at", "is_busy")
+    __slots__ = ("state", "transaction", "used_at", "is_busy", "is_ending")
 
     def __init__(self, state: SessionState, transaction: Transaction, now: float):
         self.state = state
         self.transaction = transaction
         self.used_at = now
         self.is_busy = False
+        self.is_ending = False
 
 
 class Owner:
@@ -84,10 +86,19 @@
         return self._run_in(owned, request)
 
     def end(self, handle: str) -> None:
-        """Ends a transaction without keeping anything."""
+        """Ends a transaction without keeping anything.
+
+        A statement that its proxy has given up may still be at the target, or wait for
+        its turn; the connection is not free before that is over.
+        """
         owned = self.open.pop(handle, None)
-        if owned is not None:
-            owned.transaction.abandon("its proxy ended it")
+        if owned is None:
+            return
+        if owned.is_busy:
+            owned.is_ending = True
+            owned.transaction.has_failed = True
+            return
+        owned.transaction.abandon("its proxy ended it")
 
     def run_expiry(self) -> None:
         """Ends the transactions that no proxy has used for long."""
@@ -116,7 +127,8 @@
 
     def _transaction(self, request: RunRequest) -> OwnedTransaction | None:
         if request.handle:
-            return self.open.get(request.handle)
+            owned = self.open.get(request.handle)
+            return None if owned is None or owned.is_busy else owned
         state = SessionState(request.proxy_id, request.route.database)
         transaction = Transaction(self.context, state, request.route, request.read_only)
         return OwnedTransaction(state, transaction, self.context.now())
@@ -129,11 +141,14 @@
         try:
             answer = self._answer(owned, request)
         except BaseException:
-            self.end(handle)
+            owned.is_ending = True
             raise
         finally:
             owned.is_busy = False
             owned.used_at = self.context.now()
+            if owned.is_ending:
+                self.open.pop(handle, None)
+                owned.transaction.abandon("its proxy ended it")
         has_ended = request.kind is StatementKind.commit
         if has_ended or owned.transaction.has_failed:
             self.open.pop(handle, None)
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -230,9 +230,9 @@
 
     def fail(self, reason: str) -> None:
         self.abandon(reason)
-        self.has_failed = True
 
     def abandon(self, reason: str) -> None:
+        self.has_failed = True
         handle, self.handle = self.handle, ""
         if handle:
             # The caller need not wait for it.
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -113,12 +113,13 @@
         return self._finish(statement, refusal, patience)
 
     def fail(self, reason: str) -> None:
-        self.abandon(reason)
-        self.has_failed = True
         self.attempts.reason = reason
+        self.abandon(reason)
 
     def abandon(self, reason: str) -> None:
         """Rolls back what is open, and gives the connection back."""
+        # The rest waits for the target, and nothing may run in the meantime.
+        self.has_failed = True
         pooled, self.pooled = self.pooled, None
         if pooled is None:
             return
@@ -258,7 +259,7 @@
             if answer.error is None and self.is_guarded:
                 target = pooled.pool.target
                 mark_leading(self.context, target, asked_at, answer.position)
-            if not self._may_repeat(answer, patience):
+            if self.pooled is not pooled or not self._may_repeat(answer, patience):
                 return answer
             pooled.carried.prepared.clear()
             sleep(RETRY_PAUSE_S)
@@ -272,6 +273,9 @@
         pooled = self.pooled
         target = pooled.pool.target
         with turn(self.context, target, TRANSACTION_PRIORITY, timeout_s) as granted:
+            if self.has_failed or self.pooled is not pooled:
+                # The connection may serve another transaction by now.
+                return error_answer(ErrorCode.aborted, "the transaction has ended")
             if not granted:
                 return error_answer(ErrorCode.overloaded, "no turn in time")
             commands, name = setup_commands(pooled, self.state, statement)
@@ -299,6 +303,8 @@
                 if not self.has_written:
                     return error_answer(ErrorCode.aborted, str(error))
                 return error_answer(ErrorCode.in_doubt, str(error))
+            if self.pooled is not pooled:
+                return answer
             if not self._may_repeat(answer, patience):
                 break
             sleep(RETRY_PAUSE_S)
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -4,6 +4,7 @@
 import pytest
 
 from godwitwheel.directory.records import OwnerEntry
+from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
 from godwitwheel.sessions.owner import EXPIRY_SLACK_S, Owner
@@ -196,6 +197,54 @@
     assert deployment.targets.primary.log == []
 
 
+def open_transaction(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    (handle,) = deployment.owner.open
+    return session, handle
+
+
+def fill_gate(deployment):
+    gate = deployment.targets.board.gate(deployment.targets.board.view.targets["t1"])
+    for _ in range(gate.limit):
+        assert gate.enter(0, 1.0)
+    return gate
+
+
+def test_a_statement_that_waits_for_its_turn_does_not_run_once_its_transaction_ended(
+    deployment,
+):
+    """Its proxy has given up; the connection may serve another transaction by now."""
+    session, handle = open_transaction(deployment)
+    gate = fill_gate(deployment)
+    answers = []
+    task = spawn(lambda: answers.append(session.execute(write("w2"))))
+    sleep()
+    deployment.owner.end(handle)
+    gate.leave()
+    task.wait()
+    assert answers[0].error is ErrorCode.aborted
+    assert [run.request_id for run in deployment.targets.runs()] == ["w1"]
+    assert deployment.owner.open == {}
+    assert deployment.targets.primary.log == []
+
+
+def test_a_second_statement_beside_one_that_runs_is_refused(deployment):
+    session, handle = open_transaction(deployment)
+    gate = fill_gate(deployment)
+    task = spawn(session.execute, write("w2"))
+    sleep()
+    late = deployment.session()
+    late.execute(begin("-"))
+    late.transaction.handle = handle
+    late.transaction.owner = OWNERS[SERVICE]
+    assert late.execute(write("w3")).error is ErrorCode.aborted
+    gate.leave()
+    assert task.wait().error is None
+    assert [run.request_id for run in deployment.targets.runs()] == ["w1", "w2"]
+
+
 def test_a_proxy_without_ownership_drops_its_connections(deployment):
     group = FakeGroup()
     group.session("primary").execute(write("w1"))
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -198,6 +198,24 @@
     assert session.execute(commit("c1")).error is ErrorCode.in_doubt
 
 
+def test_nothing_of_a_transaction_runs_while_it_is_being_ended(group):
+    """A stop ends it from another task, which waits for the target meanwhile."""
+    session = group.session("primary")
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    (connection,) = group.primary.connections
+    answers = []
+
+    def exchange(commands, timeout_s):
+        answers.append(session.execute(write("w2")))
+        return type(connection).exchange(connection, commands, timeout_s)
+
+    connection.exchange = exchange
+    session.expire()
+    assert answers[0].error is ErrorCode.malformed
+    assert [run.request_id for run in group.runs()] == ["w1"]
+
+
 def test_a_caller_that_leaves_rolls_back(group):
     with group.session("primary") as session:
         session.execute(begin("-"))
