--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -15,6 +15,9 @@
 # that started a moment ago.
 RESERVED_CONNECTIONS = 2
 MIN_POOL = 1
+# Part of a target's connections that its owner holds. One that stands still keeps them,
+# and its successor needs some meanwhile.
+OWNER_SHARE = 0.6
 LEAVING_GRACE_S = 5.0
 # Time from an order to promote until the target leads, about.
 PROMOTION_S = 0.6
@@ -202,8 +205,10 @@
         """Returns this process's share of a target's connections."""
         policy = self.view.table.services.get(service)
         cap = policy.max_connections if policy is not None else 0
-        sharing = 1 if self.owns(service) else max(self.proxies, 1)
-        share = (cap - RESERVED_CONNECTIONS) // sharing
+        if self.owns(service):
+            share = int(OWNER_SHARE * (cap - RESERVED_CONNECTIONS))
+        else:
+            share = (cap - RESERVED_CONNECTIONS) // max(self.proxies, 1)
         return max(share, MIN_POOL)
 
     def policy(self, service: str) -> ServicePolicy | None:
--- a/src/godwitwheel/sessions/pool.py
+++ b/src/godwitwheel/sessions/pool.py
@@ -103,7 +103,9 @@
             if pooled is not None:
                 return pooled
             if self._may_open(self.clock.now()):
-                return self._open(deadline)
+                opened = self._open(deadline)
+                if opened is not None:
+                    return opened
             self._wait(priority, deadline)
 
     def release(self, pooled: PooledConnection) -> None:
@@ -151,7 +153,12 @@
     def _may_open(self, now: float) -> bool:
         return self.open_count < self.limit and now >= self.full_until
 
-    def _open(self, deadline: float) -> PooledConnection:
+    def _open(self, deadline: float) -> PooledConnection | None:
+        """Opens a connection.
+
+        :returns: ``None`` if the target has no room, but a connection of this pool
+            will come back.
+        """
         self.open_count += 1
         timeout_s = min(CONNECT_TIMEOUT_S, max(deadline - self.clock.now(), 0.02))
         try:
@@ -159,6 +166,8 @@
         except TooManyConnections:
             self.full_until = self.clock.now() + FULL_PAUSE_S
             self._closed_one()
+            if self.open_count > 0:
+                return None
             raise
         except BaseException:
             self._closed_one()
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -20,6 +20,7 @@
     route_part,
     session_part,
 )
+from .owner_silence import OwnerSilence
 from .runner import StatementRunner
 from .statements import (
     Answer,
@@ -52,12 +53,13 @@
 class OwnerCalls:
     """Calls the owner of a service and takes in whether it answers."""
 
-    __slots__ = ("context", "client", "proxy_id")
+    __slots__ = ("context", "client", "proxy_id", "silence")
 
     def __init__(self, context: SessionContext, client: Client, proxy_id: str):
         self.context = context
         self.client = client
         self.proxy_id = proxy_id
+        self.silence = OwnerSilence()
 
     def owner_of(self, service: str) -> OwnerEntry | None:
         """Returns the owner of a service's connections."""
@@ -68,10 +70,15 @@
 
         :raises OwnerLost: if it gives no answer.
         """
+        now = self.context.now()
+        if self.silence.is_silent(owner, now):
+            raise OwnerLost(f"{owner.proxy_id} does not answer", False)
+        self.silence.sent(owner, now)
         try:
             status, body = self.client.exchange(
                 owner.address, "POST", RUN_PATH, encode(request), timeout_s
             )
+            self.silence.answered(owner, self.context.now())
             if status != 200:
                 raise OwnerLost(f"{owner.proxy_id} answered {status}", True)
             self.context.board.lost_owners.discard(request.route.service)
@@ -169,9 +176,9 @@
         return RemoteTransaction(self.calls, state, route, read_only)
 
     def _waits(self, lost: OwnerEntry, route: Route, patience: Patience) -> bool:
-        """Waits for another owner.
+        """Waits shortly for another owner.
 
-        :returns: whether there is one, or still time to wait for one.
+        :returns: whether there is one, and time left.
         """
         board = self.calls.context.board
         if board.clock.now() >= patience.give_up_at:
@@ -179,7 +186,7 @@
         if self.calls.owner_of(route.service) != lost:
             return True
         board.changed.wait(OWNER_WAIT_S)
-        return board.clock.now() < patience.give_up_at
+        return self.calls.owner_of(route.service) != lost
 
 
 def _refused(error: OwnerLost) -> Answer:
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -8,6 +8,7 @@
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
 from godwitwheel.sessions.owner import EXPIRY_SLACK_S, Owner
+from godwitwheel.sessions.owner_silence import TRIAL_INTERVAL_S
 from godwitwheel.sessions.remote import OwnerCalls, RemoteRunner
 from godwitwheel.sessions.runner import RunnerChoice
 from godwitwheel.sessions.session import Session
@@ -245,6 +246,39 @@
     assert [run.request_id for run in deployment.targets.runs()] == ["w1", "w2"]
 
 
+def test_an_owner_leaves_room_for_its_successor(deployment):
+    """A frozen owner keeps its connections for as long as it stands still."""
+    limit = deployment.targets.board.pool_limit(SERVICE)
+    policy = deployment.targets.board.policy(SERVICE)
+    assert limit < policy.max_connections
+    assert policy.max_connections - limit >= policy.max_connections // 3
+
+
+def test_callers_of_a_silent_owner_are_refused_at_once(deployment):
+    calls = deployment.runners.remote.calls
+    owner = OWNERS[SERVICE]
+    now = deployment.targets.clock.now()
+    calls.silence.sent(owner, now)
+    assert not calls.silence.is_silent(owner, now + 0.1)
+    assert not calls.silence.is_silent(owner, now + 0.99)
+    deployment.targets.clock.advance(1.0)
+    answer = deployment.session().execute(write("w1"))
+    assert answer.error is ErrorCode.overloaded
+    assert deployment.targets.runs() == []
+
+
+def test_a_silent_owner_is_tried_now_and_then_and_believed_when_it_answers(deployment):
+    calls = deployment.runners.remote.calls
+    owner = OWNERS[SERVICE]
+    now = deployment.targets.clock.now()
+    calls.silence.sent(owner, now)
+    assert not calls.silence.is_silent(owner, now + 1.0)
+    assert calls.silence.is_silent(owner, now + 1.0 + TRIAL_INTERVAL_S / 2)
+    assert not calls.silence.is_silent(owner, now + 1.0 + TRIAL_INTERVAL_S)
+    calls.silence.answered(owner, now + 1.5)
+    assert not calls.silence.is_silent(owner, now + 1.6)
+
+
 def test_a_proxy_without_ownership_drops_its_connections(deployment):
     group = FakeGroup()
     group.session("primary").execute(write("w1"))
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.sessions.sampler import Sampler
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
 from godwitwheel.wire.service import Access
@@ -285,6 +286,23 @@
     assert [run.request_id for run in group.runs()] == ["w1"]
 
 
+def test_a_target_without_room_is_waited_for_if_a_connection_is_in_use(group):
+    """A predecessor may hold the rest of the target's connections."""
+    group.primary.max_connections = 1
+    busy = group.session("primary")
+    busy.execute(begin("-"))
+    busy.execute(write("w1"))
+    pool = group.board.pools["t1"]
+    answers = []
+    task = spawn(lambda: answers.append(pool.acquire({}, 0, 5.0)))
+    sleep()
+    assert answers == []
+    busy.execute(commit("c1"))
+    task.wait()
+    assert len(answers) == 1
+    assert group.primary.opened == 1
+
+
 def test_a_statement_without_a_route_is_refused(group):
     answer = group.session("nowhere").execute(read("r1"))
     assert answer.error is ErrorCode.unknown_database
