--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -135,12 +135,15 @@
     gate = board.gate(target) if board.owns(target.service) else None
     status.in_flight += 1
     try:
-        granted = gate is None or gate.enter(priority, timeout_s)
+        if gate is None:
+            yield True
+            return
+        entered_at = gate.enter(priority, timeout_s)
         try:
-            yield granted
+            yield entered_at is not None
         finally:
-            if gate is not None and granted:
-                gate.leave()
+            if entered_at is not None:
+                gate.leave(entered_at)
     finally:
         status.in_flight -= 1
 
