--- a/src/godwitwheel/sessions/floors.py
+++ b/src/godwitwheel/sessions/floors.py
@@ -57,10 +57,6 @@
                 return
         self.samples.append(Sample(asked_at, position))
 
-    def latest_at(self) -> float | None:
-        """Returns when the latest sample was asked for."""
-        return self.samples[-1].asked_at if self.samples else None
-
     def floor(self, max_staleness_s: float, now: float) -> Position | Refusal:
         """Returns the lowest position that a read may show.
 
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -1,33 +1,22 @@
 """Runs one statement outside a transaction."""
 
-import contextlib
-from collections.abc import Iterator
-
 from ..directory.records import Consistency, Route, TargetEntry
-from ..internal.loop import sleep
 from ..internal.sentinel import Refusal
 from ..wire.service import Access
 from .attempts import (
     exchange,
-    lent,
     mark_leading,
-    mark_not_leading,
     setup_commands,
 )
-from .choosing import choose_primary, choose_reader
+from .choosing import choose_reader
 from .connection import Begin, Rollback, Run
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost
 from .floors import read_floor
-from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
+from .single_run import RETRY_LAGGING_MS, SingleRun
 from .statements import Answer, ErrorCode, Position, Statement, error_answer
-from .waiting import RETRY_PAUSE_S, Patience, refusal_text
-
-# What a refused caller is told to wait, in milliseconds.
-RETRY_BUSY_MS = 50
-RETRY_NO_PRIMARY_MS = 300
-RETRY_LAGGING_MS = 100
+from .waiting import refusal_text
 
 
 def run_single(
@@ -43,127 +32,6 @@
     return run.run()
 
 
-class SingleRun:
-    """Tries targets until one has answered, or the statement's time is over.
-
-    :ivar refusal: the last refusal by a target, or ``None``.
-    :ivar attempts: what was tried so far.
-    :ivar was_sent: whether a target was sent the statement and did not answer.
-    """
-
-    __slots__ = (
-        "context",
-        "state",
-        "route",
-        "statement",
-        "patience",
-        "refusal",
-        "attempts",
-        "was_sent",
-    )
-
-    def __init__(
-        self,
-        context: SessionContext,
-        state: SessionState,
-        route: Route,
-        statement: Statement,
-    ):
-        self.context = context
-        self.state = state
-        self.route = route
-        self.statement = statement
-        self.patience = Patience(route, context.now())
-        self.refusal: Answer | None = None
-        self.attempts = Attempts()
-        self.was_sent = False
-
-    def run(self) -> Answer:
-        """Returns the final answer."""
-        while True:
-            answer = self.attempt()
-            if answer is not None:
-                return self._finish(answer)
-            if self.is_over():
-                return self._finish(self.give_up())
-            sleep(RETRY_PAUSE_S)
-
-    def attempt(self) -> Answer | None:
-        """Makes one attempt; ``None`` if the statement has not run."""
-        raise NotImplementedError
-
-    def is_over(self) -> bool:
-        """Whether the statement has waited for long enough."""
-        now = self.context.now()
-        if self.was_sent:
-            # A target was given the statement, so it goes on as long as it may.
-            return now >= self.patience.expires_at
-        if self._has_no_primary():
-            belief = self.context.board.belief(self.route.service)
-            return not self.patience.waits_for_primary(belief.expected_at, now)
-        return now >= self.patience.give_up_at
-
-    def give_up(self) -> Answer:
-        """Returns the answer to a statement that no target has answered."""
-        if self.was_sent:
-            return error_answer(ErrorCode.timed_out, self.attempts.reason)
-        if self._has_no_primary():
-            text = refusal_text(
-                self.attempts.reason or "no primary", RETRY_NO_PRIMARY_MS
-            )
-            return error_answer(ErrorCode.overloaded, text)
-        text = refusal_text(self.attempts.reason or "no target is free", RETRY_BUSY_MS)
-        return error_answer(ErrorCode.overloaded, text)
-
-    def _has_no_primary(self) -> bool:
-        if self.refusal is not None and self.refusal.error is ErrorCode.overloaded:
-            # It is there, but has no room.
-            return False
-        return self.context.board.belief(self.route.service).proved_at is None
-
-    def primary(self) -> TargetEntry | None:
-        """Returns the target to ask for the lead, or ``None``."""
-        service = self.route.service
-        target = choose_primary(self.context.board, service, self.context.now())
-        if isinstance(target, Refusal):
-            self.attempts.reason = f"no primary: {target.detail}"
-            return None
-        return target
-
-    @contextlib.contextmanager
-    def lent(self, target: TargetEntry) -> Iterator[PooledConnection | None]:
-        """Lends a connection to a target, or ``None`` if there is none in time."""
-        now = self.context.now()
-        self.attempts.count += 1
-        self.attempts.target_id = target.target_id
-        timeout_s = max(self.patience.give_up_at - now, 0.0)
-        priority = self.route.priority
-        with lent(self.context, target, self.state, priority, timeout_s) as pooled:
-            if pooled is None:
-                self.attempts.reason = f"no connection to {target.target_id}"
-            yield pooled
-
-    def note_refusal(self, target: TargetEntry, answer: Answer) -> None:
-        """Takes in that a target has not run the statement."""
-        self.refusal = answer
-        self.attempts.reason = f"{target.target_id} answered {answer.error.value}"
-        if answer.error is ErrorCode.read_only:
-            mark_not_leading(self.context, target)
-
-    def _finish(self, answer: Answer) -> Answer:
-        record_outcome(
-            self.context,
-            self.state,
-            self.route,
-            self.statement,
-            answer,
-            self.attempts,
-            self.patience,
-            in_transaction=False,
-        )
-        return answer
-
-
 class WriteRun(SingleRun):
     """A write, which is sent at most once unless a target says it has not run."""
 
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -21,7 +21,7 @@
 from .open_transaction import OpenTransaction
 from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
-from .single import RETRY_BUSY_MS
+from .single_run import RETRY_BUSY_MS
 from .statements import (
     Answer,
     ErrorCode,
--- a/src/godwitwheel/sessions/waiting.py
+++ b/src/godwitwheel/sessions/waiting.py
@@ -1,8 +1,6 @@
 """Decides how long a statement may wait before it is refused."""
 
 from ..directory.records import Route
-from ..internal.sentinel import Refusal
-from .statements import ErrorCode
 
 # Share of the latency objective that a statement may wait for a target: a caller
 # that comes back later is better served than one that is held without a chance.
@@ -76,10 +74,3 @@
 def refusal_text(reason: str, retry_after_ms: int) -> str:
     """Returns the text of a refusal, which says when to come back."""
     return f"{reason}; not run, retry after {retry_after_ms} ms"
-
-
-def code_for(refusal: Refusal | None, is_lagging: bool) -> ErrorCode:
-    """Returns the code of a refusal; each of them says that nothing ran."""
-    if is_lagging:
-        return ErrorCode.lagging
-    return ErrorCode.overloaded
--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -104,7 +104,7 @@
         self.socket.close()
 
     def _receive(self, deadline: float | None) -> None:
-        left_s = None if deadline is None else max(deadline - time.monotonic(), 0.001)
+        left_s = None if deadline is None else seconds_left(deadline)
         try:
             self.socket.settimeout(left_s)
             data = self.socket.recv(RECEIVE_BYTES)
@@ -132,6 +132,11 @@
             connected.setsockopt(level, option, value)
 
 
+def seconds_left(deadline: float) -> float:
+    """Returns the time until a deadline of the monotonic clock, never 0."""
+    return max(deadline - time.monotonic(), 0.001)
+
+
 def open_stream(address: str, timeout_s: float) -> Stream:
     """Connects to ``IP:PORT``.
 
