--- a/src/godwitwheel/cli/processes.py
+++ b/src/godwitwheel/cli/processes.py
@@ -1,5 +1,10 @@
 """The commands that run a process until it is told to stop."""
 
+import functools
+import inspect
+
+from ..control.settings import ControlSettings
+from ..proxy.settings import ProxySettings
 from .command import Command
 from .options import Option
 from .values import (
@@ -25,10 +30,19 @@
 )
 
 
-def _seconds(name: str, help: str, lowest: float, highest: float, default: float):
+def _default_of(settings: type, name: str) -> object:
+    """Returns the default that a settings class gives to one of its arguments."""
+    return inspect.signature(settings).parameters[name].default
+
+
+def _seconds(settings: type, name: str, help: str, lowest: float, highest: float):
     parse = number_between(lowest, highest)
     text = f"{help}, {lowest} to {highest} seconds"
-    return Option(name, text, parse, default, "SECONDS")
+    return Option(name, text, parse, _default_of(settings, name), "SECONDS")
+
+
+_proxy_seconds = functools.partial(_seconds, ProxySettings)
+_control_seconds = functools.partial(_seconds, ControlSettings)
 
 
 class ProxyCommand(Command):
@@ -44,15 +58,14 @@
         LISTEN,
         ADVERTISE,
         CONTROL,
-        _seconds("heartbeat_interval_s", "time between lease renewals", 0.02, 5, 0.15),
-        _seconds("probe_interval_s", "time between probes of a target", 0.02, 5, 0.1),
-        _seconds("drain_limit_s", "longest wait for requests at a stop", 0, 3600, 30.0),
+        _proxy_seconds("heartbeat_interval_s", "time between lease renewals", 0.02, 5),
+        _proxy_seconds("probe_interval_s", "time between probes of a target", 0.02, 5),
+        _proxy_seconds("drain_limit_s", "longest wait for requests at a stop", 0, 3600),
         LOG_FILE,
     ]
 
     def run(self, values: dict[str, object], paths: list[str]) -> int:
         from ..proxy.process import run_proxy
-        from ..proxy.settings import ProxySettings
 
         return run_proxy(ProxySettings(**values))
 
@@ -79,20 +92,22 @@
             unit="ID=IP:PORT,...",
         ),
         Option("join", "join a running cell with an empty log", parse_truth, False),
-        _seconds("election_timeout_s", "silence before an election", 0.05, 60, 0.5),
-        _seconds(
-            "append_interval_s", "time between a leader's messages", 0.01, 10, 0.05
+        _control_seconds("election_timeout_s", "silence before an election", 0.05, 60),
+        _control_seconds(
+            "append_interval_s", "time between a leader's messages", 0.01, 10
         ),
-        _seconds("lease_s", "length of a proxy's lease", 0.05, 60, 0.6),
+        _control_seconds("lease_s", "length of a proxy's lease", 0.05, 60),
         Option(
             "clock_drift",
             "largest relative difference between the rates of two clocks, 0 to 0.2",
             number_between(0, 0.2),
-            0.01,
+            _default_of(ControlSettings, "clock_drift"),
             "RATIO",
         ),
-        _seconds("detection_s", "silence after which a primary is lost", 0.05, 60, 0.4),
-        _seconds("in_sync_lag_s", "longest hold-up by a replica", 0.05, 60, 0.5),
+        _control_seconds(
+            "detection_s", "silence after which a primary is lost", 0.05, 60
+        ),
+        _control_seconds("in_sync_lag_s", "longest hold-up by a replica", 0.05, 60),
         LOG_FILE,
     ]
 
@@ -113,6 +128,5 @@
 
     def run(self, values: dict[str, object], paths: list[str]) -> int:
         from ..control.process import run_control
-        from ..control.settings import ControlSettings
 
         return run_control(ControlSettings(**values))
