Serve interactive sessions over HTTP as well

The session proxy's own interface: sessions, statements and their answers as JSON, with the same meaning of errors as on any other link. Sessions that rest are ended, and at a stop those that are idle.

--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -41,6 +41,7 @@
     statement_failed = "statement_failed"
     statement_refused = "statement_refused"
     session_refused = "session_refused"
+    session_expired = "session_expired"
     transaction_expired = "transaction_expired"
     setup_refused = "setup_refused"
     primary_found = "primary_found"
--- /dev/null
+++ b/src/godwitwheel/sessions/http_api.py
@@ -0,0 +1,208 @@
+"""Interactive sessions for callers that speak HTTP with JSON.
+
+A session is named by the id that its opening returns; its statements come one at a
+time. A session that rests for long is ended, and a transaction sooner.
+"""
+
+import itertools
+
+import msgspec
+
+from ..internal.loop import sleep
+from ..observe.events import EventName
+from ..wire.codec import decode
+from ..wire.server import Handler, Request, Response
+from ..wire.service import Access
+from .context import SessionContext, SessionState
+from .runner import RunnerChoice
+from .session import Session
+from .statements import Answer, ErrorCode, Statement, StatementKind, TransactionState
+
+SESSIONS_PATH = "/v1/sessions"
+SESSION_PATH = "/v1/sessions/{}"
+STATEMENTS_PATH = "/v1/sessions/{}/statements"
+MAX_SESSIONS = 5000
+# A session that no statement has used for so long is ended, in seconds.
+SESSION_IDLE_S = 300.0
+EXPIRY_POLL_S = 0.5
+NOT_FOUND = 404
+CONFLICT = 409
+UNAVAILABLE = 503
+RETRY_AFTER_S = "1"
+
+
+class OpenSessionRequest(msgspec.Struct, frozen=True):
+    """Asks for a session on a database."""
+
+    database: str
+
+
+class SessionOpened(msgspec.Struct, frozen=True):
+    """Names a new session."""
+
+    session: str
+
+
+class StatementRequest(msgspec.Struct, frozen=True):
+    """One statement; see :class:`~.statements.Statement` for the fields."""
+
+    kind: StatementKind
+    request_id: str = "-"
+    text: str = ""
+    read_only: bool = False
+    name: str = ""
+    value: str = ""
+    access: Access = Access.read
+    shape: str = ""
+    arguments: str = ""
+
+
+class StatementAnswer(msgspec.Struct, frozen=True):
+    """The whole answer to a statement.
+
+    :ivar signature: proof of the target that ran it; empty if none did.
+    :ivar error: ``None`` for success.
+    """
+
+    rows: list[str]
+    signature: str
+    error: ErrorCode | None
+    detail: str
+    state: TransactionState
+
+
+class SessionProblem(msgspec.Struct, frozen=True):
+    """Says why a request was not served."""
+
+    message: str
+
+
+class HttpSession:
+    """An open session.
+
+    :ivar used_at: when its last statement ended, in seconds of the clock.
+    :ivar is_busy: a statement of it is being served.
+    """
+
+    __slots__ = ("session", "used_at", "is_busy")
+
+    def __init__(self, session: Session, now: float):
+        self.session = session
+        self.used_at = now
+        self.is_busy = False
+
+
+class HttpSessions:
+    """Serves sessions over HTTP.
+
+    :ivar open: sessions by id.
+    :ivar is_ending: no new session is opened any more.
+    """
+
+    __slots__ = ("context", "runners", "prefix", "numbers", "open", "is_ending")
+
+    def __init__(self, context: SessionContext, runners: RunnerChoice, prefix: str):
+        self.context = context
+        self.runners = runners
+        self.prefix = prefix
+        self.numbers = itertools.count(1)
+        self.open: dict[str, HttpSession] = {}
+        self.is_ending = False
+
+    def routes(self) -> dict[tuple[str, str], Handler]:
+        """Returns the routes that callers use."""
+        return {
+            ("POST", SESSIONS_PATH): self.open_session,
+            ("POST", STATEMENTS_PATH): self.run_statement,
+            ("DELETE", SESSION_PATH): self.end_session,
+        }
+
+    def open_session(self, request: Request) -> Response:
+        """Opens a session."""
+        database = decode(request.body, OpenSessionRequest).database
+        if self.is_ending or len(self.open) >= MAX_SESSIONS:
+            return _problem("no room for a session", UNAVAILABLE)
+        if self.context.route(database) is None:
+            return _problem(f"no such database: {database}", NOT_FOUND)
+        session_id = f"{self.prefix}-{next(self.numbers)}"
+        state = SessionState(session_id, database)
+        session = Session(self.context, self.runners, state)
+        self.open[session_id] = HttpSession(session, self.context.now())
+        return Response(SessionOpened(session_id))
+
+    def run_statement(self, request: Request) -> Response:
+        """Runs a statement of a session."""
+        message = decode(request.body, StatementRequest)
+        held = self.open.get(request.parameters[0])
+        if held is None:
+            return _problem("no such session; open another", NOT_FOUND)
+        if held.is_busy:
+            return _problem("a statement of the session is being served", CONFLICT)
+        held.is_busy = True
+        try:
+            answer = held.session.execute(_statement(message))
+        finally:
+            held.is_busy = False
+            held.used_at = self.context.now()
+        return Response(_answer(answer))
+
+    def end_session(self, request: Request) -> Response:
+        """Ends a session and rolls back what is open."""
+        held = self.open.pop(request.parameters[0], None)
+        if held is None:
+            return _problem("no such session", NOT_FOUND)
+        held.session.__exit__()
+        return Response({})
+
+    def run_expiry(self) -> None:
+        """Ends what has rested for too long."""
+        while True:
+            sleep(EXPIRY_POLL_S)
+            self.expire(self.context.now())
+
+    def expire(self, now: float) -> None:
+        """Ends what has rested for too long, and at a stop what is idle."""
+        limits = self.context.board.view.table.limits
+        transaction_s = limits.transaction_idle_ms / 1000.0
+        for session_id, held in list(self.open.items()):
+            idle_s = now - held.used_at
+            if held.is_busy:
+                continue
+            if held.session.transaction is not None and idle_s >= transaction_s:
+                held.session.expire()
+            is_idle = held.session.transaction is None
+            if idle_s >= SESSION_IDLE_S or (self.is_ending and is_idle):
+                self.open.pop(session_id, None)
+                held.session.__exit__()
+                self.context.log.record(
+                    EventName.session_expired, now, session_id=session_id
+                )
+
+
+def _problem(message: str, status: int) -> Response:
+    headers = [("Retry-After", RETRY_AFTER_S)] if status == UNAVAILABLE else []
+    return Response(SessionProblem(message), status, headers)
+
+
+def _statement(message: StatementRequest) -> Statement:
+    return Statement(
+        message.kind,
+        message.request_id,
+        message.text,
+        message.read_only,
+        message.name,
+        message.value,
+        message.access,
+        message.shape,
+        message.arguments,
+    )
+
+
+def _answer(answer: Answer) -> StatementAnswer:
+    return StatementAnswer(
+        [row.decode(errors="replace") for row in answer.rows],
+        answer.signature,
+        answer.error,
+        answer.detail,
+        answer.state,
+    )
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -17,6 +17,7 @@
 from .connection import Connector
 from .context import SessionContext
 from .events import StatementLog
+from .http_api import HttpSessions
 from .isolation import Isolation
 from .metrics import SessionMetrics
 from .remote import OwnerCalls, RemoteRunner
@@ -38,7 +39,7 @@
 
     :ivar listen: address for callers.
     :ivar readiness_listen: address for the balancer's questions.
-    :ivar internal_listen: address for metrics.
+    :ivar internal_listen: address for metrics, and for sessions over HTTP.
     :ivar readiness_path: path of the balancer's questions.
     :ivar seeds: addresses at which control may be found.
     :ivar grace_period_s: time from the request to stop until the process is killed.
@@ -90,6 +91,7 @@
         "members",
         "runners",
         "server",
+        "http_sessions",
         "isolation",
         "stopping",
     )
@@ -103,6 +105,9 @@
         self.members = ControlMembers(settings.seeds, random.Random())
         self.runners = RunnerChoice(self.context)
         self.server = SessionServer(self.context, self.runners)
+        # An id of an earlier run of this process must not name a session.
+        run = f"{random.SystemRandom().getrandbits(32):08x}"
+        self.http_sessions = HttpSessions(self.context, self.runners, run)
         self.isolation = Isolation()
         self.stopping = False
 
@@ -159,13 +164,19 @@
             self.runners.remote = RemoteRunner(calls)
             reporter = Reporter(self.board, self.members, client, settings.proxy_id)
             sampler = Sampler(self.context)
-            for address in {settings.readiness_listen, settings.internal_listen}:
-                server = Server(routes, record_failure)
+            served = {
+                settings.readiness_listen: routes,
+                settings.internal_listen: {**routes, **self.http_sessions.routes()},
+            }
+            for address, table in served.items():
+                server = Server(table, record_failure)
                 stack.enter_context(server.listening(address))
             callers = StreamServer(serve, record_failure)
             stack.enter_context(callers.listening(settings.listen))
             stack.enter_context(running_task(reporter.run, record_failure))
             stack.enter_context(running_task(sampler.run, record_failure))
+            expiry = self.http_sessions.run_expiry
+            stack.enter_context(running_task(expiry, record_failure))
 
             def watch() -> None:
                 self.watch_isolation(reporter)
@@ -184,6 +195,7 @@
         )
         sleep(min(READINESS_NOTICED_S, self.settings.grace_period_s / 3))
         callers.stop_accepting()
+        self.http_sessions.is_ending = True
         grace_s = self.settings.grace_period_s
         transactions_until = started_at + max(grace_s / 2, READINESS_NOTICED_S)
         self.server.drain(self.clock, transactions_until)
