--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -135,15 +135,12 @@
     gate = board.gate(target) if board.owns(target.service) else None
     status.in_flight += 1
     try:
-        if gate is None:
-            yield True
-            return
-        entered_at = gate.enter(priority, timeout_s)
+        granted = gate is None or gate.enter(priority, timeout_s)
         try:
-            yield entered_at is not None
+            yield granted
         finally:
-            if entered_at is not None:
-                gate.leave(entered_at)
+            if gate is not None and granted:
+                gate.leave()
     finally:
         status.in_flight -= 1
 
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -209,7 +209,7 @@
 def fill_gate(deployment):
     gate = deployment.targets.board.gate(deployment.targets.board.view.targets["t1"])
     for _ in range(gate.limit):
-        assert gate.enter(0, 1.0) is not None
+        assert gate.enter(0, 1.0)
     return gate
 
 
@@ -223,7 +223,7 @@
     task = spawn(lambda: answers.append(session.execute(write("w2"))))
     sleep()
     deployment.owner.end(handle)
-    gate.leave(gate.entered[0])
+    gate.leave()
     task.wait()
     assert answers[0].error is ErrorCode.aborted
     assert [run.request_id for run in deployment.targets.runs()] == ["w1"]
@@ -241,7 +241,7 @@
     late.transaction.handle = handle
     late.transaction.owner = OWNERS[SERVICE]
     assert late.execute(write("w3")).error is ErrorCode.aborted
-    gate.leave(gate.entered[0])
+    gate.leave()
     assert task.wait().error is None
     assert [run.request_id for run in deployment.targets.runs()] == ["w1", "w2"]
 
