Mend what a last reading of the change found

A leader that answers 503 counts as lost in the log. - DELETE of a session over HTTP ended its transaction beside a statement that was being served, from another task on the same connection; it is refused with 409 now, like a second statement. - The owner handed the message's route to a transaction instead of a Route; the two have the same fields, so nothing went wrong by it.

--- a/src/godwitwheel/sessions/http_api.py
+++ b/src/godwitwheel/sessions/http_api.py
@@ -148,10 +148,13 @@
 
     def end_session(self, request: Request) -> Response:
         """Ends a session and rolls back what is open."""
-        held = self.open.pop(request.parameters[0], None)
+        held = self.open.get(request.parameters[0])
         if held is None:
             return _problem("no such session", NOT_FOUND)
-        held.session.__exit__()
+        if held.is_busy:
+            return _problem("a statement of the session is being served", CONFLICT)
+        del self.open[request.parameters[0]]
+        held.session.close()
         return Response({})
 
     def run_expiry(self) -> None:
@@ -173,7 +176,7 @@
             is_idle = held.session.transaction is None
             if idle_s >= SESSION_IDLE_S or (self.is_ending and is_idle):
                 self.open.pop(session_id, None)
-                held.session.__exit__()
+                held.session.close()
                 self.context.log.record(
                     EventName.session_expired, now, session_id=session_id
                 )
--- a/src/godwitwheel/sessions/owner.py
+++ b/src/godwitwheel/sessions/owner.py
@@ -79,7 +79,8 @@
             return self._run_single(request)
         owned = self._transaction(request)
         if owned is None:
-            # It ended with the process that held it; nothing of it was committed.
+            # It ended, also with an earlier run of this process, or its proxy has given
+            # up the statement that still runs; no commit of it was sent.
             return reply_with(
                 error_answer(ErrorCode.aborted, "the transaction is not open"), "", None
             )
@@ -130,7 +131,8 @@
             owned = self.open.get(request.handle)
             return None if owned is None or owned.is_busy else owned
         state = SessionState(request.proxy_id, request.route.database)
-        transaction = Transaction(self.context, state, request.route, request.read_only)
+        route = route_of(request.route)
+        transaction = Transaction(self.context, state, route, request.read_only)
         return OwnedTransaction(state, transaction, self.context.now())
 
     def _run_in(self, owned: OwnedTransaction, request: RunRequest) -> RunReply:
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -146,6 +146,8 @@
             self.members.leader = ""
             if status == MISDIRECTED:
                 self.members.note_leader(decode(body, Redirect).leader, now)
+            else:
+                self._note_lost(address, f"status {status}")
         except (WireError, BadMessage) as error:
             failed_at = self.board.clock.now()
             self.members.note_silent(address, failed_at - now, failed_at)
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -5,7 +5,7 @@
 from ..internal.clock import Clock
 from ..internal.loop import sleep
 from ..observe.events import EventName, record_event
-from ..wire.streams import StreamClosed, StreamTimeout
+from ..wire.streams import ProtocolBroken, StreamClosed, StreamTimeout
 from .context import SessionContext, SessionState
 from .runner import RunnerChoice
 from .session import Session
@@ -92,6 +92,15 @@
 
     def serve(self, link: CallerLink) -> None:
         """Serves one connection to its end."""
+        try:
+            self._serve(link)
+        except (ProtocolBroken, StreamTimeout) as error:
+            self.context.log.record(
+                EventName.caller_dropped, self.context.now(), reason=str(error)
+            )
+            raise
+
+    def _serve(self, link: CallerLink) -> None:
         limits = self.context.board.view.table.limits
         database = link.read_start(limits.start_timeout_ms / 1000.0)
         if not self._may_open(link, database):
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -42,6 +42,10 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Rolls back what is open."""
         if self.transaction is not None:
             self.transaction.abandon("the caller left")
 
--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -32,6 +32,10 @@
     """Nothing came, or nothing was taken, in time."""
 
 
+class ProtocolBroken(StreamClosed):
+    """The peer sent what its protocol doesn't allow, and the stream was ended."""
+
+
 class LineTooLong(WireError):
     """A line is longer than the reader takes."""
 
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import eliot
 import pytest
 
 from fleet.callers import LineCallerLink
@@ -119,6 +120,27 @@
     assert served().line() == "READY I -"
 
 
+@pytest.fixture
+def recorded():
+    """Events recorded while the test runs."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+@pytest.mark.parametrize("data", [b"NONSENSE x\r\n", b"QUERY a \xff\r\n"])
+def test_a_broken_protocol_leaves_one_line_in_the_log(served, recorded, data):
+    served.group.context.log.notable.per_s = 100
+    caller = served()
+    caller.line()
+    caller.stream.write(data, TIMEOUT_S)
+    assert caller.is_closed()
+    lines = [m for m in recorded if m.get("message_type") == "caller_dropped"]
+    assert len(lines) == 1
+    assert lines[0]["reason"]
+
+
 def test_an_oversized_line_ends_the_session(served):
     caller = served()
     caller.line()
--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -2,6 +2,7 @@
 
 import json
 
+import eliot
 import pytest
 
 from fleet.control_api import ControlApi
@@ -173,9 +174,14 @@
     assert api.state.directory.view.targets == {}
 
 
-def test_a_heartbeat_that_is_not_text_is_refused(api):
+def test_a_heartbeat_that_is_not_text_is_refused_and_logged(api):
+    messages = []
+    eliot.add_destinations(messages.append)
     path = "/api/instances/i-1/heartbeat"
     assert api.call("POST", path, b"\xff\xfe").status == 400
+    eliot.remove_destination(messages.append)
+    lines = [m for m in messages if m.get("message_type") == "call_refused"]
+    assert len(lines) == 1
 
 
 def test_a_target_that_left_does_not_come_back_with_a_late_heartbeat(api):
--- a/tests/cover/test_http_sessions.py
+++ b/tests/cover/test_http_sessions.py
@@ -93,6 +93,17 @@
     assert len(served.group.primary.log) == 1
 
 
+def test_a_session_is_not_ended_beside_a_statement_that_runs(served):
+    """Two tasks on one connection would mix their answers."""
+    session = served.open()
+    served.ask(session, "begin")
+    served.ask(session, "write", request_id="w1", text="WRITE x y")
+    served.sessions.open[session].is_busy = True
+    assert served.call("DELETE", f"/v1/sessions/{session}")[0] == 409
+    served.sessions.open[session].is_busy = False
+    assert served.ask(session, "commit", request_id="c1")["signature"] == "sig-c1"
+
+
 def test_a_session_that_rests_for_long_is_ended(served):
     session = served.open()
     served.group.clock.advance(SESSION_IDLE_S + 1.0)
