--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -118,6 +118,23 @@
     def leader_id(self) -> str:
         return self.core.state.leader_id
 
+    def term(self) -> int:
+        """Returns the term that this member is in."""
+        return self.core.state.term
+
+    def own_address(self) -> str:
+        """Returns the address at which the other members find this one."""
+        return self.core.state.options.address
+
+    def member_addresses(self) -> list[str]:
+        """Returns the addresses of all members."""
+        members = self.core.state.membership.members
+        return sorted(record.address for record in members.values())
+
+    def voter_count(self) -> int:
+        """Returns how many members vote."""
+        return len(memberships.voters(self.core.state.membership))
+
     def leader_address(self) -> str:
         """Returns the leader's address as far as is known, or empty."""
         record = self.core.state.membership.members.get(self.leader_id())
--- a/src/godwitwheel/consensus/joining.py
+++ b/src/godwitwheel/consensus/joining.py
@@ -17,6 +17,8 @@
 from .state import MemberState
 
 FIRST_TERM = 1
+# A member that is silent for this many election timeouts counts as gone.
+SILENT_TIMEOUTS = 2
 # A voter that is silent for this many election timeouts gives its vote to a learner
 # that has caught up. Shorter cuts are over before a learner could help.
 DEMOTION_TIMEOUTS = 3
@@ -182,11 +184,14 @@
         change_membership(state, changed)
 
 
-def _is_silent(state: MemberState, member_id: str, now: float) -> bool:
+def _is_silent(
+    state: MemberState, member_id: str, now: float, timeouts: int = SILENT_TIMEOUTS
+) -> bool:
+    """Whether a member has not answered for some election timeouts."""
     progress = state.progress.get(member_id)
     if progress is None:
         return False
-    return now - progress.heard_at > 2 * state.options.election_timeout_s
+    return now - progress.heard_at > timeouts * state.options.election_timeout_s
 
 
 def check_promotion(state: MemberState, now: float) -> None:
@@ -225,10 +230,8 @@
 
 
 def _silent_voter(state: MemberState, now: float) -> str:
-    limit_s = DEMOTION_TIMEOUTS * state.options.election_timeout_s
     for member_id, record in state.membership.members.items():
-        progress = state.progress.get(member_id)
-        if record.voter and progress is not None and now - progress.heard_at > limit_s:
+        if record.voter and _is_silent(state, member_id, now, DEMOTION_TIMEOUTS):
             return member_id
     return ""
 
--- a/src/godwitwheel/control/routes.py
+++ b/src/godwitwheel/control/routes.py
@@ -14,15 +14,11 @@
     Watch,
 )
 from ..wire.server import Handler, Request, Response
+from ..wire.status import CONFLICT, MISDIRECTED, TOO_LARGE, UNAVAILABLE
 from . import errors
 from .member import Member
 from .publish_check import check_publish
 
-MISDIRECTED = 421
-CONFLICT = 409
-TOO_LARGE = 413
-UNAVAILABLE = 503
-
 
 def control_routes(
     member: Member, leader_address: Callable[[], str]
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -6,7 +6,14 @@
 from ..sessions.connection import Connector
 from .commands import DropEntry, SetOwners, SetPrimary
 from .errors import PromotionFailed
-from .failover import FIRST_REPORTS_S, Assessment, Sight, Verdict, assess, sights_of
+from .failover import (
+    FIRST_REPORTS_S,
+    Assessment,
+    Observation,
+    Verdict,
+    assess,
+    observations_of,
+)
 from .leadership import DirectoryLeadership, PromotionOrder
 from .member import DirectoryMember
 from .ownership import assign_owners
@@ -87,28 +94,30 @@
         if order is not None and now < order.retry_at:
             return
         view = self.member.state.directory.view
-        sights = sights_of(service, leadership.reports, now)
+        observations = observations_of(service, leadership.reports, now)
         proxies = leadership.reporting_on(service)
         led_for_s = now - leadership.since
-        assessment = assess(service, view, sights, proxies, led_for_s)
+        assessment = assess(service, view, observations, proxies, led_for_s)
         if assessment.verdict is Verdict.keep:
             return
         leadership.busy.add(service)
-        spawn(self._act, leadership, service, assessment, sights)
+        spawn(self._act, leadership, service, assessment, observations)
 
     def _act(
         self,
         leadership: DirectoryLeadership,
         service: str,
         assessment: Assessment,
-        sights: list[Sight],
+        observations: list[Observation],
     ) -> None:
         try:
             if assessment.verdict is Verdict.adopt:
                 self.member.commit_entry(SetPrimary(service, assessment.target_id))
                 return
             view = self.member.state.directory.view
-            self.promoter.replace(leadership, service, view, sights, assessment.reason)
+            self.promoter.replace(
+                leadership, service, view, observations, assessment.reason
+            )
         except PromotionFailed as error:
             self._pause(leadership, service, pause_after(error), str(error))
         except ControlError as error:
@@ -140,7 +149,7 @@
             if not leadership.is_reported(target_id, now):
                 continue
             # The clock starts anew, so that a failed commit is not repeated at once.
-            leadership.excuse(target_id, now)
+            leadership.restart_silence(target_id, now)
             spawn(self._drop_safely, target_id, entry.started_at_ms)
             return
 
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -55,7 +55,7 @@
         self.received_at = received_at
 
 
-class Sight:
+class Observation:
     """What one proxy sees of a service's primary.
 
     :ivar is_proven: whether ``target_id`` leads, as far as the proxy knows.
@@ -78,18 +78,18 @@
         self.unreachable = unreachable
 
 
-def sights_of(
+def observations_of(
     service: str, reports: dict[str, ReceivedReport], now: float
-) -> list[Sight]:
+) -> list[Observation]:
     """Returns what the proxies that reported lately see of a service."""
-    sights = []
+    observations = []
     for proxy_id, received in reports.items():
         if now - received.received_at > REPORT_FRESH_S:
             continue
         for primary in received.report.primaries:
             if primary.service == service:
-                sights.append(
-                    Sight(
+                observations.append(
+                    Observation(
                         proxy_id,
                         primary.target_id,
                         primary.is_proven,
@@ -97,13 +97,13 @@
                         received.report.unreachable,
                     )
                 )
-    return sights
+    return observations
 
 
 def assess(
     service: str,
     view: DirectoryView,
-    sights: list[Sight],
+    observations: list[Observation],
     proxies: int,
     led_for_s: float,
 ) -> Assessment:
@@ -112,10 +112,12 @@
     :param proxies: how many proxies are known, whether they reported lately or not.
     :param led_for_s: how long this member has led, in seconds.
     """
-    proved = [sight for sight in sights if sight.is_proven]
+    proved = [observation for observation in observations if observation.is_proven]
     primary_id = view.primaries.get(service, "")
     primary = view.targets.get(primary_id)
-    elsewhere = [sight for sight in proved if sight.target_id != primary_id]
+    elsewhere = [
+        observation for observation in proved if observation.target_id != primary_id
+    ]
     if elsewhere and len(elsewhere) == len(proved):
         return Assessment(
             Verdict.adopt, "proxies found another primary", elsewhere[0].target_id
@@ -124,25 +126,27 @@
         return Assessment(Verdict.keep, "this member leads only since a moment ago")
     if primary is not None and primary.leaving:
         return Assessment(Verdict.replace, f"{primary_id} is leaving")
-    if len(sights) < REPORTING_SHARE * proxies or not sights:
+    if len(observations) < REPORTING_SHARE * proxies or not observations:
         return Assessment(
-            Verdict.keep, f"only {len(sights)} of {proxies} proxies report"
+            Verdict.keep, f"only {len(observations)} of {proxies} proxies report"
         )
     if not proved:
         return Assessment(
             Verdict.replace,
-            f"none of {len(sights)} proxies has seen {primary_id or 'a primary'} lead "
-            f"for {min(sight.proof_age_ms for sight in sights)} ms",
+            f"none of {len(observations)} proxies has seen "
+            f"{primary_id or 'a primary'} lead for "
+            f"{min(each.proof_age_ms for each in observations)} ms",
         )
     missing = [
-        sight
-        for sight in sights
-        if not sight.is_proven and sight.proof_age_ms >= PARTIAL_PROOF_AGE_MS
+        observation
+        for observation in observations
+        if not observation.is_proven
+        and observation.proof_age_ms >= PARTIAL_PROOF_AGE_MS
     ]
-    if len(missing) >= PARTIAL_SHARE * len(sights):
+    if len(missing) >= PARTIAL_SHARE * len(observations):
         return Assessment(
             Verdict.replace,
-            f"{len(missing)} of {len(sights)} proxies can't reach {primary_id}",
+            f"{len(missing)} of {len(observations)} proxies can't reach {primary_id}",
         )
     return Assessment(Verdict.keep, f"{len(proved)} proxies saw it lead")
 
@@ -182,23 +186,27 @@
 
 
 def choose_candidate(
-    candidates: list[Candidate], sights: list[Sight], primary_id: str
+    candidates: list[Candidate], observations: list[Observation], primary_id: str
 ) -> Candidate | None:
     """Returns the target that loses least, among those that the proxies reach.
 
     :returns: ``None`` if no target is reached by more proxies than the primary.
     """
     missing_primary = sum(
-        1 for sight in sights if sight.target_id == primary_id and not sight.is_proven
+        1
+        for observation in observations
+        if observation.target_id == primary_id and not observation.is_proven
     )
     able = [each for each in candidates if each.received is not None]
-    if sights and missing_primary:
+    if observations and missing_primary:
         able = [each for each in able if each.missed_by < max(missing_primary, 1)]
     if not able:
         return None
     return max(able, key=lambda each: (each.received, -each.missed_by))
 
 
-def missed_by(target_id: str, sights: list[Sight]) -> int:
+def missed_by(target_id: str, observations: list[Observation]) -> int:
     """Returns how many proxies can't reach a target."""
-    return sum(1 for sight in sights if target_id in sight.unreachable)
+    return sum(
+        1 for observation in observations if target_id in observation.unreachable
+    )
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -139,7 +139,7 @@
         known = self.heard.get(target_id)
         return now - (known.at if known is not None else self.since)
 
-    def excuse(self, target_id: str, now: float) -> None:
+    def restart_silence(self, target_id: str, now: float) -> None:
         """Counts a target's silence anew from now on."""
         known = self.heard.get(target_id)
         if known is None:
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -62,7 +62,7 @@
         return ProxyReply(
             view.version,
             max(leadership.callers_proxies(), 1),
-            self.member_addresses(),
+            self.log.member_addresses(),
             view if report.view_version < view.version else None,
         )
 
@@ -149,7 +149,7 @@
             self.leadership = None
             raise NotLeading("this member does not lead")
         if known is None or known.since != since:
-            known = DirectoryLeadership(since, self.log.core.state.term)
+            known = DirectoryLeadership(since, self.log.term())
             self.leadership = known
         return known
 
@@ -160,11 +160,6 @@
         """
         self.confirmer.confirm(CONFIRM_TIMEOUT_S)
 
-    def member_addresses(self) -> list[str]:
-        """Returns the addresses of all control members."""
-        members = self.log.core.state.membership.members
-        return sorted(record.address for record in members.values())
-
     def drop(self, command: DropEntry, reason: str) -> None:
         """Forgets a target.
 
--- a/src/godwitwheel/directory/metrics.py
+++ b/src/godwitwheel/directory/metrics.py
@@ -27,14 +27,12 @@
 
     def values(self) -> dict[str, float]:
         member = self.member
-        state = member.log.core.state
         view = member.state.directory.view
         leadership = member.leadership
-        members = state.membership.members.values()
         return {
             "leading": int(leadership is not None),
-            "term": state.term,
-            "voters": sum(record.voter for record in members),
+            "term": member.log.term(),
+            "voters": member.log.voter_count(),
             "commands": member.committer.committed,
             "read_rounds": member.confirmer.rounds,
             "proxies": len(leadership.reports) if leadership is not None else 0,
--- a/src/godwitwheel/directory/ownership.py
+++ b/src/godwitwheel/directory/ownership.py
@@ -13,12 +13,19 @@
 OWNED_FROM_PROXIES = 16
 # A proxy needs a connection for a transaction and one for all else.
 MIN_SHARE = 2
+# Connections of a target that nobody counts on: those of control and of proxies that
+# started a moment ago.
 RESERVED_CONNECTIONS = 2
 
 
+def shared_connections(policy: ServicePolicy) -> int:
+    """Returns how many connections of a target proxies or an owner may hold."""
+    return policy.max_connections - RESERVED_CONNECTIONS
+
+
 def needs_owner(policy: ServicePolicy, proxies: int) -> bool:
     """Whether the proxies can't each hold connections of their own."""
-    share = (policy.max_connections - RESERVED_CONNECTIONS) // max(proxies, 1)
+    share = shared_connections(policy) // max(proxies, 1)
     return proxies >= OWNED_FROM_PROXIES or share < MIN_SHARE
 
 
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -12,7 +12,7 @@
 from .failover import (
     ORDER_PAUSE_S,
     Candidate,
-    Sight,
+    Observation,
     candidates_of,
     choose_candidate,
     missed_by,
@@ -77,14 +77,14 @@
         leadership: DirectoryLeadership,
         service: str,
         view: DirectoryView,
-        sights: list[Sight],
+        observations: list[Observation],
         reason: str,
     ) -> None:
         """Chooses a target and orders its promotion.
 
         :raises PromotionFailed: if it came to nothing.
         """
-        candidate = self._choose(service, view, sights)
+        candidate = self._choose(service, view, observations)
         if candidate is None:
             record_event(
                 EventName.promotion_withheld,
@@ -144,22 +144,26 @@
         order.is_open = False
 
     def _choose(
-        self, service: str, view: DirectoryView, sights: list[Sight]
+        self, service: str, view: DirectoryView, observations: list[Observation]
     ) -> Candidate | None:
         policy = view.table.services.get(service)
         is_synchronous = policy is not None and policy.synchronous_replicas > 0
         entries = candidates_of(service, view)
-        asking = [spawn(self._ask, entry, sights, is_synchronous) for entry in entries]
+        asking = [
+            spawn(self._ask, entry, observations, is_synchronous) for entry in entries
+        ]
         candidates = [task.wait() for task in asking]
         if is_synchronous and any(each.received is None for each in candidates):
             # The silent one may be the only replica that holds a commit.
             return None
-        return choose_candidate(candidates, sights, view.primaries.get(service, ""))
+        return choose_candidate(
+            candidates, observations, view.primaries.get(service, "")
+        )
 
     def _ask(
-        self, entry: TargetEntry, sights: list[Sight], is_synchronous: bool
+        self, entry: TargetEntry, observations: list[Observation], is_synchronous: bool
     ) -> Candidate:
-        misses = missed_by(entry.target_id, sights)
+        misses = missed_by(entry.target_id, observations)
         try:
             connection = self.connector.connect(entry, STATUS_TIMEOUT_S)
         except SessionsError as error:
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -50,12 +50,10 @@
 class SessionLimits(msgspec.Struct, frozen=True):
     """Limits on what callers send.
 
-    :ivar max_line_bytes: longest message.
     :ivar start_timeout_ms: time until a new session has introduced itself.
     :ivar transaction_idle_ms: rest inside a transaction before it is ended.
     """
 
-    max_line_bytes: int = 1 << 20
     start_timeout_ms: int = 3000
     transaction_idle_ms: int = 3000
 
--- a/src/godwitwheel/directory/routes.py
+++ b/src/godwitwheel/directory/routes.py
@@ -3,16 +3,16 @@
 import msgspec
 
 from ..control.errors import ControlError, NotLeading
-from ..sessions.reporting import MISDIRECTED, REPORT_PATH
+from ..sessions.reporting import REPORT_PATH
 from ..wire.codec import decode
 from ..wire.control import ControlProblem
 from ..wire.server import Handler, Request, Response
+from ..wire.status import MISDIRECTED, UNAVAILABLE
 from .member import DirectoryMember
 from .records import ProxyReport, Redirect, TargetEntry
 
 ANNOUNCE_PATH = "/v1/directory/announce"
 REMOVE_PATH = "/v1/directory/remove"
-UNAVAILABLE = 503
 
 
 class Announcement(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/internal/requests.py
+++ b/src/godwitwheel/internal/requests.py
@@ -2,6 +2,11 @@
 
 import signal
 
+from .loop import sleep
+
+# A signal does not wake the loop by itself.
+STOP_POLL_S = 0.05
+
 
 class StopRequest:
     """Becomes true on SIGTERM or SIGINT.
@@ -19,6 +24,11 @@
         signal.signal(signal.SIGTERM, self._handle)
         signal.signal(signal.SIGINT, self._handle)
 
+    def wait(self) -> None:
+        """Returns once the process was told to stop."""
+        while not self.requested:
+            sleep(STOP_POLL_S)
+
     def _handle(self, signal_number: int, frame: object) -> None:
         # A handler runs between any two steps of any task: it only leaves a mark.
         self.requested = True
--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -3,15 +3,18 @@
 import contextlib
 from collections.abc import Iterator
 
-from ..directory.records import TargetEntry
+from ..directory.records import Route, TargetEntry
+from ..internal.sentinel import Refusal
 from ..observe.events import EventName
-from .carrying import command_for_prepared, commands_for_values
+from .carrying import commands_for_values
 from .choosing import note_answered, note_unanswered
-from .connection import Command, Discard, Prepare, SetValue
+from .connection import Command, Discard, Prepare, Run, SetValue
 from .context import SessionContext, SessionState
 from .errors import ConnectFailed, ConnectionLost, PoolExhausted, TooManyConnections
+from .floors import read_floor
 from .pool import PooledConnection
 from .statements import Answer, Position, Statement, TransactionState
+from .waiting import Deadlines
 
 SETUP_COMMANDS = (SetValue, Prepare, Discard)
 
@@ -40,16 +43,50 @@
     return None
 
 
-def setup_commands(
-    pooled: PooledConnection, state: SessionState, statement: Statement | None
-) -> tuple[list[Command], str]:
-    """Returns what the connection must be told first, and its prepared name."""
+def commands_to_run(
+    pooled: PooledConnection,
+    state: SessionState,
+    statement: Statement,
+    floor: Position | None = None,
+) -> list[Command]:
+    """Returns what runs a statement on a connection; :class:`Run` comes last.
+
+    :param floor: position that the target's log must hold, or ``None``.
+    """
     commands = commands_for_values(pooled.carried, state.values)
-    prepared = state.prepared_by(statement) if statement is not None else None
-    if prepared is None:
-        return commands, ""
-    preparing, name = command_for_prepared(pooled.carried, prepared)
-    return commands + preparing, name
+    prepared = state.prepared_by(statement)
+    name = ""
+    if prepared is not None:
+        name = pooled.carried.name_of(prepared)
+        if not name:
+            name = pooled.carried.add_name(prepared)
+            commands.append(Prepare(name, prepared.access, prepared.shape))
+    commands.append(Run(statement, floor, name))
+    return commands
+
+
+def floor_of(
+    context: SessionContext, state: SessionState, route: Route
+) -> Position | Refusal:
+    """Returns what a read of a session that may run at a replica must see now."""
+    return read_floor(
+        route.consistency,
+        context.board.history(route.service),
+        route.max_staleness_ms / 1000.0,
+        state.own_positions.get(route.service),
+        context.now(),
+    )
+
+
+def has_waited_enough(
+    context: SessionContext, route: Route, deadlines: Deadlines
+) -> bool:
+    """Whether a statement that no target has taken is to be refused now."""
+    now = context.now()
+    belief = context.board.belief(route.service)
+    if belief.proved_at is None:
+        return not deadlines.waits_for_primary(belief.expected_at, now)
+    return now >= deadlines.give_up_at
 
 
 def exchange(
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -2,7 +2,8 @@
 
 import math
 
-from ..directory.records import DirectoryView, ServicePolicy, TargetEntry
+from ..directory.ownership import shared_connections
+from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
 from .connection import Connector
@@ -11,13 +12,12 @@
 from .pool import TargetPool
 from .statements import Position
 
-# Connections of a target that no proxy counts on: those of control and of proxies
-# that started a moment ago.
-RESERVED_CONNECTIONS = 2
+# Connections that a pool may hold even if the proxies are more than there is room for.
 MIN_POOL = 1
 # Part of a target's connections that its owner holds. One that stands still keeps them,
 # and its successor needs some meanwhile.
 OWNER_SHARE = 0.6
+# Shorter than targets stay after they have announced that they leave, in seconds.
 LEAVING_GRACE_S = 5.0
 # Time from an order to promote until the target leads, about.
 PROMOTION_S = 0.6
@@ -28,7 +28,8 @@
 
     :ivar failing_since: time of the first failure after the last answer, or
         ``None`` while it answers.
-    :ivar retry_at: no new work goes there before that time, unless all fail.
+    :ivar failures: how many there were since the last answer.
+    :ivar retry_at: no new work goes there before that time.
     :ivar latency_s: moving average of the time that a read takes.
     :ivar in_flight: statements sent and not answered.
     :ivar position: log position that it gave last, or ``None``.
@@ -198,23 +199,20 @@
         """Returns the turns of a target's statements."""
         gate = self.gates.get(target.target_id)
         if gate is None:
-            gate = self.gates[target.target_id] = RunGate(self.clock, target.slots)
+            gate = self.gates[target.target_id] = RunGate(target.slots)
         return gate
 
     def pool_limit(self, service: str) -> int:
         """Returns this process's share of a target's connections."""
         policy = self.view.table.services.get(service)
-        cap = policy.max_connections if policy is not None else 0
+        if policy is None:
+            return MIN_POOL
         if self.owns(service):
-            share = int(OWNER_SHARE * (cap - RESERVED_CONNECTIONS))
+            share = int(OWNER_SHARE * shared_connections(policy))
         else:
-            share = (cap - RESERVED_CONNECTIONS) // max(self.proxies, 1)
+            share = shared_connections(policy) // max(self.proxies, 1)
         return max(share, MIN_POOL)
 
-    def policy(self, service: str) -> ServicePolicy | None:
-        """Returns what is declared for a service."""
-        return self.view.table.services.get(service)
-
     def apply_view(self, view: DirectoryView) -> bool:
         """Takes a newer view; an older one changes nothing.
 
--- a/src/godwitwheel/sessions/carrying.py
+++ b/src/godwitwheel/sessions/carrying.py
@@ -1,7 +1,7 @@
 """Decides what a pooled connection must be told before it serves a session."""
 
 from ..wire.service import Access
-from .connection import Command, Discard, Prepare, SetValue
+from .connection import Command, Discard, SetValue
 
 MAX_PREPARED = 64
 
@@ -39,6 +39,17 @@
         self.values = {}
         self.prepared = {}
 
+    def name_of(self, prepared: PreparedStatement) -> str:
+        """Returns the connection's name of a prepared statement, or nothing."""
+        return self.prepared.get(prepared.key(), "")
+
+    def add_name(self, prepared: PreparedStatement) -> str:
+        """Returns a new name, which the connection is about to be told."""
+        name = f"g{self.next_name}"
+        self.next_name += 1
+        self.prepared[prepared.key()] = name
+        return name
+
     def needs_discard(self, values: dict[str, str]) -> bool:
         """Whether it holds a value that a session with ``values`` does not."""
         return any(name not in values for name in self.values)
@@ -59,16 +70,3 @@
             commands.append(SetValue(name, value))
             carried.values[name] = value
     return commands
-
-
-def command_for_prepared(
-    carried: CarriedState, wanted: PreparedStatement
-) -> tuple[list[Command], str]:
-    """Returns what prepares a statement, and the connection's name of it."""
-    name = carried.prepared.get(wanted.key())
-    if name is not None:
-        return [], name
-    name = f"g{carried.next_name}"
-    carried.next_name += 1
-    carried.prepared[wanted.key()] = name
-    return [Prepare(name, wanted.access, wanted.shape)], name
--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -1,5 +1,7 @@
 """What one session has set up, and what all sessions of a proxy share."""
 
+import secrets
+
 from ..directory.records import Route
 from ..wire.service import Access
 from .board import SessionBoard
@@ -8,6 +10,17 @@
 from .metrics import SessionMetrics
 from .statements import Position, Statement, StatementKind, later_of
 
+RUN_ID_BYTES = 4
+
+
+def new_run_id() -> str:
+    """Returns an id of this run of the process.
+
+    It begins the ids that the process gives out, so that none of an earlier run names
+    anything.
+    """
+    return secrets.token_hex(RUN_ID_BYTES)
+
 
 class SessionState:
     """What a session has set up; it lasts as long as the session.
--- a/src/godwitwheel/sessions/gate.py
+++ b/src/godwitwheel/sessions/gate.py
@@ -7,7 +7,6 @@
 
 import itertools
 
-from ..internal.clock import Clock
 from ..internal.loop import Event, wait_for
 
 # Statements beyond the slots that are at the target already, so that a slot that
@@ -29,12 +28,12 @@
     """Counts the statements that run at one target.
 
     :ivar limit: how many may run at once.
+    :ivar running: how many do.
     """
 
-    __slots__ = ("clock", "limit", "running", "waiters", "numbers")
+    __slots__ = ("limit", "running", "waiters", "numbers")
 
-    def __init__(self, clock: Clock, slots: int):
-        self.clock = clock
+    def __init__(self, slots: int):
         self.limit = max(slots, 1) + STATEMENTS_AHEAD
         self.running = 0
         self.waiters: list[GateWaiter] = []
--- a/src/godwitwheel/sessions/http_api.py
+++ b/src/godwitwheel/sessions/http_api.py
@@ -13,6 +13,7 @@
 from ..wire.codec import decode
 from ..wire.server import Handler, Request, Response
 from ..wire.service import Access
+from ..wire.status import CONFLICT, NOT_FOUND, UNAVAILABLE
 from .context import SessionContext, SessionState
 from .runner import RunnerChoice
 from .session import Session
@@ -25,9 +26,6 @@
 # A session that no statement has used for so long is ended, in seconds.
 SESSION_IDLE_S = 300.0
 EXPIRY_POLL_S = 0.5
-NOT_FOUND = 404
-CONFLICT = 409
-UNAVAILABLE = 503
 RETRY_AFTER_S = "1"
 
 
--- a/src/godwitwheel/sessions/outcomes.py
+++ b/src/godwitwheel/sessions/outcomes.py
@@ -4,7 +4,7 @@
 from ..observe.events import EventName
 from .context import SessionContext, SessionState
 from .statements import Answer, Statement
-from .waiting import Patience
+from .waiting import Deadlines
 
 
 class Attempts:
@@ -30,12 +30,12 @@
     statement: Statement,
     answer: Answer,
     attempts: Attempts,
-    patience: Patience,
+    deadlines: Deadlines,
     in_transaction: bool,
 ) -> None:
     """Records the answer that a statement got, and what decided it."""
     now = context.now()
-    held_s = now - patience.started_at
+    held_s = now - deadlines.started_at
     is_done = answer.error is None
     outcome = "done" if is_done else answer.error.value
     labels = {"kind": statement.kind.value, "outcome": outcome}
--- a/src/godwitwheel/sessions/owner_process.py
+++ b/src/godwitwheel/sessions/owner_process.py
@@ -12,16 +12,16 @@
 from ..wire.server import Server
 from .board import SessionBoard
 from .connection import Connector
-from .context import SessionContext
+from .context import SessionContext, new_run_id
 from .events import StatementLog
 from .metrics import SessionMetrics
 from .owner import Owner
 from .reporting import ControlMembers, Reporter
 from .sampler import Sampler
 
-STOP_POLL_S = 0.05
 # After it has told control that it leaves, its services go to others within this time.
 HANDOVER_S = 1.0
+HANDOVER_POLL_S = 0.05
 
 
 class OwnerSettings:
@@ -70,9 +70,7 @@
         metrics = SessionMetrics(settings.process_id)
         self.context = SessionContext(self.board, StatementLog(), metrics)
         self.members = ControlMembers(settings.seeds, random.Random())
-        # A handle of an earlier run of this process must not name a transaction.
-        run = f"{random.SystemRandom().getrandbits(32):08x}"
-        self.owner = Owner(self.context, run)
+        self.owner = Owner(self.context, new_run_id())
 
     def run(self, stop: StopRequest) -> None:
         """Serves until the process is told to stop."""
@@ -98,8 +96,7 @@
                 self.owner.run_expiry,
             ):
                 stack.enter_context(running_task(task, record_failure))
-            while not stop.requested:
-                sleep(STOP_POLL_S)
+            stop.wait()
             self._stop(reporter)
 
     def _stop(self, reporter: Reporter) -> None:
@@ -110,6 +107,6 @@
         deadline = self.clock.now() + self.settings.grace_period_s / 2
         handed_over_at = self.clock.now() + HANDOVER_S
         while self.clock.now() < deadline:
-            sleep(STOP_POLL_S)
+            sleep(HANDOVER_POLL_S)
             if not self.owner.open and self.clock.now() >= handed_over_at:
                 return
--- a/src/godwitwheel/sessions/pool.py
+++ b/src/godwitwheel/sessions/pool.py
@@ -65,7 +65,6 @@
         "waiters",
         "full_until",
         "is_closed",
-        "opened",
     )
 
     def __init__(
@@ -81,7 +80,6 @@
         self.waiters: deque[Waiter] = deque()
         self.full_until = 0.0
         self.is_closed = False
-        self.opened = 0
 
     def __enter__(self) -> "TargetPool":
         return self
@@ -172,7 +170,6 @@
         except BaseException:
             self._closed_one()
             raise
-        self.opened += 1
         self.lent += 1
         return PooledConnection(connection, self)
 
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -15,7 +15,7 @@
 from ..wire.streams import Stream, StreamServer
 from .board import SessionBoard
 from .connection import Connector
-from .context import SessionContext
+from .context import SessionContext, new_run_id
 from .events import StatementLog
 from .http_api import HttpSessions
 from .isolation import Isolation
@@ -26,7 +26,6 @@
 from .sampler import Sampler
 from .serving import CallerLink, SessionServer
 
-STOP_POLL_S = 0.05
 # The balancer asks once a second and takes a proxy out after two misses.
 READINESS_NOTICED_S = 2.3
 # Kept back from the grace period for the process's own end, in seconds.
@@ -105,9 +104,7 @@
         self.members = ControlMembers(settings.seeds, random.Random())
         self.runners = RunnerChoice(self.context)
         self.server = SessionServer(self.context, self.runners)
-        # An id of an earlier run of this process must not name a session.
-        run = f"{random.SystemRandom().getrandbits(32):08x}"
-        self.http_sessions = HttpSessions(self.context, self.runners, run)
+        self.http_sessions = HttpSessions(self.context, self.runners, new_run_id())
         self.isolation = Isolation()
         self.stopping = False
 
@@ -182,8 +179,7 @@
                 self.watch_isolation(reporter)
 
             stack.enter_context(running_task(watch, record_failure))
-            while not stop.requested:
-                sleep(STOP_POLL_S)
+            stop.wait()
             self._stop(callers, reporter)
 
     def _stop(self, callers: StreamServer, reporter: Reporter) -> None:
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -29,7 +29,7 @@
     StatementKind,
     error_answer,
 )
-from .waiting import Patience, refusal_text
+from .waiting import Deadlines, refusal_text
 
 # What the owner may take beyond the statement's own time, in seconds.
 CALL_SLACK_S = 0.05
@@ -152,19 +152,19 @@
         self, state: SessionState, route: Route, statement: Statement
     ) -> Answer:
         context = self.calls.context
-        patience = Patience(route, context.now())
+        deadlines = Deadlines(route, context.now())
         is_write = state.access_of(statement) is Access.write
         request = self.calls.request(state, route, statement)
         while True:
             now = context.now()
             owner = self.calls.owner_of(route.service)
             try:
-                timeout_s = patience.left_s(now) + CALL_SLACK_S
+                timeout_s = deadlines.left_s(now) + CALL_SLACK_S
                 reply = self.calls.run(owner, request, timeout_s)
             except OwnerLost as error:
                 if error.was_sent and is_write:
                     return error_answer(ErrorCode.in_doubt, str(error))
-                if not self._waits(owner, route, patience):
+                if not self._waits(owner, route, deadlines):
                     return _refused(error)
                 continue
             state.note_commit(route.service, position_of(reply.own_position))
@@ -175,13 +175,13 @@
     ) -> OpenTransaction:
         return RemoteTransaction(self.calls, state, route, read_only)
 
-    def _waits(self, lost: OwnerEntry, route: Route, patience: Patience) -> bool:
+    def _waits(self, lost: OwnerEntry, route: Route, deadlines: Deadlines) -> bool:
         """Waits shortly for another owner.
 
         :returns: whether there is one, and time left.
         """
         board = self.calls.context.board
-        if board.clock.now() >= patience.give_up_at:
+        if board.clock.now() >= deadlines.give_up_at:
             return False
         if self.calls.owner_of(route.service) != lost:
             return True
@@ -247,7 +247,7 @@
 
     def _exchange(self, statement: Statement) -> Answer:
         context = self.calls.context
-        patience = Patience(self.route, context.now())
+        deadlines = Deadlines(self.route, context.now())
         if self.owner is None:
             self.owner = self.calls.owner_of(self.route.service)
         request = self.calls.request(
@@ -258,7 +258,7 @@
             read_only=self.read_only,
             handle=self.handle,
         )
-        timeout_s = patience.left_s(context.now()) + CALL_SLACK_S
+        timeout_s = deadlines.left_s(context.now()) + CALL_SLACK_S
         reply = self.calls.run(self.owner, request, timeout_s)
         is_commit = statement.kind is StatementKind.commit
         self.handle = "" if is_commit else reply.handle
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -8,6 +8,7 @@
 from ..wire.client import Client
 from ..wire.codec import decode, encode
 from ..wire.errors import BadMessage, WireError
+from ..wire.status import MISDIRECTED
 from .board import SessionBoard
 
 REPORT_PATH = "/v1/directory/report"
@@ -23,7 +24,6 @@
 # Other members are tried for so long before one that did not answer, in seconds.
 SILENT_PAUSE_S = 1.5
 REFUSED_PAUSE_S = 0.15
-MISDIRECTED = 421
 UNKNOWN_AGE_MS = 1_000_000
 
 
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -3,16 +3,11 @@
 from ..directory.records import Consistency, Route, TargetEntry
 from ..internal.sentinel import Refusal
 from ..wire.service import Access
-from .attempts import (
-    exchange,
-    mark_leading,
-    setup_commands,
-)
+from .attempts import commands_to_run, exchange, floor_of, mark_leading
 from .choosing import choose_reader
-from .connection import Begin, Rollback, Run
+from .connection import Begin, Rollback
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost
-from .floors import read_floor
 from .pool import PooledConnection
 from .single_run import RETRY_LAGGING_MS, SingleRun
 from .statements import Answer, ErrorCode, Position, Statement, error_answer
@@ -45,11 +40,10 @@
             return self._write(target, pooled) if pooled is not None else None
 
     def _write(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
-        commands, name = setup_commands(pooled, self.state, self.statement)
-        commands.append(Run(self.statement, prepared_name=name))
+        commands = commands_to_run(pooled, self.state, self.statement)
         asked_at = self.context.now()
         try:
-            timeout_s = self.patience.left_s(asked_at)
+            timeout_s = self.deadlines.left_s(asked_at)
             answer = exchange(self.context, pooled, commands, timeout_s)[-1]
         except ConnectionLost as error:
             self.attempts.reason = f"{target.target_id}: {error}"
@@ -89,16 +83,15 @@
                 return self._after_loss()
 
     def _read(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
-        commands, name = setup_commands(pooled, self.state, self.statement)
+        *setup, run = commands_to_run(pooled, self.state, self.statement)
         asked_at = self.context.now()
-        timeout_s = self.patience.read_attempt_s(asked_at)
-        begun = exchange(self.context, pooled, [*commands, Begin()], timeout_s)[-1]
+        timeout_s = self.deadlines.read_attempt_s(asked_at)
+        begun = exchange(self.context, pooled, [*setup, Begin()], timeout_s)[-1]
         if begun.error is not None:
             self.note_refusal(target, begun)
             return None
         mark_leading(self.context, target, asked_at, begun.position)
-        run = Run(self.statement, prepared_name=name)
-        timeout_s = self.patience.read_attempt_s(self.context.now())
+        timeout_s = self.deadlines.read_attempt_s(self.context.now())
         answer, _ = exchange(self.context, pooled, [run, Rollback()], timeout_s)
         if answer.was_not_run():
             pooled.carried.prepared.clear()
@@ -108,7 +101,7 @@
 
     def _after_loss(self) -> Answer | None:
         self.was_sent = True
-        if self.context.now() >= self.patience.expires_at:
+        if self.context.now() >= self.deadlines.expires_at:
             return error_answer(ErrorCode.timed_out, self.attempts.reason)
         return None
 
@@ -128,7 +121,7 @@
         self.is_lagging = False
 
     def attempt(self) -> Answer | None:
-        floor = self._floor()
+        floor = floor_of(self.context, self.state, self.route)
         if isinstance(floor, Refusal):
             self.is_lagging = True
             self.attempts.reason = "no recent position of the primary"
@@ -147,16 +140,6 @@
         text = refusal_text(self.attempts.reason, RETRY_LAGGING_MS)
         return error_answer(ErrorCode.lagging, text)
 
-    def _floor(self) -> Position | Refusal:
-        service = self.route.service
-        return read_floor(
-            self.route.consistency,
-            self.context.board.history(service),
-            self.route.max_staleness_ms / 1000.0,
-            self.state.own_positions.get(service),
-            self.context.now(),
-        )
-
     def _read_at(self, target: TargetEntry, floor: Position) -> Answer | None:
         with self.lent(target) as pooled:
             if pooled is None:
@@ -177,7 +160,6 @@
         return answer
 
     def _exchange(self, pooled: PooledConnection, floor: Position) -> Answer:
-        commands, name = setup_commands(pooled, self.state, self.statement)
-        commands.append(Run(self.statement, floor, name))
-        timeout_s = self.patience.read_attempt_s(self.context.now())
+        commands = commands_to_run(pooled, self.state, self.statement, floor)
+        timeout_s = self.deadlines.read_attempt_s(self.context.now())
         return exchange(self.context, pooled, commands, timeout_s)[-1]
--- a/src/godwitwheel/sessions/single_run.py
+++ b/src/godwitwheel/sessions/single_run.py
@@ -7,13 +7,13 @@
 from ..directory.records import Route, TargetEntry
 from ..internal.loop import sleep
 from ..internal.sentinel import Refusal
-from .attempts import lent, mark_not_leading
+from .attempts import has_waited_enough, lent, mark_not_leading
 from .choosing import choose_primary
 from .context import SessionContext, SessionState
 from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
 from .statements import Answer, ErrorCode, Statement, error_answer
-from .waiting import RETRY_PAUSE_S, Patience, refusal_text
+from .waiting import RETRY_PAUSE_S, Deadlines, refusal_text
 
 # What a refused caller is told to wait, in milliseconds.
 RETRY_BUSY_MS = 50
@@ -34,7 +34,7 @@
         "state",
         "route",
         "statement",
-        "patience",
+        "deadlines",
         "refusal",
         "attempts",
         "was_sent",
@@ -51,7 +51,7 @@
         self.state = state
         self.route = route
         self.statement = statement
-        self.patience = Patience(route, context.now())
+        self.deadlines = Deadlines(route, context.now())
         self.refusal: Answer | None = None
         self.attempts = Attempts()
         self.was_sent = False
@@ -72,20 +72,19 @@
 
     def is_over(self) -> bool:
         """Whether the statement has waited for long enough."""
-        now = self.context.now()
         if self.was_sent:
             # A target was given the statement, so it goes on as long as it may.
-            return now >= self.patience.expires_at
-        if self._has_no_primary():
-            belief = self.context.board.belief(self.route.service)
-            return not self.patience.waits_for_primary(belief.expected_at, now)
-        return now >= self.patience.give_up_at
+            return self.context.now() >= self.deadlines.expires_at
+        if self._is_overloaded():
+            return self.context.now() >= self.deadlines.give_up_at
+        return has_waited_enough(self.context, self.route, self.deadlines)
 
     def give_up(self) -> Answer:
         """Returns the answer to a statement that no target has answered."""
         if self.was_sent:
             return error_answer(ErrorCode.timed_out, self.attempts.reason)
-        if self._has_no_primary():
+        belief = self.context.board.belief(self.route.service)
+        if belief.proved_at is None and not self._is_overloaded():
             text = refusal_text(
                 self.attempts.reason or "no primary", RETRY_NO_PRIMARY_MS
             )
@@ -93,11 +92,9 @@
         text = refusal_text(self.attempts.reason or "no target is free", RETRY_BUSY_MS)
         return error_answer(ErrorCode.overloaded, text)
 
-    def _has_no_primary(self) -> bool:
-        if self.refusal is not None and self.refusal.error is ErrorCode.overloaded:
-            # It is there, but has no room.
-            return False
-        return self.context.board.belief(self.route.service).proved_at is None
+    def _is_overloaded(self) -> bool:
+        """Whether a target is there that has no room."""
+        return self.refusal is not None and self.refusal.error is ErrorCode.overloaded
 
     def primary(self) -> TargetEntry | None:
         """Returns the target to ask for the lead, or ``None``."""
@@ -114,7 +111,7 @@
         now = self.context.now()
         self.attempts.count += 1
         self.attempts.target_id = target.target_id
-        timeout_s = max(self.patience.give_up_at - now, 0.0)
+        timeout_s = max(self.deadlines.give_up_at - now, 0.0)
         priority = self.route.priority
         with lent(self.context, target, self.state, priority, timeout_s) as pooled:
             if pooled is None:
@@ -136,7 +133,7 @@
             self.statement,
             answer,
             self.attempts,
-            self.patience,
+            self.deadlines,
             in_transaction=False,
         )
         return answer
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -6,18 +6,20 @@
 from ..wire.service import Access
 from .attempts import (
     borrow,
+    commands_to_run,
     exchange,
+    floor_of,
     give_back,
+    has_waited_enough,
     mark_leading,
     mark_not_leading,
-    setup_commands,
     turn,
 )
+from .carrying import commands_for_values
 from .choosing import choose_primary, choose_reader
-from .connection import Begin, Rollback, Run
+from .connection import Begin, Rollback
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost
-from .floors import read_floor
 from .open_transaction import OpenTransaction
 from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
@@ -30,7 +32,7 @@
     TransactionState,
     error_answer,
 )
-from .waiting import RETRY_PAUSE_S, Patience, refusal_text
+from .waiting import RETRY_PAUSE_S, Deadlines, refusal_text
 
 ROLLBACK_TIMEOUT_S = 0.5
 # Goes before every route's priority.
@@ -83,34 +85,34 @@
 
     def run(self, statement: Statement) -> Answer:
         """Runs a statement, opening the transaction first if need be."""
-        patience = Patience(self.route, self.context.now())
+        deadlines = Deadlines(self.route, self.context.now())
         is_write = self.state.access_of(statement) is Access.write
         if is_write and self.read_only:
             self.fail("it only reads")
             return self._finish(
                 statement,
                 error_answer(ErrorCode.aborted, "the transaction only reads"),
-                patience,
+                deadlines,
             )
-        refusal = self._open(patience)
+        refusal = self._open(deadlines)
         if refusal is not None:
-            return self._finish(statement, refusal, patience)
-        answer = self._run(statement, patience)
+            return self._finish(statement, refusal, deadlines)
+        answer = self._run(statement, deadlines)
         if answer.error is None:
             self.has_written = self.has_written or is_write
         else:
             self.fail(f"a statement failed: {answer.error.value}")
-        return self._finish(statement, answer, patience)
+        return self._finish(statement, answer, deadlines)
 
     def commit(self, statement: Statement) -> Answer:
-        patience = Patience(self.route, self.context.now())
+        deadlines = Deadlines(self.route, self.context.now())
         if self.has_failed:
             text = "the transaction had failed; nothing is kept"
             return error_answer(ErrorCode.aborted, text)
-        refusal = self._open(patience)
+        refusal = self._open(deadlines)
         if refusal is None:
-            refusal = self._commit(statement, patience)
-        return self._finish(statement, refusal, patience)
+            refusal = self._commit(statement, deadlines)
+        return self._finish(statement, refusal, deadlines)
 
     def fail(self, reason: str) -> None:
         self.attempts.reason = reason
@@ -132,7 +134,7 @@
         finally:
             give_back(pooled)
 
-    def _open(self, patience: Patience) -> Answer | None:
+    def _open(self, deadlines: Deadlines) -> Answer | None:
         """Begins at a target.
 
         :returns: ``None`` once it is open, else the answer to the statement.
@@ -144,10 +146,10 @@
             if target is None:
                 is_lagging = isinstance(floor, Refusal)
             else:
-                is_lagging = self._begin(target, floor, patience)
+                is_lagging = self._begin(target, floor, deadlines)
             if self.pooled is not None:
                 return None
-            if self._is_over(patience):
+            if has_waited_enough(self.context, self.route, deadlines):
                 self.has_failed = True
                 code = ErrorCode.lagging if is_lagging else ErrorCode.overloaded
                 text = refusal_text(
@@ -157,23 +159,10 @@
             sleep(RETRY_PAUSE_S)
         return None
 
-    def _is_over(self, patience: Patience) -> bool:
-        now = self.context.now()
-        belief = self.context.board.belief(self.route.service)
-        if belief.proved_at is None:
-            return not patience.waits_for_primary(belief.expected_at, now)
-        return now >= patience.give_up_at
-
     def _floor(self) -> Position | Refusal | None:
         if self.runs_at_primary:
             return None
-        return read_floor(
-            self.route.consistency,
-            self.context.board.history(self.route.service),
-            self.route.max_staleness_ms / 1000.0,
-            self.state.own_positions.get(self.route.service),
-            self.context.now(),
-        )
+        return floor_of(self.context, self.state, self.route)
 
     def _choose(self, floor: Position | Refusal | None) -> TargetEntry | None:
         board, service = self.context.board, self.route.service
@@ -191,14 +180,17 @@
         return target
 
     def _begin(
-        self, target: TargetEntry, floor: Position | Refusal | None, patience: Patience
+        self,
+        target: TargetEntry,
+        floor: Position | Refusal | None,
+        deadlines: Deadlines,
     ) -> bool:
         """Tries to begin at a target.
 
         :returns: whether it refused since its log lacks the floor.
         """
         now = self.context.now()
-        timeout_s = max(patience.give_up_at - now, 0.0)
+        timeout_s = max(deadlines.give_up_at - now, 0.0)
         pooled = borrow(
             self.context, target, self.state, self.route.priority, timeout_s
         )
@@ -209,7 +201,7 @@
         self.attempts.target_id = target.target_id
         self.attempts.count += 1
         asked_at = self.context.now()
-        answer = self._ask_to_begin(pooled, target, floor, patience)
+        answer = self._ask_to_begin(pooled, target, floor, deadlines)
         if answer is None or answer.error is not None:
             self.excluded.add(target.target_id)
             return answer is not None and answer.error is ErrorCode.lagging
@@ -223,15 +215,15 @@
         pooled: PooledConnection,
         target: TargetEntry,
         floor: Position | Refusal | None,
-        patience: Patience,
+        deadlines: Deadlines,
     ) -> Answer | None:
-        commands, _ = setup_commands(pooled, self.state, None)
+        commands = commands_for_values(pooled.carried, self.state.values)
         needs_floor = not self.runs_at_primary and isinstance(floor, Position)
         # What this proxy takes for the primary may change while it waits.
         self.is_guarded = not needs_floor
         begin = Begin(read_only=True, floor=floor) if needs_floor else Begin()
         try:
-            timeout_s = patience.attempt_s(self.context.now())
+            timeout_s = deadlines.attempt_s(self.context.now())
             answer = exchange(self.context, pooled, [*commands, begin], timeout_s)[-1]
         except ConnectionLost as error:
             self.attempts.reason = f"{target.target_id}: {error}"
@@ -244,13 +236,13 @@
             give_back(pooled)
         return answer
 
-    def _run(self, statement: Statement, patience: Patience) -> Answer:
+    def _run(self, statement: Statement, deadlines: Deadlines) -> Answer:
         """Runs a statement, again as long as the target says it has not run it."""
         while True:
             pooled = self.pooled
             asked_at = self.context.now()
             try:
-                timeout_s = patience.attempt_s(asked_at)
+                timeout_s = deadlines.attempt_s(asked_at)
                 answer = self._exchange(statement, timeout_s)
             except ConnectionLost as error:
                 # No commit was sent, so closing the connection keeps nothing, and
@@ -259,7 +251,7 @@
             if answer.error is None and self.is_guarded:
                 target = pooled.pool.target
                 mark_leading(self.context, target, asked_at, answer.position)
-            if self.pooled is not pooled or not self._may_repeat(answer, patience):
+            if self.pooled is not pooled or not self._may_repeat(answer, deadlines):
                 return answer
             pooled.carried.prepared.clear()
             sleep(RETRY_PAUSE_S)
@@ -278,26 +270,25 @@
                 return error_answer(ErrorCode.aborted, "the transaction has ended")
             if not granted:
                 return error_answer(ErrorCode.overloaded, "no turn in time")
-            commands, name = setup_commands(pooled, self.state, statement)
-            commands.append(Run(statement, prepared_name=name))
+            commands = commands_to_run(pooled, self.state, statement)
             return exchange(self.context, pooled, commands, timeout_s)[-1]
 
-    def _may_repeat(self, answer: Answer, patience: Patience) -> bool:
+    def _may_repeat(self, answer: Answer, deadlines: Deadlines) -> bool:
         is_open = answer.state is TransactionState.open
         return (
             answer.was_not_run()
             and is_open
             and not self.pooled.is_broken
-            and self.context.now() < patience.give_up_at
+            and self.context.now() < deadlines.give_up_at
         )
 
-    def _commit(self, statement: Statement, patience: Patience) -> Answer:
+    def _commit(self, statement: Statement, deadlines: Deadlines) -> Answer:
         pooled = self.pooled
         target = pooled.pool.target
         while True:
             asked_at = self.context.now()
             try:
-                answer = self._exchange(statement, patience.left_s(asked_at))
+                answer = self._exchange(statement, deadlines.left_s(asked_at))
             except ConnectionLost as error:
                 self.abandon("the commit was not answered")
                 if not self.has_written:
@@ -305,7 +296,7 @@
                 return error_answer(ErrorCode.in_doubt, str(error))
             if self.pooled is not pooled:
                 return answer
-            if not self._may_repeat(answer, patience):
+            if not self._may_repeat(answer, deadlines):
                 break
             sleep(RETRY_PAUSE_S)
         if answer.error is None and self.has_written:
@@ -319,7 +310,7 @@
         return answer
 
     def _finish(
-        self, statement: Statement, answer: Answer, patience: Patience
+        self, statement: Statement, answer: Answer, deadlines: Deadlines
     ) -> Answer:
         record_outcome(
             self.context,
@@ -328,7 +319,7 @@
             statement,
             answer,
             self.attempts,
-            patience,
+            deadlines,
             in_transaction=True,
         )
         return answer
--- a/src/godwitwheel/sessions/waiting.py
+++ b/src/godwitwheel/sessions/waiting.py
@@ -21,7 +21,7 @@
 SHORTEST_ATTEMPT_S = 0.15
 
 
-class Patience:
+class Deadlines:
     """The times of one statement, in seconds of the clock.
 
     :ivar give_up_at: it is refused then if no target has taken it.
--- /dev/null
+++ b/src/godwitwheel/wire/status.py
@@ -0,0 +1,9 @@
+"""HTTP status codes that the interfaces answer with."""
+
+TEMPORARY_REDIRECT = 307
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_LARGE = 413
+MISDIRECTED = 421
+UNAVAILABLE = 503
--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -1,9 +1,6 @@
 """A replicated log of one member, which commits at once."""
 
-from types import SimpleNamespace
-
 from godwitwheel.consensus.errors import NotLeader
-from godwitwheel.consensus.messages import Membership
 from godwitwheel.consensus.replicated import ReplicatedLog
 
 OWN_ADDRESS = "10.0.0.1:7440"
@@ -20,12 +17,15 @@
         self.leads = True
         self.leader = ""
         self.proposed = 0
-        state = SimpleNamespace(
-            term=1,
-            membership=Membership(),
-            options=SimpleNamespace(address=OWN_ADDRESS),
-        )
-        self.core = SimpleNamespace(state=state)
+
+    def term(self):
+        return 1
+
+    def own_address(self):
+        return OWN_ADDRESS
+
+    def member_addresses(self):
+        return [OWN_ADDRESS]
 
     def propose(self, command, timeout_s):
         if not self.leads:
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -2,13 +2,13 @@
 
 from godwitwheel.directory.failover import (
     Candidate,
+    Observation,
     ReceivedReport,
-    Sight,
     Verdict,
     assess,
     candidates_of,
     choose_candidate,
-    sights_of,
+    observations_of,
 )
 from godwitwheel.directory.records import (
     DirectoryView,
@@ -32,7 +32,7 @@
 
 
 def sight(proxy, proven=True, age_ms=50, target_id="t1", unreachable=()):
-    return Sight(proxy, target_id, proven, age_ms, list(unreachable))
+    return Observation(proxy, target_id, proven, age_ms, list(unreachable))
 
 
 def verdict(sights, led_for_s=LED_FOR_S, leaving=False, proxies=0):
@@ -93,8 +93,8 @@
 def test_old_reports_say_nothing():
     report = ProxyReport("p1", "dc-1", 1, [PrimaryReport(SERVICE, "t1", True, 10)])
     reports = {"p1": ReceivedReport(report, 100.0)}
-    assert len(sights_of(SERVICE, reports, 100.3)) == 1
-    assert sights_of(SERVICE, reports, 103.0) == []
+    assert len(observations_of(SERVICE, reports, 100.3)) == 1
+    assert observations_of(SERVICE, reports, 103.0) == []
 
 
 def test_the_candidate_that_received_most_is_chosen():
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -1,6 +1,5 @@
 """Turns at a target: priority, time limits, and the load that they answer."""
 
-from godwitwheel.internal.clock import ManualClock
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.sessions.gate import STATEMENTS_AHEAD, RunGate
 
@@ -9,7 +8,7 @@
 
 
 def full_gate():
-    gate = RunGate(ManualClock(), SLOTS)
+    gate = RunGate(SLOTS)
     for _ in range(SLOTS + STATEMENTS_AHEAD):
         assert gate.enter(1, PATIENT_S)
     return gate
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -249,7 +249,7 @@
 def test_an_owner_leaves_room_for_its_successor(deployment):
     """A frozen owner keeps its connections for as long as it stands still."""
     limit = deployment.targets.board.pool_limit(SERVICE)
-    policy = deployment.targets.board.policy(SERVICE)
+    policy = deployment.targets.board.view.table.services[SERVICE]
     assert limit < policy.max_connections
     assert policy.max_connections - limit >= policy.max_connections // 3
 
--- a/tests/cover/test_promoter.py
+++ b/tests/cover/test_promoter.py
@@ -3,12 +3,12 @@
 import pytest
 
 from godwitwheel.directory.errors import PromotionFailed, PromotionFenced
-from godwitwheel.directory.failover import Sight
+from godwitwheel.directory.failover import Observation
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.promotion import Promoter, PromotionCall
 from tests.common.fake_sessions import SERVICE, FakeGroup
 
-SIGHTS = [Sight("p1", "t1", False, 900, [])]
+SIGHTS = [Observation("p1", "t1", False, 900, [])]
 
 
 class ScriptedCall(PromotionCall):
