Let a cut-off proxy serve reads after a promotion right before the cut

Cause: a replica's age is counted from answers of the primary of its term. A proxy that learned of a new term and was cut off before the new primary answered it knew no such answer, so it refused every read as not fresh, whatever age was allowed, for as long as the cut lasted.

Change: a newer view says where a term began; that is a sample as of the last heartbeat that was answered with a lease under the view before. The test fails without it; the consistency machine uses it too, and finds a sample that is dated too late. Folders of failed scenarios are kept, with their logs.

--- a/src/godwitwheel/proxy/control_link.py
+++ b/src/godwitwheel/proxy/control_link.py
@@ -1,5 +1,6 @@
 """Keeps the lease, the view, the configuration and the quotas up to date."""
 
+from ..decisions.staleness import add_new_terms
 from ..decisions.versions import take_newer
 from ..internal.loop import sleep
 from ..internal.signals import ChangeSignal
@@ -31,9 +32,19 @@
     :ivar due: wakes the heartbeat loop before its interval is over.
     :ivar had_lease: whether the lease held at the last check.
     :ivar sequence: number of the last heartbeat.
+    :ivar leased_at: when the last heartbeat was sent that was answered with a lease,
+        or ``None``.
     """
 
-    __slots__ = ("context", "control", "interval_s", "due", "had_lease", "sequence")
+    __slots__ = (
+        "context",
+        "control",
+        "interval_s",
+        "due",
+        "had_lease",
+        "sequence",
+        "leased_at",
+    )
 
     def __init__(
         self, context: ProxyContext, control: ControlClient, interval_s: float
@@ -44,6 +55,7 @@
         self.due = ChangeSignal()
         self.had_lease = False
         self.sequence = 0
+        self.leased_at: float | None = None
 
     def run_heartbeats(self) -> None:
         """Sends a heartbeat each interval, counted from the sending."""
@@ -123,13 +135,17 @@
             lease_s = reply.lease_ms / 1000.0 * (1.0 - CLOCK_DRIFT)
             board.lease.expires_at = max(board.lease.expires_at, sent_at + lease_s)
         board.quotas = reply.quotas
-        view_version = board.view.version
+        before = board.view
         revision = board.configuration.revision
         if take_newer(board, reply.view, reply.configuration):
-            self._record_newer(view_version, revision)
+            self._record_newer(before.version, revision)
+            if self.leased_at is not None:
+                add_new_terms(board, before, self.leased_at)
             self.context.pools.apply_view()
             self.context.authority_changed()
             self.due.notify()
+        if reply.lease_ms > 0:
+            self.leased_at = sent_at
         self.context.pools.apply_quotas()
         self.note_lease()
 
--- a/tests/cover/test_consistency.py
+++ b/tests/cover/test_consistency.py
@@ -1,5 +1,6 @@
 """Several proxies on one group, against an oracle of what was acknowledged."""
 
+import math
 import random
 
 from hypothesis import settings
@@ -21,6 +22,7 @@
     encode_token,
     record_write,
 )
+from godwitwheel.decisions.staleness import add_new_terms
 from godwitwheel.decisions.versions import take_newer
 from godwitwheel.internal.clock import ManualClock
 from godwitwheel.proxy.context import ProxyContext
@@ -51,6 +53,7 @@
         self.positions = PositionKeeper(context, None)
         self.replies: list[tuple[float, ClusterView]] = []
         self.probes: list[tuple[float, TargetStatus]] = []
+        self.leased_at = -math.inf
 
     def take_view(self, count: int) -> None:
         """Takes up to ``count`` replies, the newest first."""
@@ -59,7 +62,10 @@
             expires_at = sent_at + LEASE_S * (1 - CLOCK_DRIFT)
             lease = self.board.lease
             lease.expires_at = max(lease.expires_at, expires_at)
-            take_newer(self.board, view, None)
+            before = self.board.view
+            if take_newer(self.board, view, None):
+                add_new_terms(self.board, before, self.leased_at)
+            self.leased_at = sent_at
 
     def take_probes(self) -> None:
         for sent_at, status in self.probes:
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -1,5 +1,6 @@
 """Single cases that the fuzzing of several proxies reaches too seldom."""
 
+import msgspec
 import pytest
 
 from godwitwheel.blackboard import Blackboard, Lease, PositionSample, ProxyIdentity
@@ -17,6 +18,7 @@
     decode_token,
     encode_token,
 )
+from godwitwheel.decisions.staleness import add_new_terms
 from tests.common.group_model import GROUP, TOKEN_KEY, ModelControl
 
 NOW = 50.0
@@ -36,6 +38,25 @@
     return board
 
 
+def test_reads_at_a_replica_after_a_cut_right_after_a_promotion(board):
+    """No answer of the new primary has come, and none will while the cut lasts."""
+    before = board.view
+    old = before.groups[GROUP]
+    new = msgspec.structs.replace(
+        old, term=2, primary="t1", term_start=10, previous={1: 0}, promotable=[]
+    )
+    board.view = msgspec.structs.replace(
+        before, version=before.version + 1, groups={GROUP: new}
+    )
+    status = board.target_state("t2").status
+    board.target_state("t2").status = msgspec.structs.replace(status, term=2)
+    needs = read_needs(GROUP, Session({GROUP: LogPoint(1, 10)}, True), 60_000)
+    add_new_terms(board, before, NOW - 0.3)
+    assert eligible_for_read(needs, board, NOW + 10.0) == ["t2"]
+    refusal = eligible_for_read(needs, board, NOW + 59.8)
+    assert refusal.reason is RouteProblem.no_fresh_replica
+
+
 def test_counts_no_holder_under_another_term(board):
     write = AnsweredWrite("t0", 1, LogPoint(1, 10))
     view = board.view.groups[GROUP]
--- a/tests/scenarios/test_failures.py
+++ b/tests/scenarios/test_failures.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+from pathlib import Path
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -39,8 +40,9 @@
 class World:
     """What the steps of one scenario share."""
 
-    def __init__(self, stack: contextlib.ExitStack):
+    def __init__(self, stack: contextlib.ExitStack, folder: Path):
         self.stack = stack
+        self.folder = folder
         self.deployment: Deployment | None = None
         self.load: LoadProcesses | None = None
         self.records = []
@@ -53,7 +55,10 @@
     def start(self, statement_ms=2.0, with_relay=False):
         topology = small()
         topology.statement_ms = statement_ms
-        self.deployment = self.stack.enter_context(Deployment(topology, with_relay))
+        # pytest keeps the folder with its logs if the scenario fails.
+        self.deployment = self.stack.enter_context(
+            Deployment(topology, with_relay, folder=self.folder)
+        )
 
     def proxy(self, number):
         return self.deployment.proxy_addresses()[number - 1]
@@ -81,9 +86,9 @@
 
 
 @pytest.fixture
-def world():
+def world(tmp_path):
     with contextlib.ExitStack() as stack:
-        yield World(stack)
+        yield World(stack, tmp_path)
 
 
 @given("a deployment under load")
