--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -155,7 +155,7 @@
     def _run(self, command: Run) -> Answer:
         group = self.target.group
         statement = command.statement
-        if self.has_failed:
+        if self.transaction and self.has_failed:
             return error_answer(ErrorCode.malformed, "the transaction failed")
         with self.target.slots:
             sleep(group.rng.uniform(*WORK_S))
