Give turns at a target by length, and refuse at once who would wait in vain

Statements took turns by priority and arrival, waited for 0.9 of their objective and were refused only then; a fifth of the answers was lost, and each of those kept its turn until its timeout, which halved what the primary did.

Change: a queue of its own (sessions/turns.py, without a network) that lets the shortest kind of each priority go first by measured turns, refuses whoever would start too late (the first ones in line always stay, so that no turn is idle), and no longer counts turns that last three times as long as usual. A transaction counts with all its statements until it has begun. A refusal says what it was decided by.

First try, not kept: a share of turns counted by what kinds asked for. Refused statements come back, so it grew beyond the target and refused all with turns free.

--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -14,6 +14,7 @@
 from .floors import read_floor
 from .pool import PooledConnection
 from .statements import Answer, Position, Statement, TransactionState
+from .turns import TurnRequest
 from .waiting import Deadlines
 
 SETUP_COMMANDS = (SetValue, Prepare, Discard)
@@ -158,26 +159,24 @@
 
 @contextlib.contextmanager
 def turn(
-    context: SessionContext, target: TargetEntry, priority: int, timeout_s: float
-) -> Iterator[bool]:
+    context: SessionContext, target: TargetEntry, request: TurnRequest
+) -> Iterator[None]:
     """Waits for the turn of a statement that takes one of the target's slots.
 
     Only the owner of a target's connections sees all that runs there, so only it
     makes statements wait.
 
-    :returns: whether the turn came in time.
+    :raises NoTurn: if the turn can't come in time; nothing ran.
     """
     board = context.board
     status = board.status(target.target_id)
-    gate = board.gate(target) if board.owns(target.service) else None
     status.in_flight += 1
     try:
-        granted = gate is None or gate.enter(priority, timeout_s)
-        try:
-            yield granted
-        finally:
-            if gate is not None and granted:
-                gate.leave()
+        if not board.owns(target.service):
+            yield
+            return
+        with board.gate(target).turn(request):
+            yield
     finally:
         status.in_flight -= 1
 
@@ -187,17 +186,16 @@
     context: SessionContext,
     target: TargetEntry,
     state: SessionState,
-    priority: int,
-    timeout_s: float,
+    request: TurnRequest,
 ) -> Iterator[PooledConnection | None]:
     """Lends a connection for one statement, once its turn has come.
 
     :returns: ``None`` if there is none in time; nothing ran.
+    :raises NoTurn: if the turn can't come in time; nothing ran.
     """
-    with turn(context, target, priority, timeout_s) as granted:
-        pooled = None
-        if granted:
-            pooled = borrow(context, target, state, priority, timeout_s)
+    with turn(context, target, request):
+        timeout_s = max(request.give_up_at - context.now(), 0.0)
+        pooled = borrow(context, target, state, request.priority, timeout_s)
         try:
             yield pooled
         finally:
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -199,7 +199,7 @@
         """Returns the turns of a target's statements."""
         gate = self.gates.get(target.target_id)
         if gate is None:
-            gate = self.gates[target.target_id] = RunGate(target.slots)
+            gate = self.gates[target.target_id] = RunGate(target.slots, self.clock)
         return gate
 
     def pool_limit(self, service: str) -> int:
--- a/src/godwitwheel/sessions/errors.py
+++ b/src/godwitwheel/sessions/errors.py
@@ -35,5 +35,16 @@
         self.timed_out = timed_out
 
 
+class NoTurn(SessionsError):
+    """A statement could not have its turn at a target in time; nothing ran.
+
+    :ivar retry_after_s: when the load that is in line will be gone, in seconds.
+    """
+
+    def __init__(self, message: str, retry_after_s: float):
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
 class PoolExhausted(SessionsError):
     """No pooled connection became free in time; nothing ran."""
--- a/src/godwitwheel/sessions/gate.py
+++ b/src/godwitwheel/sessions/gate.py
@@ -1,69 +1,89 @@
-"""Decides how many statements an owner lets run at a target at once.
+"""Lets a limited number of statements run at a target at once.
 
-It answers a load near the capacity of targets with two or three slots: what waits at a
-target is served in order of arrival, what waits here by priority, and can still be
-refused while its caller has time to come back.
+What waits at a target is served in order of arrival; what waits here is served in the
+order of :mod:`.turns`, and can still be refused while its caller has time to come back.
 """
 
-import itertools
+import contextlib
+from collections.abc import Iterator
 
+from ..internal.clock import Clock
 from ..internal.loop import Event, wait_for
+from .errors import NoTurn
+from .turns import QueuedTurn, RunningTurn, TurnQueue, TurnRequest
 
 # Statements beyond the slots that are at the target already, so that a slot that
 # becomes free has work at once.
 STATEMENTS_AHEAD = 1
 
 
-class GateWaiter:
-    """A statement that waits for its turn; the lowest key goes first."""
-
-    __slots__ = ("key", "event")
-
-    def __init__(self, key: tuple[int, int]):
-        self.key = key
-        self.event = Event()
-
-
 class RunGate:
-    """Counts the statements that run at one target.
+    """Makes statements wait for their turn at one target.
 
-    :ivar limit: how many may run at once.
-    :ivar running: how many do.
+    :ivar events: what each waiting statement is woken by; it is sent whether the
+        statement got its turn.
     """
 
-    __slots__ = ("limit", "running", "waiters", "numbers")
+    __slots__ = ("clock", "queue", "events")
 
-    def __init__(self, slots: int):
-        self.limit = max(slots, 1) + STATEMENTS_AHEAD
-        self.running = 0
-        self.waiters: list[GateWaiter] = []
-        self.numbers = itertools.count()
+    def __init__(self, slots: int, clock: Clock):
+        self.clock = clock
+        self.queue = TurnQueue(max(slots, 1) + STATEMENTS_AHEAD)
+        self.events: dict[QueuedTurn, Event] = {}
 
-    def enter(self, priority: int, timeout_s: float) -> bool:
-        """Waits for a turn.
+    @contextlib.contextmanager
+    def turn(self, request: TurnRequest) -> Iterator[None]:
+        """Holds a turn inside the block.
 
-        :param priority: 0 goes first.
-        :returns: whether it came in time.
+        :raises NoTurn: if none can be had in time; nothing ran.
         """
-        if self.running < self.limit and not self.waiters:
-            self.running += 1
-            return True
-        waiter = GateWaiter((priority, next(self.numbers)))
-        self.waiters.append(waiter)
-        if wait_for(waiter.event, timeout_s):
-            return True
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
-            return False
-        # Its turn came together with the end of its time.
-        self.leave()
-        return False
-
-    def leave(self) -> None:
-        """Ends a turn and lets the next one in."""
-        self.running -= 1
-        if self.waiters and self.running < self.limit:
-            first = min(self.waiters, key=lambda waiter: waiter.key)
-            self.waiters.remove(first)
-            self.running += 1
-            first.event.send()
+        running = self._enter(request)
+        try:
+            yield
+        finally:
+            self.queue.end(running, self.clock.now())
+            self._admit()
+
+    def _enter(self, request: TurnRequest) -> RunningTurn:
+        running = self.queue.arrive(request, self.clock.now())
+        if running is not None:
+            return running
+        turn = self.queue.join(request)
+        event = self.events[turn] = Event()
+        self._admit()
+        self._refuse_hopeless()
+        left_s = request.give_up_at - self.clock.now()
+        try:
+            if wait_for(event, left_s) and event.wait():
+                return turn.running
+        except BaseException:
+            # The waiting task is killed; a turn that it got meanwhile goes on.
+            self._withdraw(turn, event)
+            raise
+        self._withdraw(turn, event)
+        raise NoTurn(f"no turn in time, {self._describe(turn)}", self.queue.wait_s())
+
+    def _describe(self, refused: QueuedTurn) -> str:
+        """Returns what a refusal was decided by."""
+        queue = self.queue
+        return (
+            f"{len(queue.running)} of {queue.limit} run, {len(queue.waiting)} wait, "
+            f"turn of {1000 * refused.expected_s:.0f} ms, {refused.left_share:.0%} of "
+            f"the turns left by others"
+        )
+
+    def _withdraw(self, turn: QueuedTurn, event: Event) -> None:
+        self.events.pop(turn, None)
+        if turn in self.queue.waiting:
+            self.queue.waiting.remove(turn)
+        elif turn.running is not None:
+            self.queue.end(turn.running, self.clock.now())
+            self._admit()
+
+    def _refuse_hopeless(self) -> None:
+        for turn in self.queue.take_hopeless(self.clock.now()):
+            self.events.pop(turn).send(False)
+
+    def _admit(self) -> None:
+        while (turn := self.queue.take_next(self.clock.now())) is not None:
+            self.events.pop(turn).send(True)
--- a/src/godwitwheel/sessions/single_run.py
+++ b/src/godwitwheel/sessions/single_run.py
@@ -10,9 +10,11 @@
 from .attempts import has_waited_enough, lent, mark_not_leading
 from .choosing import choose_primary
 from .context import SessionContext, SessionState
+from .errors import NoTurn
 from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
 from .statements import Answer, ErrorCode, Statement, error_answer
+from .turns import TurnRequest
 from .waiting import RETRY_PAUSE_S, Deadlines, refusal_text
 
 # What a refused caller is told to wait, in milliseconds.
@@ -59,7 +61,10 @@
     def run(self) -> Answer:
         """Returns the final answer."""
         while True:
-            answer = self.attempt()
+            try:
+                answer = self.attempt()
+            except NoTurn as error:
+                return self._finish(self._refuse(error))
             if answer is not None:
                 return self._finish(answer)
             if self.is_over():
@@ -92,6 +97,15 @@
         text = refusal_text(self.attempts.reason or "no target is free", RETRY_BUSY_MS)
         return error_answer(ErrorCode.overloaded, text)
 
+    def _refuse(self, error: NoTurn) -> Answer:
+        """Returns the answer to a statement that can't have its turn in time."""
+        self.attempts.reason = f"{self.attempts.target_id}: {error}"
+        if self.was_sent:
+            return error_answer(ErrorCode.timed_out, self.attempts.reason)
+        retry_after_ms = max(round(1000 * error.retry_after_s), RETRY_BUSY_MS)
+        text = refusal_text(self.attempts.reason, retry_after_ms)
+        return error_answer(ErrorCode.overloaded, text)
+
     def _is_overloaded(self) -> bool:
         """Whether a target is there that has no room."""
         return self.refusal is not None and self.refusal.error is ErrorCode.overloaded
@@ -107,13 +121,16 @@
 
     @contextlib.contextmanager
     def lent(self, target: TargetEntry) -> Iterator[PooledConnection | None]:
-        """Lends a connection to a target, or ``None`` if there is none in time."""
-        now = self.context.now()
+        """Lends a connection to a target, or ``None`` if there is none in time.
+
+        :raises NoTurn: if the statement can't have its turn there in time.
+        """
         self.attempts.count += 1
         self.attempts.target_id = target.target_id
-        timeout_s = max(self.deadlines.give_up_at - now, 0.0)
-        priority = self.route.priority
-        with lent(self.context, target, self.state, priority, timeout_s) as pooled:
+        request = TurnRequest(
+            self.route.database, self.route.priority, self.deadlines.give_up_at
+        )
+        with lent(self.context, target, self.state, request) as pooled:
             if pooled is None:
                 self.attempts.reason = f"no connection to {target.target_id}"
             yield pooled
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -19,7 +19,7 @@
 from .choosing import choose_primary, choose_reader
 from .connection import Begin, Rollback
 from .context import SessionContext, SessionState
-from .errors import ConnectionLost
+from .errors import ConnectionLost, NoTurn
 from .open_transaction import OpenTransaction
 from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
@@ -32,6 +32,7 @@
     TransactionState,
     error_answer,
 )
+from .turns import TurnRequest
 from .waiting import RETRY_PAUSE_S, Deadlines, refusal_text
 
 ROLLBACK_TIMEOUT_S = 0.5
@@ -48,6 +49,8 @@
     :ivar is_guarded: whether it began as one that may write, so that the target
         refuses its statements once it has lost the lead.
     :ivar has_written: whether a write has run.
+    :ivar turns: statements of it that had their turn at the target.
+    :ivar turn_kind: what these are counted as.
     """
 
     __slots__ = (
@@ -61,6 +64,8 @@
         "has_written",
         "excluded",
         "attempts",
+        "turns",
+        "turn_kind",
     )
 
     def __init__(
@@ -82,6 +87,8 @@
         self.has_written = False
         self.excluded: set[str] = set()
         self.attempts = Attempts()
+        self.turns = 0
+        self.turn_kind = f"{route.database}, in a transaction"
 
     def run(self, statement: Statement) -> Answer:
         """Runs a statement, opening the transaction first if need be."""
@@ -125,6 +132,7 @@
         pooled, self.pooled = self.pooled, None
         if pooled is None:
             return
+        self._note_turns(pooled)
         try:
             if not pooled.is_broken:
                 exchange(self.context, pooled, [Rollback()], ROLLBACK_TIMEOUT_S)
@@ -257,21 +265,38 @@
             sleep(RETRY_PAUSE_S)
 
     def _exchange(self, statement: Statement, timeout_s: float) -> Answer:
-        """Runs a statement on the connection once its turn has come.
+        """Runs a statement on the connection once its turn has come."""
+        pooled = self.pooled
+        target = pooled.pool.target
+        try:
+            with turn(self.context, target, self._turn_request(timeout_s)):
+                self.turns += 1
+                if self.has_failed or self.pooled is not pooled:
+                    # The connection may serve another transaction by now.
+                    return error_answer(ErrorCode.aborted, "the transaction has ended")
+                commands = commands_to_run(pooled, self.state, statement)
+                return exchange(self.context, pooled, commands, timeout_s)[-1]
+        except NoTurn as error:
+            return error_answer(ErrorCode.overloaded, str(error))
 
-        Transactions go first: while they wait they hold connections, and what they
-        have done so far is lost if they are refused.
+    def _turn_request(self, timeout_s: float) -> TurnRequest:
+        """Returns what a statement waits with.
+
+        A transaction under way goes first: while it waits it holds a connection, and
+        what it has done so far is lost if it is refused.
         """
-        pooled = self.pooled
+        give_up_at = self.context.now() + timeout_s
+        if self.turns:
+            return TurnRequest(self.turn_kind, TRANSACTION_PRIORITY, give_up_at)
+        priority = self.route.priority
+        return TurnRequest(self.turn_kind, priority, give_up_at, opens_transaction=True)
+
+    def _note_turns(self, pooled: PooledConnection) -> None:
+        """Lets the target's queue know how long such a transaction is."""
         target = pooled.pool.target
-        with turn(self.context, target, TRANSACTION_PRIORITY, timeout_s) as granted:
-            if self.has_failed or self.pooled is not pooled:
-                # The connection may serve another transaction by now.
-                return error_answer(ErrorCode.aborted, "the transaction has ended")
-            if not granted:
-                return error_answer(ErrorCode.overloaded, "no turn in time")
-            commands = commands_to_run(pooled, self.state, statement)
-            return exchange(self.context, pooled, commands, timeout_s)[-1]
+        if self.turns and self.context.board.owns(target.service):
+            gate = self.context.board.gate(target)
+            gate.queue.note_transaction(self.turn_kind, self.turns)
 
     def _may_repeat(self, answer: Answer, deadlines: Deadlines) -> bool:
         is_open = answer.state is TransactionState.open
@@ -304,6 +329,7 @@
             self.state.note_commit(self.route.service, answer.position)
         if answer.state is TransactionState.idle:
             self.pooled = None
+            self._note_turns(pooled)
             give_back(pooled)
         else:
             self.abandon("the commit was refused")
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -1,57 +1,151 @@
-"""Turns at a target: priority, time limits, and the load that they answer."""
+"""Statements that wait for their turn at a target."""
 
-from godwitwheel.internal.loop import sleep, spawn
+import contextlib
+
+import pytest
+
+from godwitwheel.internal.clock import BootClock
+from godwitwheel.internal.loop import Event, sleep, spawn
+from godwitwheel.sessions.errors import NoTurn
 from godwitwheel.sessions.gate import STATEMENTS_AHEAD, RunGate
+from godwitwheel.sessions.turns import MOST_AT_ONCE, TurnRequest
 
 SLOTS = 2
 PATIENT_S = 5.0
 
 
-def full_gate():
-    gate = RunGate(SLOTS)
-    for _ in range(SLOTS + STATEMENTS_AHEAD):
-        assert gate.enter(1, PATIENT_S)
+class Gate:
+    """A gate whose turns are held until the test ends them."""
+
+    def __init__(self):
+        self.clock = BootClock()
+        self.gate = RunGate(SLOTS, self.clock)
+        self.served: list[str] = []
+        self.refused: list[str] = []
+
+    @property
+    def running(self):
+        return len(self.gate.queue.running)
+
+    def hold(self, name, priority, patience_s, release):
+        request = TurnRequest("view", priority, self.clock.now() + patience_s)
+        try:
+            with self.gate.turn(request):
+                self.served.append(name)
+                release.wait()
+        except NoTurn:
+            self.refused.append(name)
+
+    def start(self, name, priority=1, patience_s=PATIENT_S):
+        release = Event()
+        task = spawn(self.hold, name, priority, patience_s, release)
+        sleep()
+        return release, task
+
+
+@pytest.fixture
+def full():
+    """A gate at which as many statements run as may."""
+    gate = Gate()
+    gate.held = [gate.start("first") for _ in range(SLOTS + STATEMENTS_AHEAD)]
+    gate.served.clear()
     return gate
 
 
-def test_as_many_run_as_there_are_slots_and_one_ahead():
-    assert full_gate().running == SLOTS + STATEMENTS_AHEAD
+def end(held):
+    release, task = held
+    release.send()
+    task.wait()
+    sleep()
+
+
+def test_as_many_run_as_there_are_slots_and_one_ahead(full):
+    assert full.running == SLOTS + STATEMENTS_AHEAD
+
 
+def test_a_statement_whose_time_is_over_gets_no_turn(full):
+    _, task = full.start("late", patience_s=0.0)
+    task.wait()
+    assert (full.served, full.refused) == ([], ["late"])
+    assert full.gate.queue.waiting == []
+    assert full.running == SLOTS + STATEMENTS_AHEAD
 
-def test_a_statement_whose_time_is_over_gets_no_turn():
-    gate = full_gate()
-    assert not gate.enter(1, 0.0)
-    assert gate.waiters == []
-    assert gate.running == SLOTS + STATEMENTS_AHEAD
 
+def test_the_more_important_goes_first_and_equals_in_order(full):
+    names = ((2, "view-1"), (2, "view-2"), (1, "order"), (-1, "tx"))
+    waiting = [full.start(name, priority) for priority, name in names]
+    for held in full.held:
+        end(held)
+    for release, _ in waiting:
+        release.send()
+    for _, task in waiting:
+        task.wait()
+    assert full.served == ["tx", "order", "view-1", "view-2"]
 
-def test_the_more_important_goes_first_and_equals_in_order():
-    gate = full_gate()
-    served = []
 
-    def wait(priority, name):
-        if gate.enter(priority, PATIENT_S):
-            served.append(name)
-            gate.leave()
+def test_who_would_wait_past_its_time_is_refused_at_once(full):
+    full.gate.queue.turn_s["view"] = 1.0
+    for _ in range(full.gate.queue.limit):
+        full.start("patient")
+    full.start("hurried", patience_s=0.2)
+    assert (full.served, full.refused) == ([], ["hurried"])
 
+
+def test_a_turn_that_lasts_far_too_long_lets_others_in(full):
+    """Its answer may be lost, and the target has room."""
+    limit = full.gate.queue.limit
+    for turn in full.gate.queue.running:
+        turn.overdue_at = full.clock.now()
+    waiting = [full.start("next") for _ in range(limit + 1)]
+    assert full.served == ["next"] * limit
+    assert full.running == 2 * limit
+    for held in [*full.held, *waiting]:
+        end(held)
+    assert full.running == 0
+
+
+def test_a_target_that_stands_still_gets_no_more_than_some(full):
+    limit = full.gate.queue.limit
+    for _ in range(MOST_AT_ONCE):
+        for turn in full.gate.queue.running:
+            turn.overdue_at = full.clock.now()
+        for _ in range(limit):
+            full.start("next")
+    assert full.running == MOST_AT_ONCE * limit
+
+
+def test_a_killed_task_leaves_its_turn_to_others(full):
+    _, killed = full.start("killed")
+    release, task = full.start("next")
+    killed.kill()
+    end(full.held[0])
+    release.send()
+    task.wait()
+    assert full.served == ["next"]
+    assert full.gate.events == {}
+
+
+def test_a_turn_is_never_lost():
+    gate = Gate()
     tasks = [
-        spawn(wait, priority, name)
-        for priority, name in ((2, "view-1"), (2, "view-2"), (1, "order"), (-1, "tx"))
+        spawn(gate.hold, "brief", 1, 0.001 * (number % 7), Ended(0.002))
+        for number in range(60)
     ]
-    sleep()
-    gate.leave()
     for task in tasks:
         task.wait()
-    assert served == ["tx", "order", "view-1", "view-2"]
+    assert len(gate.served) + len(gate.refused) == 60
+    with contextlib.ExitStack() as stack:
+        for _ in range(SLOTS + STATEMENTS_AHEAD):
+            now = gate.clock.now()
+            stack.enter_context(gate.gate.turn(TurnRequest("view", 1, now)))
+        assert gate.running == SLOTS + STATEMENTS_AHEAD
 
 
-def test_a_turn_is_never_lost():
-    gate = full_gate()
-    tasks = [spawn(gate.enter, 1, 0.001 * number) for number in range(20)]
-    sleep(0.005)
-    for _ in range(5):
-        gate.leave()
-        sleep(0.002)
-    granted = sum(task.wait() for task in tasks)
-    assert gate.running == SLOTS + STATEMENTS_AHEAD - 5 + granted
-    assert gate.waiters == []
+class Ended:
+    """Stands for work that ends by itself."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+
+    def wait(self):
+        sleep(self.seconds)
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -1,5 +1,7 @@
 """Statements that the owner of the connections runs for a proxy."""
 
+import contextlib
+
 import msgspec
 import pytest
 
@@ -13,6 +15,7 @@
 from godwitwheel.sessions.runner import RunnerChoice
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
+from godwitwheel.sessions.turns import TurnRequest
 from godwitwheel.wire.errors import NoReply, NotSent
 from godwitwheel.wire.server import Request
 from godwitwheel.wire.service import Access
@@ -207,10 +210,14 @@
 
 
 def fill_gate(deployment):
-    gate = deployment.targets.board.gate(deployment.targets.board.view.targets["t1"])
-    for _ in range(gate.limit):
-        assert gate.enter(0, 1.0)
-    return gate
+    """Takes every turn at the primary, until the returned stack is closed."""
+    board = deployment.targets.board
+    gate = board.gate(board.view.targets["t1"])
+    stack = contextlib.ExitStack()
+    for _ in range(gate.queue.limit):
+        request = TurnRequest("other", 0, board.clock.now() + 1.0)
+        stack.enter_context(gate.turn(request))
+    return stack
 
 
 def test_a_statement_that_waits_for_its_turn_does_not_run_once_its_transaction_ended(
@@ -218,12 +225,12 @@
 ):
     """Its proxy has given up; the connection may serve another transaction by now."""
     session, handle = open_transaction(deployment)
-    gate = fill_gate(deployment)
+    turns = fill_gate(deployment)
     answers = []
     task = spawn(lambda: answers.append(session.execute(write("w2"))))
     sleep()
     deployment.owner.end(handle)
-    gate.leave()
+    turns.close()
     task.wait()
     assert answers[0].error is ErrorCode.aborted
     assert [run.request_id for run in deployment.targets.runs()] == ["w1"]
@@ -233,7 +240,7 @@
 
 def test_a_second_statement_beside_one_that_runs_is_refused(deployment):
     session, handle = open_transaction(deployment)
-    gate = fill_gate(deployment)
+    turns = fill_gate(deployment)
     task = spawn(session.execute, write("w2"))
     sleep()
     late = deployment.session()
@@ -241,7 +248,7 @@
     late.transaction.handle = handle
     late.transaction.owner = OWNERS[SERVICE]
     assert late.execute(write("w3")).error is ErrorCode.aborted
-    gate.leave()
+    turns.close()
     assert task.wait().error is None
     assert [run.request_id for run in deployment.targets.runs()] == ["w1", "w2"]
 
