Let a proxy that is cut off find out at once, by asking the owners

A proxy noticed that it was cut off only when calls to most owners had timed out, one after the other, at four calls a second; some did not within the cut of 5 s, and the zone was not served for all of it.

Change: an owner that answers nothing for 0.2 s is asked whether it is there, control too, and all owners once control is lost. Idle sessions are ended again and again, as callers may come back for as long as another proxy has not noticed.

--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -96,7 +96,6 @@
         connections for those that do.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
-    :ivar lost_owners: services whose owner did not answer the last call.
     :ivar leaving_grace_s: how long a primary that leaves may get new work while its
         replacement is on its way.
     :ivar leaving_since: targets that leave, and when this process learned of it.
@@ -116,7 +115,6 @@
         "statuses",
         "beliefs",
         "histories",
-        "lost_owners",
         "leaving_grace_s",
         "leaving_since",
         "changed",
@@ -142,7 +140,6 @@
         self.statuses: dict[str, TargetStatus] = {}
         self.beliefs: dict[str, PrimaryBelief] = {}
         self.histories: dict[str, PositionHistory] = {}
-        self.lost_owners: set[str] = set()
         self.leaving_grace_s = LEAVING_GRACE_S
         self.leaving_since: dict[str, float] = {}
         self.changed = ChangeSignal()
--- a/src/godwitwheel/sessions/isolation.py
+++ b/src/godwitwheel/sessions/isolation.py
@@ -4,6 +4,9 @@
 SILENCE_S = 0.6
 # The balancer needs two questions, one a second, to take a proxy out.
 NOTICED_S = 2.2
+# From then on idle sessions are ended this often: callers may come back here for as
+# long as another proxy of the data centre has not noticed that it is cut off.
+END_INTERVAL_S = 0.5
 
 
 class Isolation:
@@ -14,40 +17,47 @@
 
     :ivar is_isolated: whether new callers should go elsewhere.
     :ivar since: when that began, in seconds of the clock.
+    :ivar end_sessions_at: when idle sessions are to be ended next.
     """
 
-    __slots__ = ("is_isolated", "since", "has_ended_sessions")
+    __slots__ = ("is_isolated", "since", "end_sessions_at")
 
     def __init__(self):
         self.is_isolated = False
         self.since = 0.0
-        self.has_ended_sessions = False
+        self.end_sessions_at = 0.0
 
     def update(
-        self, answered_at: float | None, proofs: list[float], now: float
+        self,
+        answered_at: float | None,
+        is_lost: bool,
+        proofs: list[float],
+        now: float,
     ) -> bool:
         """Takes in what was heard last.
 
         :param answered_at: when control answered last, ``None`` if it never did.
-        :param proofs: when each service's primary proved to lead last.
+        :param is_lost: whether control has not answered the last report.
+        :param proofs: when each service's primary proved to lead last, or its owner
+            was within reach.
         :returns: whether the verdict changed.
         """
-        lacks_control = answered_at is None or now - answered_at > SILENCE_S
+        lacks_control = answered_at is None or (
+            is_lost and now - answered_at > SILENCE_S
+        )
         missing = sum(1 for proof_at in proofs if now - proof_at > SILENCE_S)
         isolated = lacks_control and 2 * missing > len(proofs)
         changed = isolated is not self.is_isolated
         if changed:
             self.is_isolated = isolated
             self.since = now
-            self.has_ended_sessions = False
+            self.end_sessions_at = now + NOTICED_S
         return changed
 
     def should_end_sessions(self, now: float) -> bool:
         """Whether to end idle sessions now, so that their callers come back
-        elsewhere; true once for each time of isolation."""
-        if not self.is_isolated or self.has_ended_sessions:
+        elsewhere."""
+        if not self.is_isolated or now < self.end_sessions_at:
             return False
-        if now - self.since < NOTICED_S:
-            return False
-        self.has_ended_sessions = True
+        self.end_sessions_at = now + END_INTERVAL_S
         return True
--- a/src/godwitwheel/sessions/owner_silence.py
+++ b/src/godwitwheel/sessions/owner_silence.py
@@ -48,13 +48,22 @@
         """Notes an answer to any call."""
         self.records.setdefault(owner.address, OwnerRecord()).waiting_since = None
 
-    def is_silent(self, owner: OwnerEntry, now: float) -> bool:
-        """Whether a call would wait in vain; now and then one is let through."""
+    def lasted_s(self, owner: OwnerEntry, now: float) -> float:
+        """Returns how long an owner has left calls unanswered, in seconds."""
         record = self.records.get(owner.address)
         if record is None or record.waiting_since is None:
+            return 0.0
+        return now - record.waiting_since
+
+    def is_proven(self, owner: OwnerEntry, now: float) -> bool:
+        """Whether an owner has left calls unanswered for too long."""
+        return self.lasted_s(owner, now) >= SILENCE_S
+
+    def is_silent(self, owner: OwnerEntry, now: float) -> bool:
+        """Whether a call would wait in vain; now and then one is let through."""
+        if not self.is_proven(owner, now):
             return False
-        if now - record.waiting_since < SILENCE_S:
-            return False
+        record = self.records[owner.address]
         if now - record.tried_at >= TRIAL_INTERVAL_S:
             # The one call that it has not answered may be a slow one.
             record.tried_at = now
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -20,6 +20,7 @@
 from .http_api import HttpSessions
 from .isolation import Isolation
 from .metrics import SessionMetrics
+from .owner_watch import OwnerWatch
 from .remote import OwnerCalls, RemoteRunner
 from .reporting import ControlMembers, Reporter
 from .runner import RunnerChoice
@@ -114,16 +115,19 @@
             return False
         return not self.isolation.is_isolated
 
-    def watch_isolation(self, reporter: Reporter) -> None:
+    def watch_isolation(self, reporter: Reporter, owners: OwnerWatch) -> None:
         """Sends callers elsewhere while this proxy can serve hardly any."""
         while True:
             sleep(ISOLATION_POLL_S)
             now = self.clock.now()
+            owners.check(reporter, now)
             proofs = [
-                self._proof_of(service, now)
+                self._proof_of(service, owners, now)
                 for service in self.board.view.table.services
             ]
-            changed = self.isolation.update(reporter.answered_at, proofs, now)
+            changed = self.isolation.update(
+                reporter.answered_at, reporter.is_lost, proofs, now
+            )
             if changed:
                 record_event(
                     EventName.isolation_changed, isolated=self.isolation.is_isolated
@@ -131,11 +135,11 @@
             if self.isolation.should_end_sessions(now):
                 self.server.end_idle()
 
-    def _proof_of(self, service: str, now: float) -> float:
+    def _proof_of(self, service: str, owners: OwnerWatch, now: float) -> float:
         """Returns when a service was last known to be within reach."""
         if service not in self.board.view.owners:
             return self.board.belief(service).last_proof_at
-        return -math.inf if service in self.board.lost_owners else now
+        return now if owners.is_reached(service, now) else -math.inf
 
     def run(self, stop: StopRequest, make_link: Callable[[Stream], CallerLink]) -> None:
         """Serves until the process is told to stop.
@@ -176,7 +180,7 @@
             stack.enter_context(running_task(expiry, record_failure))
 
             def watch() -> None:
-                self.watch_isolation(reporter)
+                self.watch_isolation(reporter, OwnerWatch(calls))
 
             stack.enter_context(running_task(watch, record_failure))
             stop.wait()
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -34,6 +34,7 @@
 # What the owner may take beyond the statement's own time, in seconds.
 CALL_SLACK_S = 0.05
 END_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 0.4
 RETRY_OWNER_MS = 300
 # How long a new owner is waited for when the old one can't be reached.
 OWNER_WAIT_S = 0.1
@@ -81,7 +82,6 @@
             self.silence.answered(owner, self.context.now())
             if status != 200:
                 raise OwnerLost(f"{owner.proxy_id} answered {status}", True)
-            self.context.board.lost_owners.discard(request.route.service)
             return decode(body, RunReply)
         except NotSent as error:
             raise self._lost(owner, request, error, False) from error
@@ -90,6 +90,22 @@
                 raise
             raise self._lost(owner, request, error, True) from error
 
+    def ask(self, owner: OwnerEntry) -> None:
+        """Finds out whether an owner answers at all; it has nothing to do for it."""
+        self.silence.sent(owner, self.context.now())
+        try:
+            body = encode(EndRequest(""))
+            self.client.exchange(owner.address, "POST", END_PATH, body, ASK_TIMEOUT_S)
+        except WireError as error:
+            self.context.log.record(
+                EventName.owner_unreachable,
+                self.context.now(),
+                owner=owner.proxy_id,
+                reason=str(error),
+            )
+            return
+        self.silence.answered(owner, self.context.now())
+
     def end(self, owner: OwnerEntry, handle: str) -> None:
         """Ends a transaction; an owner that misses it does so by itself later."""
         try:
@@ -118,7 +134,6 @@
             was_sent=was_sent,
             reason=str(error),
         )
-        self.context.board.lost_owners.add(request.route.service)
         # Control may have named another owner meanwhile.
         self.context.board.changed.notify()
         return OwnerLost(str(error), was_sent)
--- a/tests/cover/test_isolation.py
+++ b/tests/cover/test_isolation.py
@@ -1,6 +1,11 @@
 """When a proxy sends its callers elsewhere."""
 
-from godwitwheel.sessions.isolation import NOTICED_S, SILENCE_S, Isolation
+from godwitwheel.sessions.isolation import (
+    END_INTERVAL_S,
+    NOTICED_S,
+    SILENCE_S,
+    Isolation,
+)
 
 NOW = 100.0
 LATE = NOW - SILENCE_S - 0.1
@@ -8,7 +13,7 @@
 
 def isolated(answered_at, proofs):
     isolation = Isolation()
-    isolation.update(answered_at, proofs, NOW)
+    isolation.update(answered_at, True, proofs, NOW)
     return isolation.is_isolated
 
 
@@ -24,16 +29,20 @@
     assert isolated(LATE, [LATE, LATE, NOW])
 
 
-def test_sessions_end_once_and_only_after_the_balancer_noticed():
+def test_sessions_end_again_and_again_after_the_balancer_noticed():
     isolation = Isolation()
-    isolation.update(LATE, [LATE], NOW)
+    isolation.update(LATE, True, [LATE], NOW)
     assert not isolation.should_end_sessions(NOW + NOTICED_S / 2)
     assert isolation.should_end_sessions(NOW + NOTICED_S + 0.1)
     assert not isolation.should_end_sessions(NOW + NOTICED_S + 0.2)
+    again_at = NOW + NOTICED_S + 0.1 + END_INTERVAL_S
+    assert isolation.should_end_sessions(again_at)
+    isolation.update(again_at, False, [again_at], again_at)
+    assert not isolation.should_end_sessions(again_at + END_INTERVAL_S)
 
 
 def test_a_proxy_that_reaches_control_again_is_ready_at_once():
     isolation = Isolation()
-    isolation.update(LATE, [LATE], NOW)
-    assert isolation.update(NOW + 1.0, [LATE], NOW + 1.0)
+    isolation.update(LATE, True, [LATE], NOW)
+    assert isolation.update(NOW + 1.0, False, [LATE], NOW + 1.0)
     assert not isolation.is_isolated
--- /dev/null
+++ b/tests/cover/test_owner_watch.py
@@ -0,0 +1,107 @@
+"""A proxy finds out soon whether it is cut off from the owners."""
+
+import msgspec
+import pytest
+
+from godwitwheel.directory.records import OwnerEntry
+from godwitwheel.internal.loop import sleep
+from godwitwheel.sessions.owner_silence import SILENCE_S
+from godwitwheel.sessions.owner_watch import (
+    DOUBT_S,
+    QUESTION_INTERVAL_S,
+    OwnerWatch,
+)
+from godwitwheel.sessions.remote import OwnerCalls
+from godwitwheel.wire.errors import NoReply
+from tests.common.fake_sessions import SERVICE, FakeGroup
+
+OWNER = OwnerEntry("owner-1", "10.0.0.9:7441")
+
+
+class Link:
+    """Answers questions to the owner, or stays silent until it is healed.
+
+    :ivar asked: how many questions came.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.is_cut = False
+        self.asked = 0
+
+    def exchange(self, address, method, path, body, timeout_s):
+        self.asked += 1
+        if self.is_cut:
+            raise NoReply("silent")
+        return 200, b"{}"
+
+
+class FakeReporter:
+    is_lost = False
+
+
+class Proxy:
+    def __init__(self):
+        group = FakeGroup()
+        self.clock = group.clock
+        self.board = group.board
+        view = msgspec.structs.replace(
+            self.board.view, version=9, owners={SERVICE: OWNER}
+        )
+        self.board.apply_view(view)
+        self.link = Link(self.clock)
+        self.calls = OwnerCalls(group.context, self.link, "front-1")
+        self.watch = OwnerWatch(self.calls)
+        self.reporter = FakeReporter()
+
+    def check(self, after_s=0.0):
+        self.clock.advance(after_s)
+        self.watch.check(self.reporter, self.clock.now())
+        sleep()
+        return self.watch.is_reached(SERVICE, self.clock.now())
+
+
+@pytest.fixture
+def proxy():
+    return Proxy()
+
+
+def test_nobody_is_asked_without_a_doubt(proxy):
+    assert proxy.check(5.0)
+    assert proxy.link.asked == 0
+
+
+def test_a_slow_statement_is_no_reason_to_doubt_an_owner_that_answers(proxy):
+    proxy.calls.silence.sent(OWNER, proxy.clock.now())
+    assert proxy.check(DOUBT_S)
+    assert proxy.link.asked == 1
+    assert proxy.check(SILENCE_S)
+
+
+def test_an_owner_that_answers_nothing_is_out_of_reach(proxy):
+    proxy.link.is_cut = True
+    proxy.calls.silence.sent(OWNER, proxy.clock.now())
+    assert proxy.check(DOUBT_S)
+    assert not proxy.check(SILENCE_S)
+    proxy.link.is_cut = False
+    proxy.check(QUESTION_INTERVAL_S)
+    assert proxy.check()
+
+
+def test_owners_are_asked_when_control_is_lost_although_no_caller_needs_them(proxy):
+    proxy.link.is_cut = True
+    proxy.reporter.is_lost = True
+    assert proxy.check()
+    assert proxy.link.asked == 1
+    assert not proxy.check(SILENCE_S)
+
+
+def test_control_is_asked_at_once_when_an_owner_falls_silent(proxy):
+    proxy.link.is_cut = True
+    before = proxy.board.changed.event
+    proxy.calls.silence.sent(OWNER, proxy.clock.now())
+    proxy.check(DOUBT_S)
+    assert before.ready()
+    again = proxy.board.changed.event
+    proxy.check(DOUBT_S)
+    assert not again.ready()
