Split what begins a transaction at a target from the transaction

Opening tries targets until one has begun; the transaction runs statements on what it returns. No decision is changed; the tests of sessions, the machine and the owners pass as before.

--- /dev/null
+++ b/src/godwitwheel/sessions/opening.py
@@ -0,0 +1,161 @@
+"""Finds a target at which a transaction begins, and begins it there."""
+
+from ..directory.records import Consistency, Route, TargetEntry
+from ..internal.loop import sleep
+from ..internal.sentinel import Refusal
+from .attempts import (
+    borrow,
+    exchange,
+    floor_of,
+    give_back,
+    has_waited_enough,
+    mark_leading,
+    mark_not_leading,
+)
+from .carrying import commands_for_values
+from .choosing import choose_primary, choose_reader
+from .connection import Begin
+from .context import SessionContext, SessionState
+from .errors import ConnectionLost
+from .outcomes import Attempts
+from .pool import PooledConnection
+from .single_run import RETRY_BUSY_MS
+from .statements import Answer, ErrorCode, Position, error_answer
+from .waiting import RETRY_PAUSE_S, Deadlines, refusal_text
+
+
+class Opening:
+    """Tries targets until a transaction has begun, or its time is over.
+
+    :ivar runs_at_primary: whether the transaction may write, or must see every commit.
+    :ivar is_guarded: whether it began as one that may write, so that the target
+        refuses its statements once it has lost the lead.
+    :ivar excluded: targets that refused it already.
+    :ivar attempts: what was tried so far.
+    """
+
+    __slots__ = (
+        "context",
+        "state",
+        "route",
+        "runs_at_primary",
+        "is_guarded",
+        "excluded",
+        "attempts",
+    )
+
+    def __init__(
+        self,
+        context: SessionContext,
+        state: SessionState,
+        route: Route,
+        read_only: bool,
+        attempts: Attempts,
+    ):
+        self.context = context
+        self.state = state
+        self.route = route
+        is_primary_route = route.consistency is Consistency.primary
+        self.runs_at_primary = is_primary_route or not read_only
+        self.is_guarded = False
+        self.excluded: set[str] = set()
+        self.attempts = attempts
+
+    def open(self, deadlines: Deadlines) -> PooledConnection | Answer:
+        """Begins at a target.
+
+        :returns: the connection inside the transaction, or the answer to the
+            statement that was to open it.
+        """
+        while True:
+            floor = self._floor()
+            target = self._choose(floor)
+            is_lagging = target is None and isinstance(floor, Refusal)
+            if target is not None:
+                begun = self._begin(target, floor, deadlines)
+                if isinstance(begun, PooledConnection):
+                    return begun
+                is_lagging = begun is ErrorCode.lagging
+            if has_waited_enough(self.context, self.route, deadlines):
+                code = ErrorCode.lagging if is_lagging else ErrorCode.overloaded
+                text = refusal_text(
+                    self.attempts.reason or "no target is free", RETRY_BUSY_MS
+                )
+                return error_answer(code, text)
+            sleep(RETRY_PAUSE_S)
+
+    def _floor(self) -> Position | Refusal | None:
+        if self.runs_at_primary:
+            return None
+        return floor_of(self.context, self.state, self.route)
+
+    def _choose(self, floor: Position | Refusal | None) -> TargetEntry | None:
+        board, service = self.context.board, self.route.service
+        now = self.context.now()
+        if not self.runs_at_primary and not isinstance(floor, Refusal):
+            reader = choose_reader(board, service, self.excluded, floor, now)
+            if not isinstance(reader, Refusal):
+                return reader
+            self.excluded.clear()
+        # The primary needs no floor: it proves its lead when the transaction begins.
+        target = choose_primary(board, service, now)
+        if isinstance(target, Refusal):
+            self.attempts.reason = f"no primary: {target.detail}"
+            return None
+        return target
+
+    def _begin(
+        self,
+        target: TargetEntry,
+        floor: Position | Refusal | None,
+        deadlines: Deadlines,
+    ) -> PooledConnection | ErrorCode | None:
+        """Tries to begin at a target.
+
+        :returns: the connection; else why the target refused, if it did.
+        """
+        now = self.context.now()
+        timeout_s = max(deadlines.give_up_at - now, 0.0)
+        pooled = borrow(
+            self.context, target, self.state, self.route.priority, timeout_s
+        )
+        if pooled is None:
+            self.attempts.reason = f"no connection to {target.target_id}"
+            self.excluded.add(target.target_id)
+            return None
+        self.attempts.target_id = target.target_id
+        self.attempts.count += 1
+        asked_at = self.context.now()
+        answer = self._ask_to_begin(pooled, target, floor, deadlines)
+        if answer is None or answer.error is not None:
+            self.excluded.add(target.target_id)
+            return None if answer is None else answer.error
+        if self.is_guarded:
+            mark_leading(self.context, target, asked_at, answer.position)
+        return pooled
+
+    def _ask_to_begin(
+        self,
+        pooled: PooledConnection,
+        target: TargetEntry,
+        floor: Position | Refusal | None,
+        deadlines: Deadlines,
+    ) -> Answer | None:
+        commands = commands_for_values(pooled.carried, self.state.values)
+        needs_floor = not self.runs_at_primary and isinstance(floor, Position)
+        # What this proxy takes for the primary may change while it waits.
+        self.is_guarded = not needs_floor
+        begin = Begin(read_only=True, floor=floor) if needs_floor else Begin()
+        try:
+            timeout_s = deadlines.attempt_s(self.context.now())
+            answer = exchange(self.context, pooled, [*commands, begin], timeout_s)[-1]
+        except ConnectionLost as error:
+            self.attempts.reason = f"{target.target_id}: {error}"
+            give_back(pooled)
+            return None
+        if answer.error is not None:
+            self.attempts.reason = f"{target.target_id} answered {answer.error.value}"
+            if answer.error is ErrorCode.read_only:
+                mark_not_leading(self.context, target)
+            give_back(pooled)
+        return answer
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -1,39 +1,31 @@
 """One transaction of a caller, on one connection from its first statement on."""
 
-from ..directory.records import Consistency, Route, TargetEntry
+from ..directory.records import Route
 from ..internal.loop import sleep
-from ..internal.sentinel import Refusal
 from ..wire.service import Access
 from .attempts import (
-    borrow,
     commands_to_run,
     exchange,
-    floor_of,
     give_back,
-    has_waited_enough,
     mark_leading,
-    mark_not_leading,
     turn,
 )
-from .carrying import commands_for_values
-from .choosing import choose_primary, choose_reader
-from .connection import Begin, Rollback
+from .connection import Rollback
 from .context import SessionContext, SessionState
 from .errors import ConnectionLost, NoTurn
 from .open_transaction import OpenTransaction
+from .opening import Opening
 from .outcomes import Attempts, record_outcome
 from .pool import PooledConnection
-from .single_run import RETRY_BUSY_MS
 from .statements import (
     Answer,
     ErrorCode,
-    Position,
     Statement,
     TransactionState,
     error_answer,
 )
 from .turns import TurnRequest
-from .waiting import RETRY_PAUSE_S, Deadlines, refusal_text
+from .waiting import RETRY_PAUSE_S, Deadlines
 
 ROLLBACK_TIMEOUT_S = 0.5
 # Goes before every route's priority.
@@ -43,11 +35,8 @@
 class Transaction(OpenTransaction):
     """Opens at a target with the first statement and ends there.
 
-    :ivar runs_at_primary: whether it may write, or must see every commit; the
-        target then refuses its statements once it has lost the lead.
+    :ivar opening: finds the target at which it begins.
     :ivar pooled: the connection, from the first statement on.
-    :ivar is_guarded: whether it began as one that may write, so that the target
-        refuses its statements once it has lost the lead.
     :ivar has_written: whether a write has run.
     :ivar turns: statements of it that had their turn at the target.
     :ivar turn_kind: what these are counted as.
@@ -58,11 +47,9 @@
         "state",
         "route",
         "read_only",
-        "runs_at_primary",
+        "opening",
         "pooled",
-        "is_guarded",
         "has_written",
-        "excluded",
         "attempts",
         "turns",
         "turn_kind",
@@ -80,13 +67,10 @@
         self.state = state
         self.route = route
         self.read_only = read_only
-        is_primary_route = route.consistency is Consistency.primary
-        self.runs_at_primary = is_primary_route or not read_only
+        self.attempts = Attempts()
+        self.opening = Opening(context, state, route, read_only, self.attempts)
         self.pooled: PooledConnection | None = None
-        self.is_guarded = False
         self.has_written = False
-        self.excluded: set[str] = set()
-        self.attempts = Attempts()
         self.turns = 0
         self.turn_kind = f"{route.database}, in a transaction"
 
@@ -147,102 +131,14 @@
 
         :returns: ``None`` once it is open, else the answer to the statement.
         """
-        is_lagging = False
-        while self.pooled is None:
-            floor = self._floor()
-            target = self._choose(floor)
-            if target is None:
-                is_lagging = isinstance(floor, Refusal)
-            else:
-                is_lagging = self._begin(target, floor, deadlines)
-            if self.pooled is not None:
-                return None
-            if has_waited_enough(self.context, self.route, deadlines):
-                self.has_failed = True
-                code = ErrorCode.lagging if is_lagging else ErrorCode.overloaded
-                text = refusal_text(
-                    self.attempts.reason or "no target is free", RETRY_BUSY_MS
-                )
-                return error_answer(code, text)
-            sleep(RETRY_PAUSE_S)
-        return None
-
-    def _floor(self) -> Position | Refusal | None:
-        if self.runs_at_primary:
-            return None
-        return floor_of(self.context, self.state, self.route)
-
-    def _choose(self, floor: Position | Refusal | None) -> TargetEntry | None:
-        board, service = self.context.board, self.route.service
-        now = self.context.now()
-        if not self.runs_at_primary and not isinstance(floor, Refusal):
-            reader = choose_reader(board, service, self.excluded, floor, now)
-            if not isinstance(reader, Refusal):
-                return reader
-            self.excluded.clear()
-        # The primary needs no floor: it proves its lead when the transaction begins.
-        target = choose_primary(board, service, now)
-        if isinstance(target, Refusal):
-            self.attempts.reason = f"no primary: {target.detail}"
+        if self.pooled is not None:
             return None
-        return target
-
-    def _begin(
-        self,
-        target: TargetEntry,
-        floor: Position | Refusal | None,
-        deadlines: Deadlines,
-    ) -> bool:
-        """Tries to begin at a target.
-
-        :returns: whether it refused since its log lacks the floor.
-        """
-        now = self.context.now()
-        timeout_s = max(deadlines.give_up_at - now, 0.0)
-        pooled = borrow(
-            self.context, target, self.state, self.route.priority, timeout_s
-        )
-        if pooled is None:
-            self.attempts.reason = f"no connection to {target.target_id}"
-            self.excluded.add(target.target_id)
-            return False
-        self.attempts.target_id = target.target_id
-        self.attempts.count += 1
-        asked_at = self.context.now()
-        answer = self._ask_to_begin(pooled, target, floor, deadlines)
-        if answer is None or answer.error is not None:
-            self.excluded.add(target.target_id)
-            return answer is not None and answer.error is ErrorCode.lagging
-        if self.is_guarded:
-            mark_leading(self.context, target, asked_at, answer.position)
-        self.pooled = pooled
-        return False
-
-    def _ask_to_begin(
-        self,
-        pooled: PooledConnection,
-        target: TargetEntry,
-        floor: Position | Refusal | None,
-        deadlines: Deadlines,
-    ) -> Answer | None:
-        commands = commands_for_values(pooled.carried, self.state.values)
-        needs_floor = not self.runs_at_primary and isinstance(floor, Position)
-        # What this proxy takes for the primary may change while it waits.
-        self.is_guarded = not needs_floor
-        begin = Begin(read_only=True, floor=floor) if needs_floor else Begin()
-        try:
-            timeout_s = deadlines.attempt_s(self.context.now())
-            answer = exchange(self.context, pooled, [*commands, begin], timeout_s)[-1]
-        except ConnectionLost as error:
-            self.attempts.reason = f"{target.target_id}: {error}"
-            give_back(pooled)
-            return None
-        if answer.error is not None:
-            self.attempts.reason = f"{target.target_id} answered {answer.error.value}"
-            if answer.error is ErrorCode.read_only:
-                mark_not_leading(self.context, target)
-            give_back(pooled)
-        return answer
+        opened = self.opening.open(deadlines)
+        if isinstance(opened, Answer):
+            self.has_failed = True
+            return opened
+        self.pooled = opened
+        return None
 
     def _run(self, statement: Statement, deadlines: Deadlines) -> Answer:
         """Runs a statement, again as long as the target says it has not run it."""
@@ -256,7 +152,7 @@
                 # No commit was sent, so closing the connection keeps nothing, and
                 # the caller may start again while it still has time.
                 return error_answer(ErrorCode.aborted, str(error))
-            if answer.error is None and self.is_guarded:
+            if answer.error is None and self.opening.is_guarded:
                 target = pooled.pool.target
                 mark_leading(self.context, target, asked_at, answer.position)
             if self.pooled is not pooled or not self._may_repeat(answer, deadlines):
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -71,7 +71,7 @@
         self.client = DirectClient(self.owner)
         calls = OwnerCalls(self.front.context, self.client, "front-1")
         self.runners = RunnerChoice(self.front.context, RemoteRunner(calls))
-        for module in ("single_run", "transaction"):
+        for module in ("single_run", "transaction", "opening"):
             monkeypatch.setattr(
                 f"godwitwheel.sessions.{module}.sleep", self.targets.clock.advance
             )
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -25,7 +25,7 @@
 def group(monkeypatch):
     """A group whose statements wait in simulated time."""
     made = FakeGroup()
-    for module in ("single_run", "transaction"):
+    for module in ("single_run", "transaction", "opening"):
         monkeypatch.setattr(f"godwitwheel.sessions.{module}.sleep", made.clock.advance)
     return made
 
--- a/tests/cover/test_sessions_machine.py
+++ b/tests/cover/test_sessions_machine.py
@@ -59,7 +59,7 @@
         self.group = FakeGroup()
         self.patches = [
             mock.patch(f"godwitwheel.sessions.{module}.sleep", self.group.clock.advance)
-            for module in ("single_run", "transaction")
+            for module in ("single_run", "transaction", "opening")
         ]
         for patch in self.patches:
             patch.start()
