Send proxies the differences of routing tables, and report the cost of turns

Change: a view goes without its table; of that a proxy is sent the routes that differ from the version that it holds, whole if the leader does not remember it. A reply for another version than the proxy holds is passed over. The load that goes first in a line of turns is summed once an arrival.

--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -1,5 +1,7 @@
 """What a control member does for the directory; most of it only while it leads."""
 
+import msgspec
+
 from ..consensus.driver import ConsensusLog
 from ..control.committer import Committer, LeadershipConfirmer
 from ..control.errors import NotLeading
@@ -18,6 +20,7 @@
 from .errors import InvalidTable
 from .leadership import DirectoryLeadership
 from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
+from .table_changes import RecentTables
 
 COMMIT_TIMEOUT_S = 2.0
 CONFIRM_TIMEOUT_S = 0.4
@@ -36,6 +39,7 @@
         "committer",
         "confirmer",
         "leadership",
+        "recent_tables",
     )
 
     def __init__(self, log: ConsensusLog, state: ControlState, clock: Clock):
@@ -45,6 +49,7 @@
         self.committer = Committer(log)
         self.confirmer = LeadershipConfirmer(log)
         self.leadership: DirectoryLeadership | None = None
+        self.recent_tables = RecentTables()
 
     # Requests.
 
@@ -59,11 +64,17 @@
             record_event(EventName.proxy_seen, proxy_id=report.proxy_id)
         self.confirm()
         view = self.state.directory.view
+        proxies = max(leadership.callers_proxies(), 1)
+        members = self.log.member_addresses()
+        if report.view_version >= view.version:
+            return ProxyReply(view.version, proxies, members)
         return ProxyReply(
             view.version,
-            max(leadership.callers_proxies(), 1),
-            self.log.member_addresses(),
-            view if report.view_version < view.version else None,
+            proxies,
+            members,
+            msgspec.structs.replace(view, table=RoutingTable()),
+            view.table.version,
+            self.recent_tables.change_for(report.table_version, view.table),
         )
 
     def publish_table(self, document: bytes) -> TableResult:
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -126,10 +126,24 @@
     proof_age_ms: int
 
 
+class TableChange(msgspec.Struct, frozen=True):
+    """What a proxy lacks of the routing table.
+
+    :ivar base_version: version that it is to be applied to; 0 if it is whole.
+    :ivar table: the new table, with only those routes that differ from the base.
+    :ivar removed: databases whose routes are gone.
+    """
+
+    base_version: Count
+    table: RoutingTable
+    removed: list[str] = []
+
+
 class ProxyReport(msgspec.Struct, frozen=True):
     """A proxy's periodic call to the leader.
 
     :ivar view_version: version of the view that the proxy holds.
+    :ivar table_version: version of its routing table.
     :ivar unreachable: targets that the proxy can't reach at present.
     :ivar owner_address: where it runs statements of other proxies; empty for a proxy
         that serves callers.
@@ -142,12 +156,15 @@
     unreachable: list[str] = []
     leaving: bool = False
     owner_address: str = ""
+    table_version: Count = 0
 
 
 class ProxyReply(msgspec.Struct, frozen=True):
     """The leader's answer.
 
-    :ivar view: ``None`` if the proxy holds the newest.
+    :ivar view: ``None`` if the proxy holds the newest; its table is sent apart.
+    :ivar table_version: version of the table that belongs to the view.
+    :ivar table_change: ``None`` if the proxy holds that table.
     :ivar members: addresses of all control members.
     :ivar proxies: number of proxies that reported lately.
     """
@@ -156,6 +173,8 @@
     proxies: int
     members: list[str] = []
     view: DirectoryView | None = None
+    table_version: Count = 0
+    table_change: TableChange | None = None
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -2,7 +2,17 @@
 
 import random
 
-from ..directory.records import PrimaryReport, ProxyReply, ProxyReport, Redirect
+import msgspec
+
+from ..directory.records import (
+    DirectoryView,
+    PrimaryReport,
+    ProxyReply,
+    ProxyReport,
+    Redirect,
+    RoutingTable,
+)
+from ..directory.table_changes import apply_change
 from ..internal.loop import sleep
 from ..observe.events import EventName, record_event
 from ..wire.client import Client
@@ -14,7 +24,7 @@
 REPORT_PATH = "/v1/directory/report"
 REPORT_INTERVAL_S = 0.2
 # Reports a second that the leader gets from all proxies that have nothing new.
-IDLE_REPORTS_PER_S = 100
+IDLE_REPORTS_PER_S = 200
 # A process that began to ask for a primary needs so long to find it.
 FIRST_SEARCH_S = 0.5
 # Changes that come close together are reported together.
@@ -179,6 +189,7 @@
             sorted(unreachable),
             self.leaving,
             self.owner_address,
+            board.view.table.version,
         )
 
     def _can_tell(self, service: str, now: float) -> bool:
@@ -200,15 +211,28 @@
         if reply.proxies != board.proxies:
             board.proxies = reply.proxies
             board.apply_limits()
-        if reply.view is not None and board.apply_view(reply.view):
+        view = self._whole_view(reply)
+        if view is not None and board.apply_view(view):
             record_event(
                 EventName.view_in_force,
-                version=reply.view.version,
-                table_version=reply.view.table.version,
-                targets=len(reply.view.targets),
-                primaries=reply.view.primaries,
+                version=view.version,
+                table_version=view.table.version,
+                targets=len(view.targets),
+                primaries=view.primaries,
             )
 
+    def _whole_view(self, reply: ProxyReply) -> DirectoryView | None:
+        """Returns the view of a reply with its table, or ``None`` if there is none."""
+        if reply.view is None:
+            return None
+        table: RoutingTable | None = self.board.view.table
+        if reply.table_change is not None:
+            table = apply_change(table, reply.table_change)
+        if table is None or table.version != reply.table_version:
+            # The table has changed since the report was made; the next one tells.
+            return None
+        return msgspec.structs.replace(reply.view, table=table)
+
     def _note_lost(self, address: str, reason: str) -> None:
         if not self.is_lost:
             self.is_lost = True
--- a/src/godwitwheel/sessions/turns.py
+++ b/src/godwitwheel/sessions/turns.py
@@ -139,7 +139,7 @@
     :ivar turn_s: moving average of the time that a kind keeps its turn, in seconds.
     :ivar transaction_turns: moving average of the statements of a transaction, by kind.
     :ivar loads: what each kind has had lately.
-    :ivar priorities: priority of each kind's latest statement.
+    :ivar priorities: the most important that a statement of each kind has had.
     """
 
     __slots__ = (
@@ -181,7 +181,8 @@
 
         :returns: its turn; ``None`` if it has to :meth:`join`.
         """
-        self.priorities[request.kind] = request.priority
+        known = self.priorities.get(request.kind, request.priority)
+        self.priorities[request.kind] = min(known, request.priority)
         if self.waiting or not self.has_room(now):
             return None
         return self._begin(request.kind, now)
@@ -207,11 +208,16 @@
         hopeless = []
         left = []
         ahead_s = 0.0
+        loads = [
+            (rank(self.priorities[kind], self.expected_s(kind)), load.turns(now))
+            for kind, load in self.loads.items()
+        ]
         shares: dict[tuple[int, int], float] = {}
         for turn in self.waiting:
             own = turn.key[:2]
             if own not in shares:
-                shares[own] = self._share_left(own, now)
+                taken = sum(turns for other, turns in loads if other < own)
+                shares[own] = max(1.0 - taken / self.limit, LEAST_SHARE)
             turn.left_share = shares[own]
             starts_at = now + ahead_s / (self.limit * shares[own])
             if len(left) >= self.limit and starts_at > turn.request.give_up_at:
@@ -222,15 +228,6 @@
         self.waiting = left
         return hopeless
 
-    def _share_left(self, own: tuple[int, int], now: float) -> float:
-        """Returns what part of the turns those that go first will leave."""
-        taken = sum(
-            load.turns(now)
-            for kind, load in self.loads.items()
-            if rank(self.priorities[kind], self.expected_s(kind)) < own
-        )
-        return max(1.0 - taken / self.limit, LEAST_SHARE)
-
     def take_next(self, now: float) -> QueuedTurn | None:
         """Gives the next one its turn, if one is free."""
         if not self.waiting or not self.has_room(now):
