--- a/bench/processes.py
+++ b/bench/processes.py
@@ -42,6 +42,10 @@
             launch = [self.module]
         return [sys.executable, "-m", *launch, *self.arguments]
 
+    def environment(self) -> dict[str, str]:
+        """Returns the environment of the process."""
+        return process_environment()
+
     def start(self) -> None:
         """Starts the process; it must not be running."""
         assert not self.is_running(), f"{self.process_id} runs already"
@@ -51,7 +55,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env=process_environment(),
+                env=self.environment(),
             )
 
     def is_running(self) -> bool:
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -42,7 +42,7 @@
     print(
         f"seed {verdict.seed}: {len(verdict.violations)} violations, "
         f"{verdict.served} served, {verdict.commits} commits, "
-        f"refused {verdict.refused}",
+        f"refused {verdict.refused}, {verdict.relay_errors()} errors of the relay",
         flush=True,
     )
     if not verdict.violations:
--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -50,6 +50,7 @@
 
     :ivar address: where proxies reach it, through the relay.
     :ivar lag_s: how far it applies behind the primary, in seconds.
+    :ivar lost_share: share of its answers that are lost with their connection.
     :ivar leaving: it says that it takes no new work.
     :ivar started_at_ms: Unix time of its start.
     """
@@ -59,6 +60,7 @@
         self.address = address
         self.zone = zone
         self.lag_s = USUAL_LAG_S
+        self.lost_share = 0.0
         self.leaving = False
         self.started_at_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -98,6 +100,8 @@
                 return
             self._wait_while_dark()
             answer = connection.answer(*rest.split(" ", 1))
+            if self.group.rng.random() < self.lost_share:
+                return
             self._wait_while_dark()
             stream.write(format_answer(answer), 5.0)
 
@@ -120,7 +124,8 @@
         """Whether its log has a write that no promotion dropped."""
         if request_id in self.group.lost:
             return True
-        return self.group.numbers[request_id] <= len(self.log)
+        # What was acknowledged and never committed is noted where it is acknowledged.
+        return self.group.numbers.get(request_id, 0) <= len(self.log)
 
 
 class SoakConnection(FakeConnection):
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -337,6 +337,18 @@
         self.target.is_dark = False
 
 
+class AnswersLost(TargetFault):
+    """It runs statements, and some answers are lost with their connection."""
+
+    __slots__ = ()
+
+    def begin(self) -> None:
+        self.target.lost_share = self.world.rng.choice([0.1, 0.5])
+
+    def end(self) -> None:
+        self.target.lost_share = 0.0
+
+
 class Lagging(TargetFault):
     """It applies late."""
 
@@ -400,6 +412,7 @@
     Silenced,
     Dark,
     Crashed,
+    AnswersLost,
     Lagging,
     Leaving,
     OrdersLate,
--- a/bench/soak/fleet_processes.py
+++ b/bench/soak/fleet_processes.py
@@ -3,7 +3,6 @@
 import contextlib
 import random
 import shutil
-import subprocess
 import time
 from pathlib import Path
 
@@ -49,19 +48,16 @@
         self.folder = folder
         self.is_frozen = False
 
+    def environment(self) -> dict[str, str]:
+        settings = str(self.folder / "settings.json")
+        return {
+            **process_environment(),
+            SETTINGS_VARIABLE: settings,
+            "EVENTLET_NO_GREENDNS": "yes",
+        }
+
     def start(self) -> None:
-        """Starts the process; it must not be running."""
-        environment = process_environment()
-        environment[SETTINGS_VARIABLE] = str(self.folder / "settings.json")
-        environment["EVENTLET_NO_GREENDNS"] = "yes"
-        with self.output.open("ab") as output:
-            self.child = subprocess.Popen(
-                self.command(),
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=subprocess.STDOUT,
-                env=environment,
-            )
+        super().start()
         self.is_frozen = False
 
     def freeze(self) -> None:
@@ -88,8 +84,10 @@
     :ivar network: first three numbers of every address, which no other run uses.
     """
 
-    def __init__(self, folder: Path, fronts: int, cores: int, rng: random.Random):
+    def __init__(self, folder: Path, fronts: int, cores: int):
         self.folder = folder
+        # Not drawn from the seed: the same seed may be played twice at once.
+        rng = random.SystemRandom()
         self.network = f"127.{rng.randint(2, 250)}.{rng.randint(0, 250)}"
         self.links = Links()
         self.errors: list[Exception] = []
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -70,6 +70,10 @@
         self.commits = sum(map(len, promises.acknowledged.values()))
         self.faults = faults
 
+    def relay_errors(self) -> int:
+        """Returns how many errors the relay noted."""
+        return sum(" relay: " in line for line in self.faults)
+
 
 class Soak:
     """A running system and what disturbs it."""
@@ -79,7 +83,7 @@
         self.rng = random.Random(options.seed)
         self.promises = Promises()
         self.stack = contextlib.ExitStack()
-        self.fleet = FleetProcesses(folder, options.fronts, options.cores, self.rng)
+        self.fleet = FleetProcesses(folder, options.fronts, options.cores)
         self.served = Served()
         self.calm = Calm(self.fleet, self.promises)
         self.groups = {name: self._group(name) for name in SERVICES}
@@ -120,6 +124,9 @@
         self._cause_faults()
         self._end_of_faults()
         self.promises.check_disowned()
+        for error in self.fleet.errors:
+            # Connections that were reset while the relay took them in, mostly.
+            self._note(f"relay: {error!r}")
         return Verdict(self.options.seed, self.promises, self.log)
 
     def _cause_faults(self) -> None:
