--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -5,7 +5,9 @@
 patch_standard_library()
 
 import argparse  # noqa: E402
+import os  # noqa: E402
 import shutil  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 from pathlib import Path  # noqa: E402
@@ -16,6 +18,8 @@
 def main() -> int:
     """Plays seeds one after the other; fails if a promise was broken."""
     options = parse_options()
+    # Leaves the blocks that end the started processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(os.EX_TEMPFAIL))
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.folder))
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,8 +1,10 @@
 """Callers that hold sessions, run operations and tell the promises what they heard."""
 
+import contextlib
 import itertools
 import random
 import time
+from collections.abc import Iterator
 
 from fleet.lines import (
     MAX_MESSAGE_BYTES,
@@ -154,23 +156,40 @@
             except WireError:
                 sleep(RETRY_PAUSE_S)
 
+    def try_once(self, host: str, service: str, consistency: Consistency) -> None:
+        """Runs one statement through a proxy; ``served`` tells of a success."""
+        with (
+            contextlib.suppress(WireError),
+            self._session(host, service, consistency) as session,
+        ):
+            if session is not None:
+                self._single(session)
+
     def _hold_session(self) -> None:
         host = self.balancer.choose(self.rng)
         service = self.rng.choice(self.services)
         consistency = self.rng.choice(list(Consistency))
+        with self._session(host, service, consistency) as session:
+            if session is None:
+                return
+            for _ in range(self.rng.randint(*OPERATIONS)):
+                if not self._operate(session):
+                    return
+                sleep(self.rng.uniform(*THINK_S))
+
+    @contextlib.contextmanager
+    def _session(
+        self, host: str, service: str, consistency: Consistency
+    ) -> Iterator[Session | None]:
+        """Opens a session inside the block; ``None`` if the proxy refuses it."""
         stream = open_stream(f"{host}:{FRONT_PORT}", CONNECT_LIMIT_S)
         try:
             database = database_of(service, consistency)
             stream.write(f"START {database} soak\r\n".encode(), CONNECT_LIMIT_S)
             line = decode_line(stream.read_line(ANSWER_LIMIT_S, MAX_MESSAGE_BYTES))
-            if not line.startswith("READY"):
-                return
             session_id = f"s{next(self.ids)}"
             session = Session(stream, host, service, consistency, session_id)
-            for _ in range(self.rng.randint(*OPERATIONS)):
-                if not self._operate(session):
-                    return
-                sleep(self.rng.uniform(*THINK_S))
+            yield session if line.startswith("READY") else None
         finally:
             stream.close()
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -1,6 +1,7 @@
 """One seed of the soak: start, faults in overlapping series, recovery, verdict."""
 
 import contextlib
+import itertools
 import random
 import time
 from pathlib import Path
@@ -85,6 +86,7 @@
         self.stack = contextlib.ExitStack()
         self.fleet = FleetProcesses(folder, options.fronts, options.cores)
         self.served = Served()
+        self.balancer = Balancer(self.fleet.front_hosts)
         self.calm = Calm(self.fleet, self.promises)
         self.groups = {name: self._group(name) for name in SERVICES}
         self.endpoint = PromotionEndpoint(self.groups, self._rng())
@@ -93,6 +95,7 @@
         self.world = World(
             self.fleet, self.groups, self.endpoint, self.operator, self.rng
         )
+        self.prober = self._caller()
         self.log: list[str] = []
         self.started_at = time.monotonic()
 
@@ -114,11 +117,10 @@
 
     def run(self) -> Verdict:
         """Plays the whole run."""
-        balancer = Balancer(self.fleet.front_hosts)
         for host in self.fleet.front_hosts:
-            self._task(lambda host=host: balancer.run(host))
+            self._task(lambda host=host: self.balancer.run(host))
         self._wait(self._publishes, START_LIMIT_S, "START", "no table was taken")
-        self._start_callers(balancer)
+        self._start_callers()
         self._wait(self._serves_all, START_LIMIT_S, "START", "not all was served")
         self._task(self.operator.run_reads)
         self._cause_faults()
@@ -173,13 +175,15 @@
         return self.operator.publish(limit_s=5.0)
 
     def _serves_all(self) -> bool:
-        wanted = [
-            (host, database_of(service, consistency))
-            for host in self.fleet.front_hosts
-            for service in SERVICES
-            for consistency in Consistency
-        ]
-        return all(each in self.served.at for each in wanted)
+        """Whether every proxy has served every route; tries those that have not."""
+        serves_all = True
+        for host, service, consistency in itertools.product(
+            self.fleet.front_hosts, SERVICES, Consistency
+        ):
+            if (host, database_of(service, consistency)) not in self.served.at:
+                self.prober.try_once(host, service, consistency)
+                serves_all = False
+        return serves_all
 
     def _wait(self, condition, limit_s: float, rule: str, what: str) -> None:
         until = time.monotonic() + limit_s
@@ -189,12 +193,14 @@
             sleep(POLL_S)
         self.promises.broke(rule, f"{what} after {limit_s} s")
 
-    def _start_callers(self, balancer: Balancer) -> None:
+    def _start_callers(self) -> None:
         for _ in range(self.options.callers):
-            caller = Caller(
-                self.calm, balancer, self.promises, self.served, SERVICES, self._rng()
-            )
-            self._task(caller.run)
+            self._task(self._caller().run)
+
+    def _caller(self) -> Caller:
+        return Caller(
+            self.calm, self.balancer, self.promises, self.served, SERVICES, self._rng()
+        )
 
     def _group(self, service: str) -> SoakGroup:
         group = SoakGroup(service, self.promises, self._rng())
