Log an unreachable owner in one place; drop an argument that nothing read

OwnerCalls wrote the same event three times (a statement, a question, the end of a transaction), and RunGate._withdraw took an event since the turn itself tells whether it was given. Behaviour and log fields are unchanged.

Checked: lint, 181 tests of sessions, owners, gates and the adapter.

--- a/src/godwitwheel/sessions/gate.py
+++ b/src/godwitwheel/sessions/gate.py
@@ -58,9 +58,9 @@
                 return turn.running
         except BaseException:
             # The waiting task is killed; a turn that it got meanwhile goes on.
-            self._withdraw(turn, event)
+            self._withdraw(turn)
             raise
-        self._withdraw(turn, event)
+        self._withdraw(turn)
         raise NoTurn(f"no turn in time, {self._describe(turn)}", self.queue.wait_s())
 
     def _describe(self, refused: QueuedTurn) -> str:
@@ -72,7 +72,7 @@
             f"the turns left by others"
         )
 
-    def _withdraw(self, turn: QueuedTurn, event: Event) -> None:
+    def _withdraw(self, turn: QueuedTurn) -> None:
         self.events.pop(turn, None)
         if turn in self.queue.waiting:
             self.queue.waiting.remove(turn)
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -97,12 +97,7 @@
             body = encode(EndRequest(""))
             self.client.exchange(owner.address, "POST", END_PATH, body, ASK_TIMEOUT_S)
         except WireError as error:
-            self.context.log.record(
-                EventName.owner_unreachable,
-                self.context.now(),
-                owner=owner.proxy_id,
-                reason=str(error),
-            )
+            self._note_unreachable(owner, error)
             return
         self.silence.answered(owner, self.context.now())
 
@@ -112,12 +107,7 @@
             body = encode(EndRequest(handle))
             self.client.exchange(owner.address, "POST", END_PATH, body, END_TIMEOUT_S)
         except WireError as error:
-            self.context.log.record(
-                EventName.owner_unreachable,
-                self.context.now(),
-                owner=owner.proxy_id,
-                reason=str(error),
-            )
+            self._note_unreachable(owner, error)
 
     def _lost(
         self,
@@ -126,17 +116,23 @@
         error: Exception,
         was_sent: bool,
     ) -> OwnerLost:
+        self._note_unreachable(
+            owner, error, request_id=request.request_id, was_sent=was_sent
+        )
+        # Control may have named another owner meanwhile.
+        self.context.board.changed.notify()
+        return OwnerLost(str(error), was_sent)
+
+    def _note_unreachable(
+        self, owner: OwnerEntry, error: Exception, **fields: object
+    ) -> None:
         self.context.log.record(
             EventName.owner_unreachable,
             self.context.now(),
             owner=owner.proxy_id,
-            request_id=request.request_id,
-            was_sent=was_sent,
             reason=str(error),
+            **fields,
         )
-        # Control may have named another owner meanwhile.
-        self.context.board.changed.notify()
-        return OwnerLost(str(error), was_sent)
 
     def request(
         self, state: SessionState, route: Route, statement: Statement, **fields
