Drop the time of an isolation, which nothing reads any more

Cause: idle sessions are ended at times of their own since they are ended again and again; the time at which the isolation began was only written. Behaviour is unchanged.

Checked: lint, the tests of isolation, owner watch and adapter.

--- a/src/godwitwheel/sessions/isolation.py
+++ b/src/godwitwheel/sessions/isolation.py
@@ -16,15 +16,13 @@
     and then other proxies are no better off.
 
     :ivar is_isolated: whether new callers should go elsewhere.
-    :ivar since: when that began, in seconds of the clock.
     :ivar end_sessions_at: when idle sessions are to be ended next.
     """
 
-    __slots__ = ("is_isolated", "since", "end_sessions_at")
+    __slots__ = ("is_isolated", "end_sessions_at")
 
     def __init__(self):
         self.is_isolated = False
-        self.since = 0.0
         self.end_sessions_at = 0.0
 
     def update(
@@ -50,7 +48,6 @@
         changed = isolated is not self.is_isolated
         if changed:
             self.is_isolated = isolated
-            self.since = now
             self.end_sessions_at = now + NOTICED_S
         return changed
 
