Rely on a primary only under a lease where the platform doesn't stop it

Cause: on the Catania sites a former primary goes on until it hears of its successor, and the platform checks no fence.

Change: control grants leases with its answers to reports. A process sends to a primary, samples it and acknowledges its commits only under a lease for the view that names it. Control fences a primary in the directory, waits until each process has drained or its lease has ended, commits the candidate, and only then orders the promotion. An order without an answer is reset on the wire, and no other target is ordered while it may still be carried out. Sites whose platform fences keep their way.

--- a/src/godwitwheel/control/commands.py
+++ b/src/godwitwheel/control/commands.py
@@ -4,6 +4,7 @@
 
 from ..directory.commands import (
     DropEntry,
+    FencePrimary,
     PutEntry,
     PutTable,
     SetOwners,
@@ -95,6 +96,7 @@
     | PutTable
     | PutEntry
     | DropEntry
+    | FencePrimary
     | SetPrimary
     | SetOwners
 )
--- a/src/godwitwheel/control/state.py
+++ b/src/godwitwheel/control/state.py
@@ -8,6 +8,7 @@
 from ..decisions.claims import ClaimRecord, ClaimsSnapshot, ClaimTable
 from ..directory.commands import (
     DropEntry,
+    FencePrimary,
     PutEntry,
     PutTable,
     SetOwners,
@@ -81,6 +82,7 @@
             PutEntry: self.directory.put_entry,
             DropEntry: self.directory.drop_entry,
             SetPrimary: self.directory.set_primary,
+            FencePrimary: self.directory.fence_primary,
             SetOwners: self.directory.set_owners,
         }
 
--- a/src/godwitwheel/directory/commands.py
+++ b/src/godwitwheel/directory/commands.py
@@ -42,6 +42,17 @@
     token: int = 0
 
 
+class FencePrimary(msgspec.Struct, frozen=True, tag="fence_primary"):
+    """Ends the use of a service's primary until the next :class:`SetPrimary`.
+
+    :ivar candidate: target that is about to be ordered to take over; empty if none is
+        chosen yet.
+    """
+
+    service: str
+    candidate: str = ""
+
+
 class SetOwners(msgspec.Struct, frozen=True, tag="set_owners"):
     """Replaces the owners of the services that need one."""
 
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -14,11 +14,12 @@
     assess,
     observations_of,
 )
+from .fencing import LeaseFence, PlatformFence, PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
 from .member import DirectoryMember
 from .ownership import assign_owners
 from .promotion import Promoter, PromotionClient, retry_delay_after
-from .records import OwnerEntry
+from .records import DirectoryView, OwnerEntry
 
 DECISION_INTERVAL_S = 0.05
 # A target that has not announced itself for this long, and that no proxy can reach,
@@ -29,6 +30,17 @@
 OWNERS_KEY = ""
 
 
+def fence_for(member: DirectoryMember) -> PrimaryFence:
+    """Returns the fence that the platform requires."""
+    if not member.grants_leases:
+        return PlatformFence()
+
+    def read_view() -> DirectoryView:
+        return member.state.directory.view
+
+    return LeaseFence(read_view, member.commit_entry, member.clock)
+
+
 class DirectoryControllers:
     """Replaces primaries, assigns owners, and removes expired targets and proxies."""
 
@@ -47,6 +59,7 @@
             member.clock,
             member.commit_entry,
             member.confirm,
+            fence_for(member),
         )
 
     def run(self) -> None:
@@ -107,7 +120,14 @@
         observations = observations_of(service, leadership.reports, now)
         proxies = leadership.count_reporters_on(service)
         led_for_s = now - leadership.leader_since
-        assessment = assess(service, view, observations, proxies, led_for_s)
+        assessment = assess(
+            service,
+            view,
+            observations,
+            proxies,
+            led_for_s,
+            may_adopt=not self.member.grants_leases,
+        )
         if assessment.verdict is Verdict.keep:
             return
         leadership.in_progress.add(service)
@@ -140,10 +160,11 @@
     def _delay_retry(
         self, leadership: DirectoryLeadership, service: str, delay_s: float, why: str
     ) -> None:
-        retry_at = self.member.clock.now() + delay_s
+        now = self.member.clock.now()
+        retry_at = now + delay_s
         order = leadership.orders.get(service)
         if order is None:
-            order = leadership.orders[service] = PromotionOrder("", 0, retry_at)
+            order = leadership.orders[service] = PromotionOrder("", 0, now, retry_at)
             order.is_unanswered = False
         else:
             order.retry_at = retry_at
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -125,11 +125,14 @@
     observations: list[Observation],
     proxies: int,
     led_for_s: float,
+    may_adopt: bool = True,
 ) -> Assessment:
     """Decides whether to keep, replace or adopt a service's primary.
 
     :param proxies: number of known proxies, including those without a recent report.
     :param led_for_s: time since this member became leader, in seconds.
+    :param may_adopt: whether a target that proxies confirmed as primary is the primary;
+        a former primary may still act as one on some platforms.
     """
     confirmed = [
         observation for observation in observations if observation.is_confirmed
@@ -139,7 +142,7 @@
     naming_another = [
         observation for observation in confirmed if observation.target_id != primary_id
     ]
-    if naming_another and len(naming_another) == len(confirmed):
+    if may_adopt and naming_another and len(naming_another) == len(confirmed):
         return Assessment(
             Verdict.adopt,
             "proxies confirmed another primary",
@@ -147,6 +150,8 @@
         )
     if led_for_s < NEW_LEADER_GRACE_S:
         return Assessment(Verdict.keep, "this member has only just become leader")
+    if service in view.fences:
+        return Assessment(Verdict.replace, f"{primary_id} is fenced")
     if primary is not None and primary.leaving:
         return Assessment(Verdict.replace, f"{primary_id} is leaving")
     if len(observations) < MIN_REPORTING_SHARE * proxies or not observations:
@@ -198,22 +203,32 @@
 
 
 def candidates_of(service: str, view: DirectoryView) -> list[TargetEntry]:
-    """Returns the targets that may be queried as candidates for promotion."""
-    primary_id = view.primaries.get(service, "")
+    """Returns the targets that may be queried as candidates for promotion.
+
+    A fenced primary is one of them: it takes over again if no other target can.
+    """
+    excluded_id = "" if service in view.fences else view.primaries.get(service, "")
     return [
         entry
         for entry in view.targets.values()
         if entry.service == service
         and not entry.leaving
-        and entry.target_id != primary_id
+        and entry.target_id != excluded_id
     ]
 
 
 def choose_candidate(
-    candidates: list[Candidate], observations: list[Observation], primary_id: str
+    candidates: list[Candidate],
+    observations: list[Observation],
+    primary_id: str,
+    ordered_id: str = "",
 ) -> Candidate | None:
     """Returns the reachable target whose promotion loses the fewest writes.
 
+    :param primary_id: the primary that is to be replaced; it is chosen only if it is
+        fenced and no other candidate is left.
+    :param ordered_id: target that an earlier order may still promote; it is chosen if
+        it answered, since another choice could be overturned by that order.
     :returns: ``None`` if no target is reached by more proxies than the primary.
     """
     unconfirmed_count = sum(
@@ -228,9 +243,19 @@
             for each in eligible
             if each.unreachable_from < max(unconfirmed_count, 1)
         ]
+    for candidate in candidates:
+        if ordered_id == candidate.entry.target_id and candidate.received is not None:
+            return candidate
     if not eligible:
         return None
-    return max(eligible, key=lambda each: (each.received, -each.unreachable_from))
+    return max(
+        eligible,
+        key=lambda each: (
+            each.entry.target_id != primary_id,
+            each.received,
+            -each.unreachable_from,
+        ),
+    )
 
 
 def count_unreachable_from(target_id: str, observations: list[Observation]) -> int:
--- /dev/null
+++ b/src/godwitwheel/directory/fencing.py
@@ -0,0 +1,120 @@
+"""Makes sure that no process relies on a primary when another target is promoted."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from ..internal.clock import Clock
+from ..internal.loop import sleep
+from ..observe.events import EventName, record_event
+from .commands import FencePrimary
+from .errors import PromotionFailed
+from .leadership import DirectoryLeadership
+from .records import DirectoryView
+
+# Interval at which the leases are checked while a promotion waits for them, in seconds.
+LEASE_POLL_S = 0.01
+# Time after which an order that got no answer is no longer expected to be carried out,
+# in seconds.
+LATE_ORDER_S = 3.0
+
+
+class PrimaryFence(ABC):
+    """Steps before the order that replaces a service's primary."""
+
+    @abstractmethod
+    def establish(
+        self, leadership: DirectoryLeadership, service: str, view: DirectoryView
+    ) -> DirectoryView:
+        """Returns once no process relies on the service's primary any more.
+
+        :param view: the view by which the primary is to be replaced.
+        :returns: the same view if there was nothing to do, or the view with the fence.
+        """
+
+    @abstractmethod
+    def prepare_order(
+        self, leadership: DirectoryLeadership, service: str, target_id: str
+    ) -> None:
+        """Called before an order is sent.
+
+        :raises PromotionFailed: if an order for another target may still be carried
+            out.
+        """
+
+
+class PlatformFence(PrimaryFence):
+    """For platforms that stop a former primary and refuse late orders themselves."""
+
+    def establish(
+        self, leadership: DirectoryLeadership, service: str, view: DirectoryView
+    ) -> DirectoryView:
+        return view
+
+    def prepare_order(
+        self, leadership: DirectoryLeadership, service: str, target_id: str
+    ) -> None:
+        pass
+
+
+class LeaseFence(PrimaryFence):
+    """Fences a primary in the directory and waits for the leases of the proxies.
+
+    The fence is committed first, so that each lease that is granted afterwards belongs
+    to a view without the primary. The candidate is committed before its order is sent:
+    the next leader then knows which order may still be carried out.
+
+    :ivar read_view: returns the committed view.
+    :ivar commit: commits a command.
+    """
+
+    def __init__(
+        self,
+        read_view: Callable[[], DirectoryView],
+        commit: Callable[[FencePrimary], bool],
+        clock: Clock,
+    ):
+        self.read_view = read_view
+        self.commit = commit
+        self.clock = clock
+
+    def establish(
+        self, leadership: DirectoryLeadership, service: str, view: DirectoryView
+    ) -> DirectoryView:
+        if service not in self.read_view().fences:
+            self.commit(FencePrimary(service))
+        started_at = self.clock.now()
+        # Its version is at least that of the fence, which an earlier leader may have
+        # committed.
+        fenced = self.read_view()
+        while not leadership.leases.all_proxies_use(fenced.version, self.clock.now()):
+            sleep(LEASE_POLL_S)
+        record_event(
+            EventName.primary_fenced,
+            service=service,
+            target_id=fenced.primaries.get(service, ""),
+            view_version=fenced.version,
+            waited_ms=round(1000 * (self.clock.now() - started_at)),
+        )
+        return fenced
+
+    def prepare_order(
+        self, leadership: DirectoryLeadership, service: str, target_id: str
+    ) -> None:
+        ordered_id = self.read_view().fences.get(service, "")
+        if ordered_id == target_id:
+            return
+        if ordered_id and self._may_be_carried_out(leadership, service, ordered_id):
+            raise PromotionFailed(f"the order for {ordered_id} got no answer yet")
+        self.commit(FencePrimary(service, target_id))
+
+    def _may_be_carried_out(
+        self, leadership: DirectoryLeadership, service: str, target_id: str
+    ) -> bool:
+        """Whether an earlier order, perhaps by an earlier leader, is still pending."""
+        order = leadership.orders.get(service)
+        sent_at = leadership.leader_since
+        if order is not None and order.target_id == target_id:
+            if not order.is_unanswered:
+                return False
+            sent_at = order.sent_at
+        return self.clock.now() - sent_at < LATE_ORDER_S
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -1,11 +1,15 @@
 """Soft state about proxies and targets that a leader keeps only while it leads."""
 
+from ..decisions.leases import HolderName, LeaseTable
+from ..sessions.authority import LEASE_S
 from .failover import MAX_REPORT_AGE_S, ReceivedReport
 from .records import ProxyReport, TargetEntry
 
 # A proxy that has not reported for this long no longer counts when connections are
 # divided; until then it may still have its share open.
 PROXY_EXPIRY_S = 6.0
+# Largest relative difference between the rates of two VMs' clocks.
+CLOCK_DRIFT = 0.01
 # An owner that has not reported for this long loses its services.
 OWNER_TIMEOUT_S = 0.8
 
@@ -25,15 +29,17 @@
     """The last promotion order for a service.
 
     :ivar target_id: empty if no order was sent; then only ``retry_at`` has a meaning.
+    :ivar sent_at: when it was last sent, in seconds of the clock.
     :ivar retry_at: no further order is sent before this time, in seconds of the clock.
     :ivar is_unanswered: whether its outcome is unknown; it may still be carried out.
     """
 
-    __slots__ = ("target_id", "token", "retry_at", "is_unanswered")
+    __slots__ = ("target_id", "token", "sent_at", "retry_at", "is_unanswered")
 
-    def __init__(self, target_id: str, token: int, retry_at: float):
+    def __init__(self, target_id: str, token: int, sent_at: float, retry_at: float):
         self.target_id = target_id
         self.token = token
+        self.sent_at = sent_at
         self.retry_at = retry_at
         self.is_unanswered = True
 
@@ -48,6 +54,8 @@
     :ivar orders: last promotion order for each service.
     :ivar in_progress: services for which a change is being carried out.
     :ivar orders_issued: number of fencing tokens issued.
+    :ivar leases: leases under which proxies rely on primaries; unused on a platform
+        that stops a former primary itself.
     """
 
     __slots__ = (
@@ -58,6 +66,7 @@
         "orders",
         "in_progress",
         "orders_issued",
+        "leases",
     )
 
     def __init__(self, since: float, term: int):
@@ -68,6 +77,7 @@
         self.orders: dict[str, PromotionOrder] = {}
         self.in_progress: set[str] = set()
         self.orders_issued = 0
+        self.leases = LeaseTable(since, LEASE_S, CLOCK_DRIFT)
 
     def receive_report(self, report: ProxyReport, now: float) -> bool:
         """Records a proxy's report.
@@ -81,6 +91,19 @@
         self.reports[report.proxy_id] = ReceivedReport(report, now)
         return is_new
 
+    def grant_lease(
+        self, report: ProxyReport, carried_version: int, received_at: float
+    ) -> None:
+        """Records a lease before it is sent with the reply to a report.
+
+        :param carried_version: version of the view that the proxy holds after it has
+            applied the reply.
+        :param received_at: when the report arrived, in seconds of the clock.
+        """
+        self.leases.grant(
+            holder_name(report), report.drained_version, carried_version, received_at
+        )
+
     def expire_proxies(self, now: float) -> list[str]:
         """Removes the proxies that have stopped reporting, and returns their ids."""
         expired = [
@@ -90,6 +113,7 @@
         ]
         for proxy_id in expired:
             del self.reports[proxy_id]
+        self.leases.drop_expired(now)
         return expired
 
     def count_caller_facing_proxies(self) -> int:
@@ -155,3 +179,12 @@
             self.last_announcements[target_id] = LastAnnouncement(0, 0, now)
         else:
             known.received_at = now
+
+
+def holder_name(report: ProxyReport) -> HolderName:
+    """Returns the name under which a proxy holds leases.
+
+    A restarted process keeps the name: it holds no lease from before, and its new ones
+    belong to views that are at least as new as those that it relied on before.
+    """
+    return (report.proxy_id, 0)
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -11,6 +11,7 @@
 from .commands import (
     DropEntry,
     EntryResult,
+    FencePrimary,
     PutEntry,
     PutTable,
     SetOwners,
@@ -18,7 +19,7 @@
     TableResult,
 )
 from .errors import InvalidTable
-from .leadership import DirectoryLeadership
+from .leadership import DirectoryLeadership, holder_name
 from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
 from .table_changes import RecentTables
 
@@ -31,6 +32,8 @@
 
     :ivar leadership: soft state as leader; ``None`` while this member is not leader.
     :ivar recent_tables: recent routing tables, from which differences are computed.
+    :ivar grants_leases: whether proxies rely on primaries under leases, because the
+        platform doesn't stop a former primary itself.
     """
 
     __slots__ = (
@@ -41,9 +44,16 @@
         "confirmer",
         "leadership",
         "recent_tables",
+        "grants_leases",
     )
 
-    def __init__(self, log: ConsensusLog, state: ControlState, clock: Clock):
+    def __init__(
+        self,
+        log: ConsensusLog,
+        state: ControlState,
+        clock: Clock,
+        grants_leases: bool = False,
+    ):
         self.log = log
         self.state = state
         self.clock = clock
@@ -51,6 +61,7 @@
         self.confirmer = LeadershipConfirmer(log)
         self.leadership: DirectoryLeadership | None = None
         self.recent_tables = RecentTables()
+        self.grants_leases = grants_leases
 
     # Requests.
 
@@ -59,16 +70,23 @@
 
         :raises NotLeading: if this member does not lead.
         """
+        received_at = self.clock.now()
         leadership = self.current_leadership()
-        is_new = leadership.receive_report(report, self.clock.now())
+        is_new = leadership.receive_report(report, received_at)
         if is_new:
             record_event(EventName.proxy_seen, proxy_id=report.proxy_id)
+        leadership.leases.acknowledge(holder_name(report), report.drained_version)
         self.confirm()
         view = self.state.directory.view
+        grants_lease = self.grants_leases and report.wants_lease
+        if grants_lease:
+            # Another leadership may have begun here during the confirmation.
+            leadership = self.current_leadership()
+            leadership.grant_lease(report, view.version, received_at)
         proxies = max(leadership.count_caller_facing_proxies(), 1)
         members = self.log.member_addresses()
         if report.view_version >= view.version:
-            return ProxyReply(view.version, proxies, members)
+            return ProxyReply(view.version, proxies, members, grants_lease=grants_lease)
         return ProxyReply(
             view.version,
             proxies,
@@ -76,6 +94,7 @@
             msgspec.structs.replace(view, table=RoutingTable()),
             view.table.version,
             self.recent_tables.change_for(report.table_version, view.table),
+            grants_lease,
         )
 
     def publish_table(self, document: bytes) -> TableResult:
@@ -117,6 +136,9 @@
         leadership = self.current_leadership()
         is_newest = leadership.receive_announcement(entry, sequence, self.clock.now())
         directory = self.state.directory
+        if self.grants_leases and entry.service in directory.view.primaries:
+            # A former primary continues to claim the lead until it hears of the other.
+            entry = msgspec.structs.replace(entry, claims_lead=False)
         known = directory.view.targets.get(entry.target_id)
         if not is_newest or known == entry or directory.is_outdated(entry):
             self.confirm()
@@ -186,7 +208,7 @@
             )
 
     def commit_entry(
-        self, command: PutEntry | DropEntry | SetPrimary | SetOwners
+        self, command: PutEntry | DropEntry | SetPrimary | FencePrimary | SetOwners
     ) -> bool:
         """Commits a change to the directory.
 
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -43,6 +43,7 @@
     :ivar may_bootstrap: whether the member may bootstrap the cell; true at its first
         start.
     :ivar voters: number of members that vote; the others are standbys.
+    :ivar grants_leases: see :class:`DirectoryMember`.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "founders",
         "may_bootstrap",
         "voters",
+        "grants_leases",
     )
 
     def __init__(
@@ -64,6 +66,7 @@
         founders: dict[str, str],
         may_bootstrap: bool,
         voters: int,
+        grants_leases: bool = False,
     ):
         self.member_id = member_id
         self.internal_listen = internal_listen
@@ -72,6 +75,7 @@
         self.founders = founders
         self.may_bootstrap = may_bootstrap
         self.voters = voters
+        self.grants_leases = grants_leases
 
 
 def run_directory(
@@ -123,7 +127,7 @@
             running_log(options, state, settings.data_folder, clock, random.Random())
         )
         client = stack.enter_context(Client())
-        member = DirectoryMember(log, state, clock)
+        member = DirectoryMember(log, state, clock, settings.grants_leases)
         controllers = DirectoryControllers(member, connector, promotion_client)
         metrics = DirectoryMetrics(settings.member_id, member)
         internal = {
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -17,6 +17,7 @@
     choose_candidate,
     count_unreachable_from,
 )
+from .fencing import PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
 from .records import DirectoryView, TargetEntry
 
@@ -60,9 +61,10 @@
 
     :ivar commit: commits a command and returns whether it changed anything.
     :ivar confirm: returns once a quorum has confirmed this leader, or raises.
+    :ivar fence: ends the use of the former primary.
     """
 
-    __slots__ = ("connector", "promotion_client", "clock", "commit", "confirm")
+    __slots__ = ("connector", "promotion_client", "clock", "commit", "confirm", "fence")
 
     def __init__(
         self,
@@ -71,12 +73,14 @@
         clock: Clock,
         commit,
         confirm,
+        fence: PrimaryFence,
     ):
         self.connector = connector
         self.promotion_client = promotion_client
         self.clock = clock
         self.commit = commit
         self.confirm = confirm
+        self.fence = fence
 
     def replace(
         self,
@@ -90,18 +94,20 @@
 
         :raises PromotionFailed: if no order was sent, or it was not confirmed.
         """
-        candidate = self._select_candidate(service, view, observations)
-        if candidate is None:
-            record_event(
-                EventName.promotion_withheld,
-                service=service,
-                reason=reason,
-                why="no candidate that answered is reached by more proxies",
-            )
-            raise PromotionFailed("no candidate")
+        queried = self._query_all(
+            service, view, candidates_of(service, view), observations
+        )
+        candidate = self._select(service, view, queried, observations, reason)
+        fenced = self.fence.establish(leadership, service, view)
+        if fenced is not view:
+            # The targets' positions may have changed while the leases were waited for.
+            responsive = [each.entry for each in queried if each.received is not None]
+            queried = self._query_all(service, fenced, responsive, observations)
+            candidate = self._select(service, fenced, queried, observations, reason)
+        target_id = candidate.entry.target_id
+        self.fence.prepare_order(leadership, service, target_id)
         # A leader that was partitioned or paused meanwhile must not send the order.
         self.confirm()
-        target_id = candidate.entry.target_id
         order = self._next_order(leadership, service, target_id)
         token = order.token
         record_event(
@@ -132,12 +138,14 @@
         An unanswered order is retried with the same token: a higher one would fence
         off the first attempt, which may still be carried out.
         """
-        retry_at = self.clock.now() + PROMOTION_GRACE_S
+        now = self.clock.now()
+        retry_at = now + PROMOTION_GRACE_S
         order = leadership.orders.get(service)
         if order is not None and order.is_unanswered and order.target_id == target_id:
+            order.sent_at = now
             order.retry_at = retry_at
             return order
-        order = PromotionOrder(target_id, fencing_token(leadership), retry_at)
+        order = PromotionOrder(target_id, fencing_token(leadership), now, retry_at)
         leadership.orders[service] = order
         return order
 
@@ -151,22 +159,52 @@
             raise
         order.is_unanswered = False
 
-    def _select_candidate(
-        self, service: str, view: DirectoryView, observations: list[Observation]
-    ) -> Candidate | None:
-        policy = view.table.services.get(service)
-        is_synchronous = policy is not None and policy.synchronous_replicas > 0
-        entries = candidates_of(service, view)
+    def _select(
+        self,
+        service: str,
+        view: DirectoryView,
+        candidates: list[Candidate],
+        observations: list[Observation],
+        reason: str,
+    ) -> Candidate:
+        candidate = None
+        # At a synchronous group, a replica that did not answer may be the only one that
+        # holds a commit.
+        if not self._is_synchronous(service, view) or all(
+            each.received is not None for each in candidates
+        ):
+            candidate = choose_candidate(
+                candidates,
+                observations,
+                view.primaries.get(service, ""),
+                view.fences.get(service, ""),
+            )
+        if candidate is None:
+            record_event(
+                EventName.promotion_withheld,
+                service=service,
+                reason=reason,
+                why="no candidate that answered is reached by more proxies",
+            )
+            raise PromotionFailed("no candidate")
+        return candidate
+
+    def _query_all(
+        self,
+        service: str,
+        view: DirectoryView,
+        entries: list[TargetEntry],
+        observations: list[Observation],
+    ) -> list[Candidate]:
+        is_synchronous = self._is_synchronous(service, view)
         queries = [
             spawn(self._query, entry, observations, is_synchronous) for entry in entries
         ]
-        candidates = [task.wait() for task in queries]
-        if is_synchronous and any(each.received is None for each in candidates):
-            # The replica that did not answer may be the only one that holds a commit.
-            return None
-        return choose_candidate(
-            candidates, observations, view.primaries.get(service, "")
-        )
+        return [task.wait() for task in queries]
+
+    def _is_synchronous(self, service: str, view: DirectoryView) -> bool:
+        policy = view.table.services.get(service)
+        return policy is not None and policy.synchronous_replicas > 0
 
     def _query(
         self, entry: TargetEntry, observations: list[Observation], is_synchronous: bool
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -107,6 +107,9 @@
         it.
     :ivar owners: by service, the process that holds its connections; every proxy opens
         its own connections to a service that is not listed.
+    :ivar fences: services whose primary must not be used because it is being replaced,
+        each with the target that may have been ordered to take over, or an empty string
+        before the first order.
     """
 
     version: Count = 0
@@ -114,6 +117,7 @@
     targets: dict[str, TargetEntry] = {}
     primaries: dict[str, str] = {}
     owners: dict[str, OwnerEntry] = {}
+    fences: dict[str, str] = {}
 
 
 class PrimaryReport(msgspec.Struct, frozen=True):
@@ -152,6 +156,8 @@
     :ivar leaving: whether the proxy is shutting down.
     :ivar owner_address: for an owner, the address at which it runs the statements of
         other proxies; empty for a proxy that serves callers.
+    :ivar wants_lease: whether it uses targets itself and needs a lease for that.
+    :ivar drained_version: the proxy relies on no primary of a view below this version.
     """
 
     proxy_id: str
@@ -162,6 +168,8 @@
     leaving: bool = False
     owner_address: str = ""
     table_version: Count = 0
+    wants_lease: bool = False
+    drained_version: Count = 0
 
 
 class ProxyReply(msgspec.Struct, frozen=True):
@@ -173,6 +181,7 @@
     :ivar table_version: version of the table that belongs to the view.
     :ivar table_change: ``None`` if the proxy holds that table.
     :ivar members: addresses of all control members.
+    :ivar grants_lease: whether the proxy gets a lease, which belongs to this view.
     """
 
     view_version: Count
@@ -181,6 +190,7 @@
     view: DirectoryView | None = None
     table_version: Count = 0
     table_change: TableChange | None = None
+    grants_lease: bool = False
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -5,6 +5,7 @@
 from .commands import (
     DropEntry,
     EntryResult,
+    FencePrimary,
     PutEntry,
     PutTable,
     SetOwners,
@@ -27,6 +28,7 @@
     tokens: dict[str, int] = {}
     gone: dict[str, int] = {}
     owners: dict[str, OwnerEntry] = {}
+    fences: dict[str, str] = {}
 
 
 class Directory:
@@ -100,8 +102,18 @@
         if command.token:
             self.tokens[command.service] = command.token
         primaries = {**self.view.primaries, command.service: command.target_id}
-        if primaries != self.view.primaries:
-            self._update_view(index, primaries=primaries)
+        fences = dict(self.view.fences)
+        fences.pop(command.service, None)
+        if primaries != self.view.primaries or fences != self.view.fences:
+            self._update_view(index, primaries=primaries, fences=fences)
+        return EntryResult(True)
+
+    def fence_primary(self, index: int, command: FencePrimary) -> EntryResult:
+        """Fences a service's primary, or sets the candidate of a fenced one."""
+        if self.view.fences.get(command.service) == command.candidate:
+            return EntryResult(False)
+        fences = {**self.view.fences, command.service: command.candidate}
+        self._update_view(index, fences=fences)
         return EntryResult(True)
 
     def set_owners(self, index: int, command: SetOwners) -> EntryResult:
@@ -122,6 +134,7 @@
             self.tokens,
             self.departed,
             view.owners,
+            view.fences,
         )
 
     def restore(self, snapshot: DirectorySnapshot) -> None:
@@ -136,6 +149,7 @@
             snapshot.targets,
             snapshot.primaries,
             snapshot.owners,
+            snapshot.fences,
         )
         self.tokens = dict(snapshot.tokens)
         self.departed = dict(snapshot.gone)
--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/attempts.py
@@ -84,12 +84,27 @@
 ) -> bool:
     """Whether a statement that no target has accepted should be refused now."""
     now = context.now()
-    known_primary = context.board.known_primary(route.service)
-    if known_primary.confirmed_at is None:
+    board = context.board
+    known_primary = board.known_primary(route.service)
+    may_use = board.authority.may_use(route.service, known_primary.target_id, now)
+    if known_primary.confirmed_at is None or not may_use:
         return not deadlines.waits_for_primary(known_primary.expected_at, now)
     return now >= deadlines.start_deadline
 
 
+def is_covered_now(
+    context: SessionContext, target: TargetEntry, sent_at: float
+) -> bool:
+    """Whether a target was its service's only primary from ``sent_at`` until now.
+
+    A commit that it has answered by now was then made before any other target could be
+    promoted.
+    """
+    authority = context.board.authority
+    service = target.service
+    return authority.covers(service, target.target_id, sent_at, context.now())
+
+
 def exchange(
     context: SessionContext,
     pooled: PooledConnection,
@@ -227,6 +242,8 @@
     :param sent_at: when the request was sent, in seconds of the clock.
     """
     board = context.board
+    if not board.authority.accepts(target.service, target.target_id):
+        return
     known_primary = board.known_primary(target.service)
     term = position.term if position is not None else 0
     if known_primary.target_id != target.target_id:
@@ -246,7 +263,11 @@
         board.changed.notify()
     known_primary.term = max(known_primary.term, term)
     known_primary.confirm(sent_at)
-    if position is not None:
+    # Without a lease at that time, another primary may have had later commits already.
+    is_floor = board.authority.covers(
+        target.service, target.target_id, sent_at, sent_at
+    )
+    if position is not None and is_floor:
         board.history(target.service).add(sent_at, position)
 
 
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -6,6 +6,7 @@
 from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
+from .authority import PlatformFencing, PrimaryAuthority
 from .connection import Connector
 from .floors import PositionHistory
 from .gate import ConcurrencyLimiter
@@ -104,6 +105,7 @@
 
     :ivar serves_callers: whether this process serves callers, or only owns
         connections for proxies that do.
+    :ivar authority: decides until when this process may rely on a primary.
     :ivar limiters: concurrency limiters by target id.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
@@ -117,6 +119,7 @@
     __slots__ = (
         "process_id",
         "serves_callers",
+        "authority",
         "limiters",
         "clock",
         "connector",
@@ -142,6 +145,7 @@
     ):
         self.process_id = process_id
         self.serves_callers = serves_callers
+        self.authority: PrimaryAuthority = PlatformFencing()
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.clock = clock
         self.connector = connector
@@ -204,6 +208,18 @@
             return self.owns(service)
         return self.serves_callers
 
+    def uses_any_targets(self) -> bool:
+        """Whether this process connects to the targets of any service itself."""
+        return any(self.uses_targets(service) for service in self.view.table.services)
+
+    def lacks_a_primary(self) -> bool:
+        """Whether a service whose targets this process uses has no known primary."""
+        return any(
+            self.uses_targets(service)
+            and self.known_primary(service).confirmed_at is None
+            for service in self.view.table.services
+        )
+
     def limiter(self, target: TargetEntry) -> ConcurrencyLimiter:
         """Returns the concurrency limiter of a target."""
         limiter = self.limiters.get(target.target_id)
@@ -233,6 +249,7 @@
             return False
         previous = self.view
         self.view = view
+        self.authority.apply_view(view, self.clock.now())
         for target_id in list(self.pools):
             if target_id not in view.targets:
                 self.pools.pop(target_id).close()
@@ -240,6 +257,8 @@
                 self.limiters.pop(target_id, None)
         self._update_leaving()
         self._close_unused_pools()
+        for service in view.fences:
+            self.known_primary(service).confirmed_at = None
         for service, target_id in view.primaries.items():
             # An unchanged promotion order doesn't override a primary found since then.
             if previous.primaries.get(service) != target_id:
--- a/src/godwitwheel/sessions/choosing.py
+++ b/src/godwitwheel/sessions/choosing.py
@@ -41,6 +41,8 @@
         return Refusal(NoTarget.no_primary, "control names none")
     if board.is_past_leaving_grace(target_id, now):
         return Refusal(NoTarget.no_primary, f"{target_id} leaves")
+    if not board.authority.may_use(service, target_id, now):
+        return Refusal(NoTarget.no_primary, f"no lease on {target_id}")
     status = board.status(target_id)
     if now < status.retry_at:
         return Refusal(NoTarget.no_primary, f"{target_id} does not answer")
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -126,7 +126,7 @@
             now = self.clock.now()
             owners.check(reporter, now)
             confirmations = [
-                self._last_reachable_at(service, owners, now)
+                self._last_reachable_at(service, reporter, owners, now)
                 for service in self.board.view.table.services
             ]
             changed = self.isolation.update(
@@ -142,11 +142,20 @@
             if self.isolation.should_end_sessions(now):
                 self.server.end_idle()
 
-    def _last_reachable_at(self, service: str, owners: OwnerWatch, now: float) -> float:
+    def _last_reachable_at(
+        self, service: str, reporter: Reporter, owners: OwnerWatch, now: float
+    ) -> float:
         """Returns when a service was last known to be reachable."""
-        if service not in self.board.view.owners:
-            return self.board.known_primary(service).last_confirmed_at
-        return now if owners.is_reachable(service, now) else -math.inf
+        if service in self.board.view.owners:
+            return now if owners.is_reachable(service, now) else -math.inf
+        confirmed_at = self.board.known_primary(service).last_confirmed_at
+        if not self.board.authority.needs_lease:
+            return confirmed_at
+        # Without control no lease is renewed, so that the primary is soon of no use.
+        answered_at = -math.inf
+        if reporter.answered_at is not None:
+            answered_at = reporter.answered_at
+        return min(confirmed_at, answered_at)
 
     def run(self, stop: StopRequest, make_link: Callable[[Stream], CallerLink]) -> None:
         """Serves until the process is asked to stop.
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -31,6 +31,9 @@
 # Delay before a report, so that changes in quick succession are reported together.
 REPORT_SPACING_S = 0.01
 RETRY_INTERVAL_S = 0.05
+# Report interval while a primary is not confirmed under leases: control then waits for
+# this process to learn that the primary is fenced. In seconds.
+UNCONFIRMED_REPORT_INTERVAL_S = 0.05
 REPORT_TIMEOUT_S = 0.4
 # Time for which other members are tried before one that did not respond, and before
 # one that refused the connection at once, in seconds.
@@ -143,9 +146,12 @@
                 sleep(RETRY_INTERVAL_S)
 
     def _interval_s(self) -> float:
-        if any(self.board.uses_targets(s) for s in self.board.view.table.services):
-            return REPORT_INTERVAL_S
-        return max(REPORT_INTERVAL_S, self.board.proxies / IDLE_REPORTS_PER_S)
+        board = self.board
+        if not board.uses_any_targets():
+            return max(REPORT_INTERVAL_S, board.proxies / IDLE_REPORTS_PER_S)
+        if board.authority.needs_lease and board.lacks_a_primary():
+            return UNCONFIRMED_REPORT_INTERVAL_S
+        return REPORT_INTERVAL_S
 
     def report(self) -> bool:
         """Reports once.
@@ -161,7 +167,7 @@
                 address, "POST", REPORT_PATH, encode(self.build()), REPORT_TIMEOUT_S
             )
             if status == 200:
-                self._apply_reply(address, decode(body, ProxyReply))
+                self._apply_reply(address, decode(body, ProxyReply), now)
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
@@ -204,6 +210,8 @@
             self.leaving,
             self.owner_address,
             board.view.table.version,
+            board.authority.needs_lease and board.uses_any_targets(),
+            board.authority.drained_version(now),
         )
 
     def _has_searched(self, service: str, now: float) -> bool:
@@ -219,7 +227,7 @@
             or now - known_primary.search_started_at >= INITIAL_SEARCH_S
         )
 
-    def _apply_reply(self, address: str, reply: ProxyReply) -> None:
+    def _apply_reply(self, address: str, reply: ProxyReply, sent_at: float) -> None:
         board = self.board
         self.members.leader = address
         self.members.avoided_until.pop(address, None)
@@ -239,7 +247,10 @@
                 table_version=view.table.version,
                 targets=len(view.targets),
                 primaries=view.primaries,
+                fences=view.fences,
             )
+        if reply.grants_lease:
+            board.authority.renew(reply.view_version, sent_at, board.clock.now())
 
     def _view_with_table(self, reply: ProxyReply) -> DirectoryView | None:
         """Returns a reply's view including its table, or ``None`` if there is none."""
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/single.py
@@ -3,7 +3,13 @@
 from ..directory.records import Consistency, Route, TargetEntry
 from ..internal.sentinel import Refusal
 from ..wire.service import Access
-from .attempts import commands_to_run, exchange, floor_of, mark_primary
+from .attempts import (
+    commands_to_run,
+    exchange,
+    floor_of,
+    is_covered_now,
+    mark_primary,
+)
 from .choosing import choose_reader
 from .connection import Begin, Rollback
 from .context import SessionContext, SessionState
@@ -42,9 +48,15 @@
     def _write(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
         commands = commands_to_run(pooled, self.state, self.statement)
         sent_at = self.context.now()
+        authority = self.context.board.authority
+        if not authority.may_use(target.service, target.target_id, sent_at):
+            self.attempts.reason = f"no lease on {target.target_id}"
+            return None
         try:
             timeout_s = self.deadlines.left_s(sent_at)
-            answer = exchange(self.context, pooled, commands, timeout_s)[-1]
+            with authority.in_flight(target.service):
+                answer = exchange(self.context, pooled, commands, timeout_s)[-1]
+                is_covered = is_covered_now(self.context, target, sent_at)
         except ConnectionLost as error:
             self.attempts.reason = f"{target.target_id}: {error}"
             return error_answer(
@@ -54,6 +66,9 @@
             pooled.connection_state.prepared.clear()
             self.record_refusal(target, answer)
             return None
+        if answer.error is None and not is_covered:
+            self.attempts.reason = f"the lease on {target.target_id} has ended"
+            return error_answer(ErrorCode.in_doubt, self.attempts.reason)
         if answer.error is None:
             mark_primary(self.context, target, sent_at, answer.position)
             self.state.record_commit(self.route.service, answer.position)
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/transaction.py
@@ -6,6 +6,7 @@
 from .attempts import (
     commands_to_run,
     exchange,
+    is_covered_now,
     mark_primary,
     release_connection,
     turn,
@@ -171,11 +172,25 @@
                 if self.has_failed or self.pooled is not pooled:
                     # The connection may serve another transaction by now.
                     return error_answer(ErrorCode.aborted, "the transaction has ended")
+                if not self._may_use_target():
+                    reason = f"no lease on {target.target_id}"
+                    return error_answer(
+                        ErrorCode.aborted, reason, TransactionState.open
+                    )
                 commands = commands_to_run(pooled, self.state, statement)
                 return exchange(self.context, pooled, commands, timeout_s)[-1]
         except TurnRefused as error:
             return error_answer(ErrorCode.overloaded, str(error))
 
+    def _may_use_target(self) -> bool:
+        """Whether the target may still be the primary, if it has to be."""
+        if not self.opener.is_read_write:
+            return True
+        target = self.pooled.pool.target
+        now = self.context.now()
+        authority = self.context.board.authority
+        return authority.may_use(target.service, target.target_id, now)
+
     def _turn_request(self, timeout_s: float) -> TurnRequest:
         """Returns the turn request of the next statement.
 
@@ -212,7 +227,9 @@
         while True:
             sent_at = self.context.now()
             try:
-                answer = self._exchange(statement, deadlines.left_s(sent_at))
+                with self.context.board.authority.in_flight(target.service):
+                    answer = self._exchange(statement, deadlines.left_s(sent_at))
+                    is_covered = is_covered_now(self.context, target, sent_at)
             except ConnectionLost as error:
                 self.abandon("the commit was not answered")
                 if not self.has_written:
@@ -223,7 +240,7 @@
             if not self._may_repeat(answer, deadlines):
                 break
             sleep(RETRY_DELAY_S)
-        if answer.error is None and self.has_written:
+        if answer.error is None and self.has_written and is_covered:
             mark_primary(self.context, target, sent_at, answer.position)
             self.state.record_commit(self.route.service, answer.position)
         if answer.state is TransactionState.idle:
@@ -232,6 +249,9 @@
             release_connection(pooled)
         else:
             self.abandon("the commit was refused")
+        if answer.error is None and self.has_written and not is_covered:
+            self.attempts.reason = f"the lease on {target.target_id} has ended"
+            return error_answer(ErrorCode.in_doubt, self.attempts.reason)
         return answer
 
     def _finish(
--- a/src/godwitwheel/wire/client.py
+++ b/src/godwitwheel/wire/client.py
@@ -1,7 +1,9 @@
 """An HTTP client with kept-alive connections, for calls between processes."""
 
+import contextlib
 import http.client
 import socket
+import struct
 import time
 import warnings
 
@@ -16,15 +18,22 @@
 from ..internal.loop import LoopTimeout
 
 MAX_IDLE_PER_PEER = 16
+# Value of ``SO_LINGER``: closing discards unsent data and resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class HttpConnection:
-    """One TCP connection to a peer; closed after any error or incomplete reply."""
+    """One TCP connection to a peer; closed after any error or incomplete reply.
 
-    __slots__ = ("address", "connection")
+    :ivar resets_failed: whether it is reset then, so that a request that has not left
+        this VM, or is held up on its way, is not sent any more.
+    """
 
-    def __init__(self, address: str):
+    __slots__ = ("address", "connection", "resets_failed")
+
+    def __init__(self, address: str, resets_failed: bool = False):
         self.address = address
+        self.resets_failed = resets_failed
         host, port = split_address(address)
         self.connection = HTTPConnection(host, port)
 
@@ -62,6 +71,8 @@
                 response = self.connection.getresponse()
                 return response.status, response.read()
         except (OSError, http.client.HTTPException, LoopTimeout) as error:
+            if self.resets_failed:
+                self._reset_on_close()
             self.close()
             raise NoReply(f"{self.address}{path}: {error!r}") from error
         except BaseException:
@@ -74,17 +85,30 @@
         """Closes the connection."""
         self.connection.close()
 
+    def _reset_on_close(self) -> None:
+        if self.connection.sock is None:
+            return
+        # Fails only on a connection that the peer has reset.
+        with contextlib.suppress(OSError):
+            self.connection.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
     def is_usable(self) -> bool:
         """Whether the connection is still open on this side."""
         return self.connection.sock is not None
 
 
 class Client:
-    """Keeps a pool of idle connections for each peer and makes typed calls."""
+    """Keeps a pool of idle connections for each peer and makes typed calls.
+
+    :ivar resets_failed: see :class:`HttpConnection`.
+    """
 
-    __slots__ = ("idle",)
+    __slots__ = ("idle", "resets_failed")
 
-    def __init__(self):
+    def __init__(self, resets_failed: bool = False):
+        self.resets_failed = resets_failed
         self.idle: dict[str, list[HttpConnection]] = {}
 
     def __enter__(self) -> "Client":
@@ -142,7 +166,7 @@
             if connection.is_usable() and not has_unread_input(connection):
                 return connection
             connection.close()
-        connection = HttpConnection(address)
+        connection = HttpConnection(address, self.resets_failed)
         connection.connect(timeout_s)
         return connection
 
--- /dev/null
+++ b/tests/cover/test_lease_fence.py
@@ -0,0 +1,164 @@
+"""Replacing a primary that the platform doesn't stop: leases, late orders."""
+
+import pytest
+
+from godwitwheel.directory import fencing
+from godwitwheel.directory.commands import FencePrimary
+from godwitwheel.directory.errors import PromotionFailed
+from godwitwheel.directory.failover import Observation, Verdict, assess
+from godwitwheel.directory.fencing import LATE_ORDER_S, LeaseFence
+from godwitwheel.directory.leadership import DirectoryLeadership
+from godwitwheel.directory.promotion import Promoter
+from godwitwheel.directory.records import ProxyReport
+from godwitwheel.directory.state import Directory
+from godwitwheel.directory.tables import JsonTableCodec
+from godwitwheel.sessions.authority import LEASE_S
+from tests.common.fake_sessions import SERVICE, FakeGroup
+from tests.cover.test_promoter import ScriptedPromotionClient
+
+OBSERVATIONS = [Observation("p1", "t1", False, 900, [])]
+
+
+class LeasedGroup:
+    """A leader that grants leases, and a group whose primary is to be replaced.
+
+    :ivar commits: commands in the order of their commits.
+    """
+
+    def __init__(self, monkeypatch, *failures):
+        self.group = FakeGroup()
+        self.clock = self.group.clock
+        self.directory = Directory(JsonTableCodec())
+        self.directory.view = self.group.board.view
+        self.client = ScriptedPromotionClient(*failures)
+        self.commits = []
+        self.restart_leadership(self.clock.now() - 60.0)
+        monkeypatch.setattr(fencing, "sleep", self.clock.advance)
+        fence = LeaseFence(lambda: self.directory.view, self.commit, self.clock)
+        self.promoter = Promoter(
+            self.group, self.client, self.clock, self.commit, lambda: None, fence
+        )
+
+    def restart_leadership(self, since):
+        self.leadership = DirectoryLeadership(since, 3)
+
+    def commit(self, command):
+        self.commits.append(command)
+        index = self.directory.view.version + 1
+        if isinstance(command, FencePrimary):
+            return self.directory.fence_primary(index, command).applied
+        return self.directory.set_primary(index, command).applied
+
+    def grant(self, proxy_id, drained_version=0):
+        report = ProxyReport(proxy_id, "dc-1", 1, drained_version=drained_version)
+        version = self.directory.view.version
+        self.leadership.grant_lease(report, version, self.clock.now())
+
+    def replace(self):
+        self.promoter.replace(
+            self.leadership, SERVICE, self.directory.view, OBSERVATIONS, "lost"
+        )
+
+    def ordered_targets(self):
+        return [target_id for target_id, _ in self.client.orders]
+
+
+@pytest.fixture
+def leased(monkeypatch):
+    return LeasedGroup(monkeypatch)
+
+
+def test_the_order_waits_until_the_leases_have_ended(leased):
+    leased.grant("p1")
+    started_at = leased.clock.now()
+    leased.replace()
+    assert len(leased.client.orders) == 1
+    assert leased.clock.now() - started_at >= LEASE_S
+
+
+def test_the_order_does_not_wait_for_a_proxy_that_has_drained(leased):
+    leased.commit(FencePrimary(SERVICE))
+    leased.grant("p1", drained_version=leased.directory.view.version)
+    started_at = leased.clock.now()
+    leased.replace()
+    assert leased.clock.now() == started_at
+
+
+def test_the_order_waits_for_leases_of_an_earlier_leader(leased):
+    leased.restart_leadership(leased.clock.now())
+    started_at = leased.clock.now()
+    leased.replace()
+    assert leased.clock.now() - started_at >= LEASE_S
+
+
+def test_the_fence_and_the_candidate_are_committed_before_the_order(leased):
+    leased.replace()
+    fence, candidate, primary = leased.commits
+    assert fence == FencePrimary(SERVICE)
+    assert candidate == FencePrimary(SERVICE, primary.target_id)
+    assert leased.directory.view.fences == {}
+    assert leased.directory.view.primaries == {SERVICE: primary.target_id}
+
+
+def test_nothing_is_fenced_while_no_candidate_answers(leased):
+    leased.group.targets["t2"].is_unresponsive = True
+    leased.group.targets["t3"].is_unresponsive = True
+    with pytest.raises(PromotionFailed):
+        leased.replace()
+    assert leased.commits == []
+
+
+def test_a_fenced_primary_takes_over_again_if_no_other_target_answers(leased):
+    leased.commit(FencePrimary(SERVICE))
+    leased.group.targets["t2"].is_unresponsive = True
+    leased.group.targets["t3"].is_unresponsive = True
+    leased.replace()
+    assert leased.ordered_targets() == ["t1"]
+
+
+def test_the_fenced_primary_is_not_preferred_for_its_position(leased):
+    leased.group.commit("w1")
+    leased.commit(FencePrimary(SERVICE))
+    leased.replace()
+    assert leased.ordered_targets()[0] in ("t2", "t3")
+
+
+def test_no_other_target_is_ordered_while_an_order_may_be_carried_out(monkeypatch):
+    leased = LeasedGroup(monkeypatch, PromotionFailed("no answer"))
+    with pytest.raises(PromotionFailed):
+        leased.replace()
+    first = leased.ordered_targets()[0]
+    leased.group.targets[first].is_unresponsive = True
+    with pytest.raises(PromotionFailed):
+        leased.replace()
+    assert leased.ordered_targets() == [first]
+    leased.clock.advance(LATE_ORDER_S)
+    leased.replace()
+    assert leased.ordered_targets()[1] != first
+
+
+def test_the_next_leader_repeats_the_order_of_the_earlier_one(monkeypatch):
+    leased = LeasedGroup(monkeypatch, PromotionFailed("no answer"))
+    with pytest.raises(PromotionFailed):
+        leased.replace()
+    first = leased.ordered_targets()[0]
+    other = "t2" if first == "t3" else "t3"
+    leased.group.commit("w1")
+    leased.group.replicate(other)
+    leased.restart_leadership(leased.clock.now())
+    leased.replace()
+    assert leased.ordered_targets() == [first, first]
+
+
+def test_the_next_leader_finishes_a_replacement(leased):
+    leased.commit(FencePrimary(SERVICE))
+    view = leased.directory.view
+    confirmed = [Observation("p1", "t1", True, 10, [])]
+    assert assess(SERVICE, view, confirmed, 1, 60.0).verdict is Verdict.replace
+
+
+def test_a_target_that_still_acts_as_primary_is_not_adopted(leased):
+    view = leased.directory.view
+    former = [Observation("p1", "t2", True, 10, [])]
+    found = assess(SERVICE, view, former, 1, 60.0, may_adopt=False)
+    assert found.verdict is Verdict.keep
--- a/tests/cover/test_promoter.py
+++ b/tests/cover/test_promoter.py
@@ -4,6 +4,7 @@
 
 from godwitwheel.directory.errors import PromotionFailed, PromotionFenced
 from godwitwheel.directory.failover import Observation
+from godwitwheel.directory.fencing import PlatformFence
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.promotion import Promoter, PromotionClient
 from tests.common.fake_sessions import SERVICE, FakeGroup
@@ -42,6 +43,7 @@
             self.group.clock,
             self.commit,
             lambda: None,
+            PlatformFence(),
         )
 
     def commit(self, command):
