Open no connections while a service awaits its owner

Cause: between the first table and the owners' assignment 82 proxies connected to 12 targets with 25 connections each. A full target's refusal was logged as unreachable.

Change: replies to reports say how many processes may own connections; with so many proxies that an owner is needed, a proxy waits for it and refuses at once. A full target is no sign against a primary. A runner without an owner refuses instead of failing.

--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -85,8 +85,15 @@
             leadership.grant_lease(report, view.version, received_at)
         proxies = max(leadership.count_caller_facing_proxies(), 1)
         members = self.log.member_addresses()
+        owners = len(leadership.live_owners(self.clock.now()))
         if report.view_version >= view.version:
-            return ProxyReply(view.version, proxies, members, grants_lease=grants_lease)
+            return ProxyReply(
+                view.version,
+                proxies,
+                members,
+                grants_lease=grants_lease,
+                owners=owners,
+            )
         return ProxyReply(
             view.version,
             proxies,
@@ -95,6 +102,7 @@
             view.table.version,
             self.recent_tables.change_for(report.table_version, view.table),
             grants_lease,
+            owners,
         )
 
     def publish_table(self, document: bytes) -> TableResult:
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -181,6 +181,7 @@
     :ivar table_version: version of the table that belongs to the view.
     :ivar table_change: ``None`` if the proxy holds that table.
     :ivar members: addresses of all control members.
+    :ivar owners: number of processes that may own connections to targets.
     :ivar grants_lease: whether the proxy gets a lease, which belongs to this view.
     """
 
@@ -191,6 +192,7 @@
     table_version: Count = 0
     table_change: TableChange | None = None
     grants_lease: bool = False
+    owners: int = 0
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ..directory.ownership import usable_connections
+from ..directory.ownership import needs_owner, usable_connections
 from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
@@ -109,6 +109,7 @@
     :ivar limiters: concurrency limiters by target id.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
+    :ivar owners: how many processes may become owners of connections.
     :ivar leaving_grace_s: how long a primary that is leaving may get new work while
         another target is promoted, in seconds.
     :ivar leaving_since: when the view first listed a target as leaving, by target id.
@@ -126,6 +127,7 @@
         "data_centre",
         "view",
         "proxies",
+        "owners",
         "pools",
         "statuses",
         "known_primaries",
@@ -152,6 +154,7 @@
         self.data_centre = data_centre
         self.view = DirectoryView()
         self.proxies = 1
+        self.owners = 0
         self.pools: dict[str, TargetPool] = {}
         self.statuses: dict[str, TargetStatus] = {}
         self.known_primaries: dict[str, KnownPrimary] = {}
@@ -206,7 +209,17 @@
         """Whether this process connects to a service's targets itself."""
         if service in self.view.owners:
             return self.owns(service)
-        return self.serves_callers
+        return self.serves_callers and not self.awaits_owner(service)
+
+    def awaits_owner(self, service: str) -> bool:
+        """Whether control is about to assign an owner to a service.
+
+        If all proxies connected until then, most would be refused.
+        """
+        policy = self.view.table.services.get(service)
+        if policy is None or not self.owners or service in self.view.owners:
+            return False
+        return needs_owner(policy, self.proxies)
 
     def uses_any_targets(self) -> bool:
         """Whether this process connects to the targets of any service itself."""
--- a/src/godwitwheel/sessions/pool.py
+++ b/src/godwitwheel/sessions/pool.py
@@ -10,7 +10,7 @@
 from ..internal.loop import Event, wait_for
 from .carrying import ConnectionState
 from .connection import Connector, DatabaseConnection
-from .errors import ConnectFailed, PoolExhausted, TooManyConnections
+from .errors import PoolExhausted, TooManyConnections
 from .statements import TransactionState
 
 CONNECT_TIMEOUT_S = 0.25
@@ -100,6 +100,7 @@
         """Acquires a connection, preferably one with ``values`` already set.
 
         :raises PoolExhausted: if none becomes free in time.
+        :raises TooManyConnections: if the target refuses the only one.
         :raises ConnectFailed: if a new one can't be opened.
         """
         deadline = self.clock.now() + timeout_s
@@ -135,6 +136,10 @@
         while self.idle:
             self._drop(self.idle.pop())
 
+    def is_refused(self, now: float) -> bool:
+        """Whether the target takes no connection because it has too many."""
+        return self.open_count == 0 and now < self.full_until
+
     def _take_idle(self, values: dict[str, str]) -> PooledConnection | None:
         while self.idle:
             index = self._best_idle_index(values)
@@ -185,7 +190,7 @@
         if remaining_s <= 0 or self.is_closed:
             raise PoolExhausted(f"{self.target.target_id}: no free connection in time")
         if self.open_count == 0:
-            raise ConnectFailed(
+            raise TooManyConnections(
                 f"{self.target.target_id}: refused another connection", refused=True
             )
         waiter = Waiter(priority)
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/remote.py
@@ -70,11 +70,16 @@
         """Returns the owner of a service's connections."""
         return self.context.board.view.owners.get(service)
 
-    def run(self, owner: OwnerEntry, request: RunRequest, timeout_s: float) -> RunReply:
+    def run(
+        self, owner: OwnerEntry | None, request: RunRequest, timeout_s: float
+    ) -> RunReply:
         """Runs a statement at an owner.
 
+        :param owner: ``None`` if control has assigned none.
         :raises OwnerLost: if it gives no valid reply.
         """
+        if owner is None:
+            raise OwnerLost(f"{request.route.service} has no owner yet", False)
         now = self.context.now()
         if self.breakers.should_fail_fast(owner, now):
             raise OwnerLost(f"{owner.proxy_id} does not answer", False)
@@ -191,7 +196,7 @@
         return RemoteTransaction(self.calls, state, route, read_only)
 
     def _wait_for_new_owner(
-        self, lost: OwnerEntry, route: Route, deadlines: Deadlines
+        self, lost: OwnerEntry | None, route: Route, deadlines: Deadlines
     ) -> bool:
         """Waits up to :data:`NEW_OWNER_WAIT_S` for another owner of the service.
 
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting.py
@@ -187,7 +187,7 @@
         reports = []
         for service in board.view.table.services:
             known_primary = board.known_primary(service)
-            if not self._has_searched(service, now):
+            if not self._has_searched(service, now) or self._is_refused(service, now):
                 continue
             age_ms = round(
                 min(1000 * (now - known_primary.last_confirmed_at), MAX_AGE_MS)
@@ -227,6 +227,14 @@
             or now - known_primary.search_started_at >= INITIAL_SEARCH_S
         )
 
+    def _is_refused(self, service: str, now: float) -> bool:
+        """Whether the primary refuses this process only for too many connections.
+
+        That says nothing about whether it is the primary.
+        """
+        pool = self.board.pools.get(self.board.known_primary(service).target_id)
+        return pool is not None and pool.is_refused(now)
+
     def _apply_reply(self, address: str, reply: ProxyReply, sent_at: float) -> None:
         board = self.board
         self.members.leader = address
@@ -236,8 +244,9 @@
         if self.is_control_unreachable:
             self.is_control_unreachable = False
             record_event(EventName.control_reachable, address=address)
-        if reply.proxies != board.proxies:
+        if reply.proxies != board.proxies or reply.owners != board.owners:
             board.proxies = reply.proxies
+            board.owners = reply.owners
             board.apply_limits()
         view = self._view_with_table(reply)
         if view is not None and board.apply_view(view):
--- a/src/godwitwheel/sessions/runner.py
+++ b/src/godwitwheel/sessions/runner.py
@@ -61,6 +61,10 @@
 
     def for_route(self, route: Route) -> StatementRunner:
         """Returns the runner for a route's statements in the active view."""
-        if self.remote is not None and route.service in self.context.board.view.owners:
+        board = self.context.board
+        is_owned = route.service in board.view.owners or board.awaits_owner(
+            route.service
+        )
+        if self.remote is not None and is_owned:
             return self.remote
         return self.local
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -12,6 +12,7 @@
 from godwitwheel.sessions.owner import EXPIRY_SLACK_S, Owner
 from godwitwheel.sessions.owner_silence import TRIAL_INTERVAL_S
 from godwitwheel.sessions.remote import OwnerCalls, RemoteRunner
+from godwitwheel.sessions.reporting import Reporter
 from godwitwheel.sessions.runner import RunnerSelector
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
@@ -296,3 +297,49 @@
     deployment.name_owners(group)
     assert group.primary.connections == []
     assert not group.board.uses_targets(SERVICE)
+
+
+def start_a_large_fleet(deployment):
+    """Control knows many proxies and an owner, and has assigned no service yet."""
+    board = deployment.front.board
+    view = msgspec.structs.replace(board.view, version=10, owners={})
+    board.proxies = 80
+    board.owners = 1
+    board.apply_view(view)
+    return board
+
+
+def test_no_proxy_connects_to_targets_before_control_has_assigned_owners(deployment):
+    board = start_a_large_fleet(deployment)
+    assert not board.uses_targets(SERVICE)
+    answer = deployment.session().execute(read("r1"))
+    assert answer.error is ErrorCode.overloaded
+    assert all(target.opened == 0 for target in deployment.front.targets.values())
+
+
+def test_a_write_and_a_transaction_before_an_owner_is_assigned_are_refused(deployment):
+    start_a_large_fleet(deployment)
+    session = deployment.session()
+    assert session.execute(write("w1")).error is ErrorCode.overloaded
+    session.execute(begin("b1"))
+    assert session.execute(write("w2")).error is ErrorCode.aborted
+
+
+def test_proxies_use_their_own_connections_if_no_process_can_be_an_owner(deployment):
+    board = start_a_large_fleet(deployment)
+    board.owners = 0
+    assert board.uses_targets(SERVICE)
+
+
+def test_a_target_that_is_full_is_not_taken_for_unreachable(deployment):
+    front = deployment.front
+    board = start_a_large_fleet(deployment)
+    board.owners = 0
+    for target in front.targets.values():
+        target.max_connections = 0
+    deployment.session().execute(read("r1"))
+    assert board.pools["t1"].is_refused(board.clock.now())
+    assert board.status("t1").failing_since is None
+    reporter = Reporter(board, None, None, "front-1")
+    board.known_primary(SERVICE).search_started_at = 0.0
+    assert reporter.build().primaries == []
