Share a confirmation round among the calls of 15 ms

Cause: each report of a proxy waits for a quorum round; with 82 proxies the leader ran rounds back to back, a message to each of five followers every few ms.

Change: a pause of 15 ms follows each round, and the calls that come meanwhile share the next one. A call on its own is confirmed at once, as before.

--- a/src/godwitwheel/control/committer.py
+++ b/src/godwitwheel/control/committer.py
@@ -4,7 +4,7 @@
 
 from ..consensus.errors import NotLeader, OutcomeUnknown
 from ..consensus.replicated import ReplicatedLog
-from ..internal.loop import Event, spawn, wait_for
+from ..internal.loop import Event, sleep, spawn, wait_for
 from ..wire.codec import Message, decode, encode
 from .commands import Command, Results, encode_batch
 from .errors import CommitOutcomeUnknown, NotLeading, TooLarge
@@ -14,6 +14,8 @@
 MAX_BATCH_BYTES = 500 * 1024
 MAX_BATCHES_IN_FLIGHT = 2
 PROPOSE_TIMEOUT_S = 5.0
+# Pause after a confirmation round, so that calls of many proxies share the next one.
+ROUND_PAUSE_S = 0.015
 
 
 class PendingCommand:
@@ -107,7 +109,8 @@
     """Lets concurrent calls share one leadership confirmation round to a quorum.
 
     A round answers only calls made before it began, so that the confirmation is never
-    older than the call.
+    older than the call. A call that comes soon after a round waits for the next one,
+    which it then shares with others.
 
     :ivar next_round: sent the result of the next round; ``None`` if no call waits for
         one.
@@ -143,6 +146,7 @@
                 self.next_round = None
                 self.rounds += 1
                 awaited.send(self._is_confirmed(timeout_s))
+                sleep(ROUND_PAUSE_S)
         finally:
             # However this task ends, the next call must be able to start another.
             self.running = False
--- a/tests/cover/test_committer.py
+++ b/tests/cover/test_committer.py
@@ -1,12 +1,18 @@
 """Concurrent commands of any size up to the limit are committed."""
 
+import time
+
 import pytest
 
 from bench.slopes.stand_ins import Control
 from godwitwheel.control.commands import OutcomeCommand, SetTokenKey
-from godwitwheel.control.committer import MAX_BATCH_BYTES
+from godwitwheel.control.committer import (
+    MAX_BATCH_BYTES,
+    ROUND_PAUSE_S,
+    LeadershipConfirmer,
+)
 from godwitwheel.control.errors import TooLarge
-from godwitwheel.internal.loop import spawn
+from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.wire.caller import CallerAnswer, Outcome
 from godwitwheel.wire.control import OutcomeRecorded, RecordOutcome
 
@@ -37,3 +43,41 @@
         committer.commit(outcome(MAX_BATCH_BYTES + 1), OutcomeRecorded, TIMEOUT_S)
     committer.commit(SetTokenKey("00"), object, TIMEOUT_S)
     assert control.state.cluster.view.token_key == "00"
+
+
+class CountingLog:
+    """A log whose leader is confirmed at once."""
+
+    def __init__(self):
+        self.rounds = 0
+
+    def confirm_leadership(self, timeout_s):
+        self.rounds += 1
+
+
+def test_calls_of_many_proxies_share_confirmation_rounds():
+    log = CountingLog()
+    confirmer = LeadershipConfirmer(log)
+
+    def confirm_repeatedly():
+        for _ in range(10):
+            confirmer.confirm(1.0)
+            sleep(0.001)
+
+    started_at = time.monotonic()
+    tasks = [spawn(confirm_repeatedly) for _ in range(20)]
+    for task in tasks:
+        task.wait()
+    waited_s = time.monotonic() - started_at
+    assert log.rounds <= waited_s / ROUND_PAUSE_S + 1
+
+
+def test_a_call_on_its_own_is_confirmed_at_once():
+    log = CountingLog()
+    confirmer = LeadershipConfirmer(log)
+    confirmer.confirm(1.0)
+    sleep(2 * ROUND_PAUSE_S)
+    started_at = time.monotonic()
+    confirmer.confirm(1.0)
+    assert time.monotonic() - started_at < ROUND_PAUSE_S
+    assert log.rounds == 2
