Replace no connection that a proxy closes after its lease

Change: without a lease, pools of targets in other data centres open nothing, as the leader assumes.

--- a/src/godwitwheel/proxy/control_link.py
+++ b/src/godwitwheel/proxy/control_link.py
@@ -149,6 +149,7 @@
             self.heartbeat_due.notify()
         if reply.lease_ms > 0:
             self.leased_at = sent_at
+            self.context.pools.frozen = set()
         self.context.pools.apply_quotas()
         self.check_lease()
 
@@ -166,7 +167,7 @@
         context.handle_authority_change()
 
     def _lower_quotas(self) -> None:
-        """Lowers the quotas to the connections that this proxy already holds.
+        """Lowers the quotas to the open connections, which are not replaced if closed.
 
         Control may have granted the rest to other proxies by now. Targets of this
         proxy's data centre keep their quota: when the data centre is isolated, no
@@ -178,6 +179,7 @@
             record = board.view.targets.get(target_id)
             if record is None or record.data_centre != board.identity.data_centre:
                 board.quotas[target_id] = min(quota, board.held.get(target_id, 0))
+                self.context.pools.frozen.add(target_id)
         self.context.pools.apply_quotas()
 
     def _heartbeat(self, leaving: bool) -> Heartbeat:
--- a/src/godwitwheel/proxy/pools.py
+++ b/src/godwitwheel/proxy/pools.py
@@ -14,9 +14,11 @@
     """Keeps one pool for each target; as a context manager, closes them on exit.
 
     :ivar connect: makes a connection from a target's id and address.
+    :ivar frozen: targets to which no connection may be opened; see
+        :class:`ConnectionPool`.
     """
 
-    __slots__ = ("blackboard", "connect", "clock", "by_target", "addresses")
+    __slots__ = ("blackboard", "connect", "clock", "by_target", "addresses", "frozen")
 
     def __init__(self, blackboard: Blackboard, connect: Connect, clock: Clock):
         self.blackboard = blackboard
@@ -24,6 +26,7 @@
         self.clock = clock
         self.by_target: dict[str, ConnectionPool] = {}
         self.addresses: dict[str, str] = {}
+        self.frozen: set[str] = set()
 
     def __enter__(self) -> "TargetPools":
         return self
@@ -60,6 +63,7 @@
     def apply_quotas(self) -> None:
         """Applies the blackboard's quotas to the pools."""
         for target_id, pool in self.by_target.items():
+            pool.is_frozen = target_id in self.frozen
             pool.set_quota(self.blackboard.quotas.get(target_id, 0))
 
     def report(self) -> None:
@@ -77,6 +81,7 @@
             self.clock,
             answered_at=lambda: self.blackboard.target_state(target_id).answered_at,
         )
+        pool.is_frozen = target_id in self.frozen
         pool.set_quota(self.blackboard.quotas.get(target_id, 0))
         self.by_target[target_id] = pool
         self.addresses[target_id] = address
--- a/src/godwitwheel/targets/pool.py
+++ b/src/godwitwheel/targets/pool.py
@@ -27,6 +27,8 @@
     :ivar admission: admission control, which limits and queues the work at the target.
     :ivar idle: open connections not in use, the most recently used last.
     :ivar in_use: connections in use or being opened.
+    :ivar is_frozen: whether no connection may be opened, not even in place of a closed
+        one: control may have assigned that one to another proxy.
     :ivar lingering: closed connections that the target may still count as open.
     :ivar linger_s: how long a connection closed in an uncertain state stays counted,
         in seconds; the target detects the close only after its current statement.
@@ -43,6 +45,7 @@
         "admission",
         "idle",
         "in_use",
+        "is_frozen",
         "lingering",
         "linger_s",
         "answered_at",
@@ -65,6 +68,7 @@
         self.admission = AdmissionController()
         self.idle: list[TargetConnection] = []
         self.in_use = 0
+        self.is_frozen = False
         self.lingering = 0
         self.linger_s = linger_s
         self.answered_at = answered_at
@@ -114,7 +118,7 @@
     @contextlib.contextmanager
     def _acquire_connection(self, deadline: float) -> Iterator[TargetConnection]:
         connection = self._take_idle()
-        if connection is None and self.held() >= self.admission.quota:
+        if connection is None and not self._may_open():
             # The quota shrank after the ticket was admitted.
             raise Overloaded(f"{self.target_id}: quota shrank", NO_QUOTA_RETRY_AFTER_S)
         self.in_use += 1
@@ -127,6 +131,9 @@
             if connection is not None:
                 self._release_connection(connection)
 
+    def _may_open(self) -> bool:
+        return not self.is_frozen and self.held() < self.admission.quota
+
     def _await_admission(self, ticket: Ticket) -> None:
         displaced = self.admission.offer(ticket, self.clock.now())
         self.peak_demand = max(self.peak_demand, self.admission.demand())
--- a/tests/cover/test_quota_split.py
+++ b/tests/cover/test_quota_split.py
@@ -13,7 +13,11 @@
 
 
 class QuotaMachine(RuleBasedStateMachine):
-    """Proxies report, open, close, lose replies and lose their leases."""
+    """Proxies report, open, close, lose replies and lose their leases.
+
+    A proxy without a lease opens nothing, not even in place of a connection that it has
+    closed; tests/cover/test_frozen_pool.py shows that a real one does the same.
+    """
 
     def __init__(self):
         super().__init__()
@@ -22,6 +26,7 @@
         self.table.set_caps({TARGET: CAP}, self.now)
         self.allowed = dict.fromkeys(PROXIES, 0)
         self.held = dict.fromkeys(PROXIES, 0)
+        self.lapsed = set()
 
     @rule(seconds=st.sampled_from([0.0, 0.01, 0.15, 0.6]))
     def wait(self, seconds):
@@ -45,15 +50,20 @@
         quota = self.table.quotas((proxy, 1), self.now)[TARGET]
         if not lost:
             self.allowed[proxy] = quota
+            self.lapsed.discard(proxy)
 
     @rule(proxy=st.sampled_from(PROXIES), wanted=st.integers(0, CAP))
     def open_or_close(self, proxy, wanted):
         grown = min(wanted, max(self.allowed[proxy], self.held[proxy]))
+        if proxy in self.lapsed:
+            grown = min(grown, self.held[proxy])
+            self.allowed[proxy] = grown
         self.held[proxy] = grown
 
     @rule(proxy=st.sampled_from(PROXIES))
     def lapse(self, proxy):
         self.allowed[proxy] = min(self.allowed[proxy], self.held[proxy])
+        self.lapsed.add(proxy)
         self.table.expire((proxy, 1), self.now)
 
     @invariant()
@@ -69,8 +79,8 @@
 def test_proxy_without_a_lease_does_not_reopen_a_closed_connection():
     """The leader may have assigned that connection to another proxy by then.
 
-    When its lease expires, a proxy lowers its quota to what it holds, but not again
-    when it closes a connection afterwards.
+    When its lease expires, a proxy lowers its quota to what it holds, and again when it
+    closes a connection afterwards.
     """
     machine = QuotaMachine()
     machine.rest()
