--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -112,7 +112,7 @@
         :raises WireError: if the session ends or the answer times out.
         """
         self.stream.write(f"QUERY {request_id} {text}\r\n".encode(), CONNECT_TIMEOUT_S)
-        return read_answer(self.stream, ANSWER_TIMEOUT_S)
+        return read_answer(self.stream, time.monotonic() + ANSWER_TIMEOUT_S)
 
     def new_operation(self, is_transaction: bool) -> Operation:
         """Returns a new operation of this session."""
--- a/src/godwitwheel/control/executor.py
+++ b/src/godwitwheel/control/executor.py
@@ -68,6 +68,13 @@
         elif self.requests_in_flight < MAX_REQUESTS_IN_FLIGHT:
             self.requests_in_flight += 1
             spawn(self._run_request, action)
+        else:
+            record_event(
+                EventName.request_dropped,
+                target=action.target_id,
+                action=type(action).__name__,
+                in_flight=self.requests_in_flight,
+            )
 
     def _propose(self, action: Propose) -> None:
         if action.proposed_event is not None:
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -22,6 +22,8 @@
 from .records import DirectoryView, OwnerEntry
 
 DECISION_INTERVAL_S = 0.05
+# Delay before a replacement is retried that failed for an unexpected error, in seconds.
+UNEXPECTED_RETRY_S = 0.5
 # A target that has not announced itself for this long, and that no proxy can reach,
 # is removed; its next announcement adds it again.
 TARGET_EXPIRY_S = 12.0
@@ -154,6 +156,7 @@
             self._delay_retry(leadership, service, DECISION_INTERVAL_S, str(error))
         except Exception as error:
             record_failure(error)
+            self._delay_retry(leadership, service, UNEXPECTED_RETRY_S, repr(error))
         finally:
             leadership.in_progress.discard(service)
 
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -25,7 +25,8 @@
 from .routes import directory_routes
 from .tables import TableCodec
 
-STOP_POLL_S = 0.05
+# Interval at which a stop request and a failed disk are noticed, in seconds.
+STOP_POLL_S = 0.2
 # Delay before a member whose disk failed reopens its log, in seconds.
 REOPEN_DELAY_S = 0.5
 ELECTION_TIMEOUT_S = 0.4
--- a/src/godwitwheel/internal/requests.py
+++ b/src/godwitwheel/internal/requests.py
@@ -4,8 +4,8 @@
 
 from .loop import sleep
 
-# A signal does not wake the event loop by itself, so the flag is polled.
-STOP_POLL_S = 0.05
+# A signal does not wake the event loop by itself, so the flag is polled. In seconds.
+STOP_POLL_S = 0.2
 
 
 class StopRequest:
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -37,6 +37,8 @@
     publish_conflict = "publish_conflict"
     publish_sent = "publish_sent"
     publish_answered = "publish_answered"
+    request_dropped = "request_dropped"
+    outcome_dropped = "outcome_dropped"
     statement_done = "statement_done"
     statement_failed = "statement_failed"
     statement_refused = "statement_refused"
--- a/src/godwitwheel/proxy/claim_link.py
+++ b/src/godwitwheel/proxy/claim_link.py
@@ -74,6 +74,8 @@
         A lost outcome leaves its key claimed: a resend is answered ``unknown``.
         """
         expires_at = self.context.clock.now() + RECORD_RETRY_LIMIT_S
+        if len(self.unrecorded) == MAX_UNRECORDED:
+            self._record_drop(self.unrecorded[0], "too many wait to be recorded")
         self.unrecorded.append(UnrecordedOutcome(outcome, expires_at))
 
     def run_recorder(self) -> None:
@@ -96,6 +98,8 @@
         try:
             if now < first.expires_at:
                 self.record(first.outcome, now + ATTEMPT_TIMEOUT_S)
+            else:
+                self._record_drop(first, "not recorded in time")
         except ControlRefused as error:
             record_event(EventName.handler_failed, error=str(error))
         except ControlUnavailable:
@@ -104,6 +108,9 @@
             self.unrecorded.popleft()
         return True
 
+    def _record_drop(self, dropped: UnrecordedOutcome, reason: str) -> None:
+        record_event(EventName.outcome_dropped, key=dropped.outcome.key, reason=reason)
+
     def _call(
         self, path: str, message: object, reply: type[Message], deadline: float
     ) -> Message:
--- a/src/godwitwheel/proxy/control_client.py
+++ b/src/godwitwheel/proxy/control_client.py
@@ -8,9 +8,9 @@
 from ..wire.codec import Message, decode
 from ..wire.control import NotLeading
 from ..wire.errors import BadMessage, ErrorReply, NoReply, NotSent, WireError
+from ..wire.status import MISDIRECTED
 from .errors import ControlRefused, ControlUnavailable
 
-MISDIRECTED = 421
 ATTEMPT_TIMEOUT_S = 0.5
 RETRY_DELAY_S = 0.02
 MAX_RETRY_DELAY_S = 0.64
@@ -87,7 +87,7 @@
             except WireError as error:
                 _raise_if_refused(address, error)
                 self._drop_former_leader(address, error)
-                sleep(min(delay_s, remaining_s))
+                sleep(max(min(delay_s, deadline - self.clock.now()), 0.0))
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     def call_once(
--- a/src/godwitwheel/publish/control_client.py
+++ b/src/godwitwheel/publish/control_client.py
@@ -9,9 +9,9 @@
 from ..wire.codec import Message, decode
 from ..wire.control import ControlProblem, NotLeading
 from ..wire.errors import BadMessage, ErrorReply, NoReply, NotSent
+from ..wire.status import MISDIRECTED
 from .errors import ControlUnreachable, OutcomeUnknown, PublishRefused
 
-STATUS_NOT_LEADER = 421
 ATTEMPT_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.1
 
@@ -80,7 +80,7 @@
             next attempt follows after a delay.
         :raises PublishRefused: if the reply is a refusal by the leader.
         """
-        if error.status == STATUS_NOT_LEADER:
+        if error.status == MISDIRECTED:
             redirect = _decode_or_none(error.body, NotLeading)
             previous_leader = self.leader
             self.leader = redirect.leader_address if redirect else ""
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -32,7 +32,10 @@
 READINESS_PROPAGATION_S = 2.3
 # Part of the grace period that is reserved for the process's own exit, in seconds.
 EXIT_MARGIN_S = 0.7
+# Interval of the checks for isolation, in seconds: while something is not answered, and
+# otherwise.
 ISOLATION_POLL_S = 0.1
+IDLE_ISOLATION_POLL_S = 0.25
 
 
 class SessionProxySettings:
@@ -122,7 +125,12 @@
         Their callers then reconnect to other proxies.
         """
         while True:
-            sleep(ISOLATION_POLL_S)
+            is_suspicious = (
+                reporter.is_control_unreachable
+                or self.isolation.is_isolated
+                or owners.has_suspects
+            )
+            sleep(ISOLATION_POLL_S if is_suspicious else IDLE_ISOLATION_POLL_S)
             now = self.clock.now()
             owners.check(reporter, now)
             confirmations = [
--- a/src/godwitwheel/sessions/sampler.py
+++ b/src/godwitwheel/sessions/sampler.py
@@ -17,6 +17,9 @@
 # Age at which a confirmation of the primary is renewed by a probe, in seconds; while
 # statements of callers confirm it more often, no probe is sent.
 SAMPLE_INTERVAL_S = 0.15
+# Interval at which a process that uses no targets checks whether it has to, in seconds;
+# a new view wakes it sooner.
+IDLE_INTERVAL_S = 1.0
 # Interval between probes of all targets while no primary is confirmed, in seconds.
 SEARCH_INTERVAL_S = 0.06
 # A probe takes about one network round trip, so that a target that does not answer for
@@ -46,7 +49,7 @@
             services = {s for s in board.view.table.services if board.uses_targets(s)}
             for service in services - set(self.tasks):
                 self.tasks[service] = spawn(self._sample_repeatedly, service)
-            board.changed.wait(SAMPLE_INTERVAL_S)
+            board.changed.wait(SAMPLE_INTERVAL_S if services else IDLE_INTERVAL_S)
 
     def _sample_repeatedly(self, service: str) -> None:
         try:
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -1,10 +1,13 @@
 """Connections to targets over loopback."""
 
+import contextlib
+
 import pytest
 
 from fleet.lines import parse_statement
 from fleet.targets import LineConnector
 from godwitwheel.directory.records import TargetEntry
+from godwitwheel.internal.loop import sleep
 from godwitwheel.sessions.connection import Begin, Rollback, Run
 from godwitwheel.sessions.errors import (
     ConnectFailed,
@@ -18,6 +21,7 @@
     Position,
     TransactionState,
 )
+from godwitwheel.wire.errors import WireError
 from tests.common.line_target import LineTarget
 
 TIMEOUT_S = 5.0
@@ -94,6 +98,25 @@
         assert lost.value.timed_out
 
 
+def test_an_answer_that_comes_in_slow_lines_counts_as_a_timeout():
+    """The limit holds for the whole answer, not for each of its lines."""
+
+    class SlowTarget(LineTarget):
+        def serve(self, stream):
+            stream.read_line(TIMEOUT_S, 1000)
+            stream.write(self.start_reply, TIMEOUT_S)
+            stream.read_line(TIMEOUT_S, 1000)
+            with contextlib.suppress(WireError):
+                for _ in range(20):
+                    stream.write(b"DATAROW x\r\n", TIMEOUT_S)
+                    sleep(0.05)
+
+    with SlowTarget(lambda text: None).running() as target:
+        with pytest.raises(ConnectionLost) as lost:
+            connect(target).exchange([Begin()], 0.2)
+        assert lost.value.timed_out
+
+
 def test_refusals_of_a_new_connection_are_distinguished():
     target = LineTarget(lambda text: None)
     with target.running():
--- a/tests/cover/test_control_client.py
+++ b/tests/cover/test_control_client.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitwheel.blackboard import Blackboard, ProxyIdentity
-from godwitwheel.internal.clock import BootClock
+from godwitwheel.internal.clock import BootClock, ManualClock
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.proxy import control_client
 from godwitwheel.proxy.errors import ControlRefused, ControlUnavailable
@@ -86,3 +86,21 @@
         with pytest.raises(ControlRefused):
             call("/v1/outcome", {}, OutcomeRecorded, LONG_S)
     assert (members.calls, client.blackboard.control_leader) == (2, "a")
+
+
+def test_a_call_that_fails_late_does_not_wait_past_its_deadline(
+    client, members, monkeypatch
+):
+    """Its last attempt used up all the time that was left."""
+    client.clock = ManualClock(100.0)
+    client.blackboard.control_leader = "a"
+    monkeypatch.setattr(control_client, "sleep", client.clock.advance)
+
+    def fail(address, path, message, reply, limit_s):
+        client.clock.advance(limit_s)
+        raise ErrorReply(503, b"{}")
+
+    members.call = fail
+    with pytest.raises(ControlUnavailable):
+        client.call("/v1/outcome", {}, OutcomeRecorded, SHORT_S)
+    assert client.clock.now() <= 100.0 + SHORT_S
