Close the connections of a server that has ended

A member with a full disk ended its servers, but open connections were still served by it, and it named itself as leader; proxies stayed with it for 15 s.

Change: the end of a server closes idle connections and lets the others end with their answer. Two tests that failed before.

--- a/src/godwitwheel/wire/server.py
+++ b/src/godwitwheel/wire/server.py
@@ -129,11 +129,15 @@
 
 
 class HttpProtocol:
-    """Serves the requests of one connection, one after the other."""
+    """Serves the requests of one connection, one after the other.
+
+    :ivar is_idle: whether it waits for a request.
+    """
 
     def __init__(self, server: "Server", stream: Stream):
         self.server = server
         self.stream = stream
+        self.is_idle = True
 
     def run(self) -> None:
         """Serves until either side ends the connection."""
@@ -171,12 +175,18 @@
             self._refuse(error)
             return False
         response = self.server.respond(self.environ_of(head, body))
-        keeps_connection = head.keeps_connection and not response.closes_connection()
+        keeps_connection = (
+            head.keeps_connection
+            and not response.closes_connection()
+            and not self.server.is_closing
+        )
         self._write(response, keeps_connection)
         return keeps_connection
 
     def _read_head(self) -> RequestHead:
+        self.is_idle = True
         self.stream.wait_for_input(KEEP_ALIVE_S)
+        self.is_idle = False
         deadline = time.monotonic() + HEADER_TIMEOUT_S
         try:
             data = self.stream.read_through(HEAD_END, deadline, MAX_HEAD_BYTES)
@@ -252,9 +262,20 @@
 
     A handler that raises :class:`BadMessage` yields a 400; any other exception
     yields a 500 and is passed to ``on_error``, and the server keeps running.
+
+    :ivar connections: the open connections.
+    :ivar is_closing: whether each connection ends with the request that it serves.
     """
 
-    __slots__ = ("routes", "on_error", "streams", "protocol", "address")
+    __slots__ = (
+        "routes",
+        "on_error",
+        "streams",
+        "protocol",
+        "address",
+        "connections",
+        "is_closing",
+    )
 
     def __init__(
         self,
@@ -267,6 +288,8 @@
         self.protocol = protocol
         self.streams = StreamServer(self._serve, on_error)
         self.address = ""
+        self.connections: set[HttpProtocol] = set()
+        self.is_closing = False
 
     def respond(self, environ: dict) -> Response:
         """Finds and calls the handler of a request."""
@@ -288,14 +311,29 @@
 
     @contextlib.contextmanager
     def listening(self, address: str) -> Iterator["Server"]:
-        """Serves on ``IP:PORT`` (port 0 picks a free one) inside the block."""
-        with self.streams.listening(address):
-            self.address = self.streams.address
-            yield self
+        """Serves on ``IP:PORT`` (port 0 picks a free one) inside the block.
+
+        Afterwards no request is served any more, except those that have arrived: peers
+        must not go on calling handlers whose process part has ended.
+        """
+        try:
+            with self.streams.listening(address):
+                self.address = self.streams.address
+                yield self
+        finally:
+            self.is_closing = True
+            for connection in list(self.connections):
+                if connection.is_idle:
+                    connection.stream.shut_down()
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections stay open."""
         self.streams.stop_accepting()
 
     def _serve(self, stream: Stream) -> None:
-        self.protocol(self, stream).run()
+        connection = self.protocol(self, stream)
+        self.connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self.connections.discard(connection)
--- a/tests/cover/test_http1.py
+++ b/tests/cover/test_http1.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitwheel.internal.loop import spawn
+from godwitwheel.internal.loop import Event, sleep, spawn
 from godwitwheel.wire.client import Client, HttpConnection
-from godwitwheel.wire.errors import NoReply
+from godwitwheel.wire.errors import NoReply, NotSent
 from godwitwheel.wire.http1 import (
     MalformedHttp,
     ResponseReader,
@@ -176,3 +176,35 @@
     assert len(resets) == 1
     assert not connection.is_usable()
     far.close()
+
+
+def test_a_server_that_has_ended_closes_its_idle_connections():
+    """A peer would otherwise go on calling what no longer runs."""
+    server = Server({("GET", "/x"): lambda request: Response({})}, print)
+    with Client() as client:
+        with server.listening("127.0.0.1:0"):
+            assert client.exchange(server.address, "GET", "/x", b"", 5.0)[0] == 200
+        sleep(0.01)
+        with pytest.raises(NotSent):
+            client.exchange(server.address, "GET", "/x", b"", 5.0)
+
+
+def test_a_server_that_ends_answers_the_requests_that_have_arrived():
+    release = Event()
+    served = []
+
+    def wait(request):
+        served.append(release.wait())
+        return Response({})
+
+    server = Server({("GET", "/x"): wait}, print)
+    connection = None
+    with server.listening("127.0.0.1:0"):
+        connection = HttpConnection(server.address)
+        connection.connect(5.0)
+        task = spawn(connection.exchange, "GET", "/x", b"", 5.0)
+        sleep(0.05)
+    release.send(True)
+    assert task.wait()[0] == 200
+    assert not connection.is_usable()
+    assert served == [True]
