--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -5,7 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitwheel.directory.commands import DropEntry, PutEntry, PutTable, SetPrimary
+from godwitwheel.directory.commands import (
+    DropEntry,
+    FencePrimary,
+    PutEntry,
+    PutTable,
+    SetPrimary,
+)
 from godwitwheel.directory.errors import InvalidTable
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.promotion import fencing_token
@@ -130,12 +136,14 @@
     directory.put_entry(3, PutEntry(entry("t2")))
     directory.drop_entry(4, DropEntry("t2", 10))
     directory.set_primary(5, SetPrimary(SERVICE, "t1", 9))
+    directory.fence_primary(6, FencePrimary(SERVICE, "t3"))
     copy = Directory(JsonTableCodec())
     copy.restore(directory.snapshot())
     assert copy.view == directory.view
     assert copy.snapshot() == directory.snapshot()
-    assert not copy.put_entry(6, PutEntry(entry("t2"))).applied
-    assert not copy.set_primary(7, SetPrimary(SERVICE, "t3", 8)).applied
+    assert not copy.put_entry(7, PutEntry(entry("t2"))).applied
+    assert not copy.set_primary(8, SetPrimary(SERVICE, "t3", 8)).applied
+    assert copy.view.fences == {SERVICE: "t3"}
 
 
 def test_tokens_increase_with_each_order_and_each_term():
