Promote in a synchronous group whose fenced primary is dead

Found by reading: a fenced primary is a candidate again, and at a synchronous group every candidate had to answer. A dead one would have held up its own replacement for good after a first attempt that failed. The test failed before.

--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -167,17 +167,19 @@
         observations: list[Observation],
         reason: str,
     ) -> Candidate:
+        primary_id = view.primaries.get(service, "")
+        ordered_id = view.fences.get(service, "")
+        silent = [
+            each.entry.target_id
+            for each in candidates
+            if each.received is None and each.entry.target_id != primary_id
+        ]
         candidate = None
         # At a synchronous group, a replica that did not answer may be the only one that
         # holds a commit.
-        if not self._is_synchronous(service, view) or all(
-            each.received is not None for each in candidates
-        ):
+        if not (silent and self._is_synchronous(service, view)):
             candidate = choose_candidate(
-                candidates,
-                observations,
-                view.primaries.get(service, ""),
-                view.fences.get(service, ""),
+                candidates, observations, primary_id, ordered_id
             )
         if candidate is None:
             record_event(
--- a/tests/cover/test_lease_fence.py
+++ b/tests/cover/test_lease_fence.py
@@ -162,3 +162,14 @@
     former = [Observation("p1", "t2", True, 10, [])]
     found = assess(SERVICE, view, former, 1, 60.0, may_adopt=False)
     assert found.verdict is Verdict.keep
+
+
+def test_a_dead_primary_that_is_fenced_does_not_hold_up_a_synchronous_group(leased):
+    """Its replicas hold every acknowledged commit, and both answer."""
+    view = leased.directory.view
+    policy = view.table.services[SERVICE]
+    view.table.services[SERVICE] = type(policy)(SERVICE, policy.max_connections, 1)
+    leased.commit(FencePrimary(SERVICE))
+    leased.group.targets["t1"].is_unresponsive = True
+    leased.replace()
+    assert leased.ordered_targets()[0] in ("t2", "t3")
