Send no order after a confirmation that took too long

Found by reading: a leader that is paused while the answer to its confirmation is on its way may receive that answer first when it goes on, seconds later, and send an order although another member leads. On a platform that checks no fence nothing refuses it.

--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -25,6 +25,9 @@
 # The platform usually answers within about 20 ms, unless the network delays the order
 # or its answer.
 ORDER_TIMEOUT_S = 0.4
+# Longest time that confirming the leader may take before an order, in seconds.
+# A new leader sends none until longer than this after its election.
+MAX_CONFIRMATION_S = 0.3
 # Delay before a retry of a failed promotion, in seconds.
 RETRY_DELAY_S = 0.15
 # Fencing tokens per term: a token of a later term is above all of an earlier one.
@@ -106,8 +109,7 @@
             candidate = self._select(service, fenced, queried, observations, reason)
         target_id = candidate.entry.target_id
         self.fence.prepare_order(leadership, service, target_id)
-        # A leader that was partitioned or paused meanwhile must not send the order.
-        self.confirm()
+        self._confirm_leadership()
         order = self._next_order(leadership, service, target_id)
         token = order.token
         record_event(
@@ -130,6 +132,17 @@
             outcome="done",
         )
 
+    def _confirm_leadership(self) -> None:
+        """Returns if this member has led until just now.
+
+        A leader that was partitioned or paused meanwhile must not send the order: after
+        a pause, an old confirmation may be the first thing that it receives.
+        """
+        asked_at = self.clock.now()
+        self.confirm()
+        if self.clock.now() - asked_at > MAX_CONFIRMATION_S:
+            raise PromotionFailed("the confirmation of this leader took too long")
+
     def _next_order(
         self, leadership: DirectoryLeadership, service: str, target_id: str
     ) -> PromotionOrder:
--- a/tests/cover/test_promoter.py
+++ b/tests/cover/test_promoter.py
@@ -114,3 +114,12 @@
     with pytest.raises(PromotionFailed):
         scenario.replace()
     assert scenario.promotion_client.orders == []
+
+
+def test_a_leader_that_was_paused_during_its_confirmation_sends_no_order():
+    """Another member may lead by now, and may have sent an order with a higher token."""
+    scenario = LostPrimary()
+    scenario.promoter.confirm = lambda: scenario.group.clock.advance(4.0)
+    with pytest.raises(PromotionFailed):
+        scenario.replace()
+    assert scenario.promotion_client.orders == []
