--- a/tests/cover/test_promoter.py
+++ b/tests/cover/test_promoter.py
@@ -117,7 +117,7 @@
 
 
 def test_a_leader_that_was_paused_during_its_confirmation_sends_no_order():
-    """Another member may lead by now, and may have sent an order with a higher token."""
+    """Another member may lead by now, and may have sent an order of its own."""
     scenario = LostPrimary()
     scenario.promoter.confirm = lambda: scenario.group.clock.advance(4.0)
     with pytest.raises(PromotionFailed):
