--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -13,7 +13,7 @@
     parse_statement,
 )
 from godwitwheel.internal.loop import Semaphore, sleep
-from godwitwheel.sessions.connection import (
+from godwitwheel.sessions.connections.connection import (
     AskStatus,
     Begin,
     Command,
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -3,7 +3,7 @@
 from ..control.errors import ControlError, NotLeading
 from ..internal.loop import sleep, spawn
 from ..observe.events import EventName, record_event, record_failure
-from ..sessions.connection import Connector
+from ..sessions.connections.connection import Connector
 from .commands import DropEntry, SetOwners, SetPrimary
 from .errors import PromotionFailed
 from .failover import (
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -1,7 +1,7 @@
 """Soft state about proxies and targets that a leader keeps only while it leads."""
 
 from ..decisions.leases import HolderName, LeaseTable
-from ..sessions.authority import LEASE_S
+from ..sessions.reporting.authority import LEASE_S
 from .failover import MAX_REPORT_AGE_S, ReceivedReport
 from .records import ProxyReport, TargetEntry
 
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -15,7 +15,7 @@
 from ..internal.requests import StopRequest
 from ..observe.events import EventName, record_event, record_failure
 from ..observe.health import observe_routes
-from ..sessions.connection import Connector
+from ..sessions.connections.connection import Connector
 from ..wire.client import Client
 from ..wire.server import Handler, Server
 from .controllers import DirectoryControllers
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -5,7 +5,12 @@
 from ..internal.clock import Clock
 from ..internal.loop import spawn
 from ..observe.events import EventName, record_event
-from ..sessions.connection import AskStatus, Command, Connector, PauseReceiving
+from ..sessions.connections.connection import (
+    AskStatus,
+    Command,
+    Connector,
+    PauseReceiving,
+)
 from ..sessions.errors import SessionsError
 from .commands import SetPrimary
 from .errors import PromotionFailed, PromotionFenced
--- a/src/godwitwheel/directory/routes.py
+++ b/src/godwitwheel/directory/routes.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..control.errors import ControlError, NotLeading
-from ..sessions.reporting import REPORT_PATH
+from ..sessions.reporting.reporting import REPORT_PATH
 from ..wire.codec import decode
 from ..wire.control import ControlProblem
 from ..wire.server import Handler, Request, Response
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -6,11 +6,11 @@
 from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
-from .authority import PlatformFencing, PrimaryAuthority
-from .connection import Connector
-from .floors import PositionHistory
-from .gate import ConcurrencyLimiter
-from .pool import TargetPool
+from .connections.connection import Connector
+from .connections.pool import TargetPool
+from .queueing.gate import ConcurrencyLimiter
+from .reporting.authority import PlatformFencing, PrimaryAuthority
+from .running.floors import PositionHistory
 from .statements import Position
 
 # Connections that a pool may hold even if the proxies outnumber the connection cap.
--- a/src/godwitwheel/sessions/carrying.py
+++ b/src/godwitwheel/sessions/connections/carrying.py
@@ -1,6 +1,6 @@
 """Session state of a pooled connection, and the commands that change it."""
 
-from ..wire.service import Access
+from ...wire.service import Access
 from .connection import Command, Discard, SetValue
 
 # A connection with more prepared statements than this is cleared before it is used.
--- a/src/godwitwheel/sessions/connection.py
+++ b/src/godwitwheel/sessions/connections/connection.py
@@ -2,9 +2,9 @@
 
 from abc import ABC, abstractmethod
 
-from ..directory.records import TargetEntry
-from ..wire.service import Access
-from .statements import Answer, Position, Statement
+from ...directory.records import TargetEntry
+from ...wire.service import Access
+from ..statements import Answer, Position, Statement
 
 
 class Command:
--- a/src/godwitwheel/sessions/pool.py
+++ b/src/godwitwheel/sessions/connections/pool.py
@@ -5,13 +5,13 @@
 
 from collections import deque
 
-from ..directory.records import TargetEntry
-from ..internal.clock import Clock
-from ..internal.loop import Event, wait_for
+from ...directory.records import TargetEntry
+from ...internal.clock import Clock
+from ...internal.loop import Event, wait_for
+from ..errors import PoolExhausted, TooManyConnections
+from ..statements import TransactionState
 from .carrying import ConnectionState
 from .connection import Connector, DatabaseConnection
-from .errors import PoolExhausted, TooManyConnections
-from .statements import TransactionState
 
 CONNECT_TIMEOUT_S = 0.25
 # How long the pool opens no connection after the target refused one because it had too
--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -5,7 +5,7 @@
 from ..directory.records import Route
 from ..wire.service import Access
 from .board import SessionBoard
-from .carrying import PreparedStatement
+from .connections.carrying import PreparedStatement
 from .events import StatementLog
 from .metrics import SessionMetrics
 from .statements import Position, Statement, StatementKind, later_of
--- a/src/godwitwheel/sessions/http_api.py
+++ b/src/godwitwheel/sessions/http_api.py
@@ -16,7 +16,7 @@
 from ..wire.service import Access
 from ..wire.status import CONFLICT, NOT_FOUND, UNAVAILABLE
 from .context import SessionContext, SessionState
-from .runner import RunnerSelector
+from .running.runner import RunnerSelector
 from .session import Session
 from .statements import Answer, ErrorCode, Statement, StatementKind, TransactionState
 
--- a/src/godwitwheel/sessions/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -6,11 +6,14 @@
 
 import itertools
 
-from ..internal.loop import sleep
-from ..observe.events import EventName
-from ..wire.codec import decode
-from ..wire.server import Handler, Request, Response
-from .context import SessionContext, SessionState
+from ...internal.loop import sleep
+from ...observe.events import EventName
+from ...wire.codec import decode
+from ...wire.server import Handler, Request, Response
+from ..context import SessionContext, SessionState
+from ..running.single import run_single
+from ..running.transaction import Transaction
+from ..statements import Answer, ErrorCode, StatementKind, error_answer
 from .owner_messages import (
     END_PATH,
     RUN_PATH,
@@ -23,9 +26,6 @@
     route_of,
     statement_of,
 )
-from .single import run_single
-from .statements import Answer, ErrorCode, StatementKind, error_answer
-from .transaction import Transaction
 
 EXPIRY_POLL_S = 0.5
 # Added to the idle limit of transactions, which proxies enforce as well, before the
--- a/src/godwitwheel/sessions/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from ..directory.records import Consistency, Route
-from ..wire.service import Access
-from .carrying import PreparedStatement
-from .context import SessionState
-from .statements import (
+from ...directory.records import Consistency, Route
+from ...wire.service import Access
+from ..connections.carrying import PreparedStatement
+from ..context import SessionState
+from ..statements import (
     Answer,
     ErrorCode,
     Position,
--- a/src/godwitwheel/sessions/owner_process.py
+++ b/src/godwitwheel/sessions/owning/owner_process.py
@@ -3,21 +3,21 @@
 import contextlib
 import random
 
-from ..internal.clock import BootClock
-from ..internal.loop import running_task, sleep
-from ..internal.requests import StopRequest
-from ..observe.events import EventName, record_event, record_failure
-from ..observe.health import observe_routes
-from ..wire.client import Client
-from ..wire.server import Server
-from .board import SessionBoard
-from .connection import Connector
-from .context import SessionContext, new_run_id
-from .events import StatementLog
-from .metrics import SessionMetrics
+from ...internal.clock import BootClock
+from ...internal.loop import running_task, sleep
+from ...internal.requests import StopRequest
+from ...observe.events import EventName, record_event, record_failure
+from ...observe.health import observe_routes
+from ...wire.client import Client
+from ...wire.server import Server
+from ..board import SessionBoard
+from ..connections.connection import Connector
+from ..context import SessionContext, new_run_id
+from ..events import StatementLog
+from ..metrics import SessionMetrics
+from ..reporting.reporting import ControlMembers, Reporter
+from ..reporting.sampler import Sampler
 from .owner import Owner
-from .reporting import ControlMembers, Reporter
-from .sampler import Sampler
 
 # Time that control needs to assign the services to other owners after this one has
 # reported that it is leaving.
--- a/src/godwitwheel/sessions/owner_silence.py
+++ b/src/godwitwheel/sessions/owning/owner_silence.py
@@ -6,7 +6,7 @@
 
 import math
 
-from ..directory.records import OwnerEntry
+from ...directory.records import OwnerEntry
 
 # Time without any answer after which calls fail fast, in seconds. An owner answers some
 # call within it even while statements are queued for a turn, unless all of them are.
--- a/src/godwitwheel/sessions/owner_watch.py
+++ b/src/godwitwheel/sessions/owning/owner_watch.py
@@ -5,10 +5,10 @@
 until all of its proxies report that they are not ready.
 """
 
-from ..directory.records import OwnerEntry
-from ..internal.loop import spawn
+from ...directory.records import OwnerEntry
+from ...internal.loop import spawn
+from ..reporting.reporting import Reporter
 from .remote import OwnerCalls
-from .reporting import Reporter
 
 # Time without any answer after which an owner is suspected, in seconds: it is probed,
 # and a report is sent to control.
--- a/src/godwitwheel/sessions/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -1,14 +1,23 @@
 """The proxy's side: sends statements to the owner of the connections."""
 
-from ..directory.records import OwnerEntry, Route
-from ..internal.loop import spawn
-from ..observe.events import EventName
-from ..wire.client import Client
-from ..wire.codec import decode, encode
-from ..wire.errors import BadMessage, NotSent, WireError
-from ..wire.service import Access
-from .context import SessionContext, SessionState
-from .open_transaction import OpenTransaction
+from ...directory.records import OwnerEntry, Route
+from ...internal.loop import spawn
+from ...observe.events import EventName
+from ...wire.client import Client
+from ...wire.codec import decode, encode
+from ...wire.errors import BadMessage, NotSent, WireError
+from ...wire.service import Access
+from ..context import SessionContext, SessionState
+from ..queueing.waiting import Deadlines, refusal_text
+from ..running.open_transaction import OpenTransaction
+from ..running.runner import StatementRunner
+from ..statements import (
+    Answer,
+    ErrorCode,
+    Statement,
+    StatementKind,
+    error_answer,
+)
 from .owner_messages import (
     END_PATH,
     RUN_PATH,
@@ -21,15 +30,6 @@
     session_part,
 )
 from .owner_silence import OwnerBreakers
-from .runner import StatementRunner
-from .statements import (
-    Answer,
-    ErrorCode,
-    Statement,
-    StatementKind,
-    error_answer,
-)
-from .waiting import Deadlines, refusal_text
 
 # Added to a statement's remaining time for the timeout of its call, in seconds.
 CALL_SLACK_S = 0.05
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -14,17 +14,17 @@
 from ..wire.server import Response, Server
 from ..wire.streams import Stream, StreamServer
 from .board import SessionBoard
-from .connection import Connector
+from .connections.connection import Connector
 from .context import SessionContext, new_run_id
 from .events import StatementLog
 from .http_api import HttpSessions
-from .isolation import Isolation
 from .metrics import SessionMetrics
-from .owner_watch import OwnerWatch
-from .remote import OwnerCalls, RemoteRunner
-from .reporting import ControlMembers, Reporter
-from .runner import RunnerSelector
-from .sampler import Sampler
+from .owning.owner_watch import OwnerWatch
+from .owning.remote import OwnerCalls, RemoteRunner
+from .reporting.isolation import Isolation
+from .reporting.reporting import ControlMembers, Reporter
+from .reporting.sampler import Sampler
+from .running.runner import RunnerSelector
 from .serving import CallerLink, SessionServer
 
 # The load balancer checks readiness once a second and removes a proxy after two failed
--- /dev/null
+++ b/src/godwitwheel/sessions/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses targets and schedules the statements that wait for one."""
--- a/src/godwitwheel/sessions/choosing.py
+++ b/src/godwitwheel/sessions/queueing/choosing.py
@@ -2,10 +2,10 @@
 
 import enum
 
-from ..directory.records import TargetEntry
-from ..internal.sentinel import Refusal
-from .board import SessionBoard, TargetStatus
-from .statements import Position
+from ...directory.records import TargetEntry
+from ...internal.sentinel import Refusal
+from ..board import SessionBoard, TargetStatus
+from ..statements import Position
 
 # Added to the expected time of a read at a target in another data centre, in seconds.
 OTHER_DATA_CENTRE_PENALTY_S = 0.004
--- a/src/godwitwheel/sessions/gate.py
+++ b/src/godwitwheel/sessions/queueing/gate.py
@@ -8,9 +8,9 @@
 import contextlib
 from collections.abc import Iterator
 
-from ..internal.clock import Clock
-from ..internal.loop import Event, wait_for
-from .errors import TurnRefused
+from ...internal.clock import Clock
+from ...internal.loop import Event, wait_for
+from ..errors import TurnRefused
 from .turns import QueuedTurn, RunningTurn, TurnQueue, TurnRequest
 
 # Statements sent to the target beyond its slots, so that a slot that becomes free has
--- a/src/godwitwheel/sessions/waiting.py
+++ b/src/godwitwheel/sessions/queueing/waiting.py
@@ -1,6 +1,6 @@
 """Deadlines and timeouts of a statement, and how long it waits before a refusal."""
 
-from ..directory.records import Route
+from ...directory.records import Route
 
 # Share of the latency objective that a statement may wait for a target: a caller that
 # retries later is better served than one whose statement waits without a chance to run.
--- a/src/godwitwheel/sessions/authority.py
+++ b/src/godwitwheel/sessions/reporting/authority.py
@@ -12,7 +12,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 
-from ..directory.records import DirectoryView
+from ...directory.records import DirectoryView
 
 # Duration of a lease, from when the process sent the report that control answered.
 # Processes keep their leases over an election among the control members.
--- a/src/godwitwheel/sessions/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..directory.records import (
+from ...directory.records import (
     DirectoryView,
     PrimaryReport,
     ProxyReply,
@@ -12,14 +12,14 @@
     Redirect,
     RoutingTable,
 )
-from ..directory.table_changes import apply_change
-from ..internal.loop import sleep
-from ..observe.events import EventName, record_event
-from ..wire.client import Client
-from ..wire.codec import decode, encode
-from ..wire.errors import BadMessage, WireError
-from ..wire.status import MISDIRECTED
-from .board import SessionBoard
+from ...directory.table_changes import apply_change
+from ...internal.loop import sleep
+from ...observe.events import EventName, record_event
+from ...wire.client import Client
+from ...wire.codec import decode, encode
+from ...wire.errors import BadMessage, WireError
+from ...wire.status import MISDIRECTED
+from ..board import SessionBoard
 
 REPORT_PATH = "/v1/directory/report"
 REPORT_INTERVAL_S = 0.2
--- a/src/godwitwheel/sessions/sampler.py
+++ b/src/godwitwheel/sessions/reporting/sampler.py
@@ -1,18 +1,18 @@
 """Samples the position of each service's primary, and searches for a new primary."""
 
-from ..directory.records import TargetEntry
-from ..internal.loop import Task, sleep, spawn
-from .attempts import (
+from ...directory.records import TargetEntry
+from ...internal.loop import Task, sleep, spawn
+from ..connections.connection import Begin, Rollback
+from ..context import SessionContext, SessionState
+from ..errors import ConnectionLost
+from ..running.attempts import (
     acquire_connection,
     exchange,
     mark_not_primary,
     mark_primary,
     release_connection,
 )
-from .connection import Begin, Rollback
-from .context import SessionContext, SessionState
-from .errors import ConnectionLost
-from .statements import ErrorCode
+from ..statements import ErrorCode
 
 # Age at which a confirmation of the primary is renewed by a probe, in seconds; while
 # statements of callers confirm it more often, no probe is sent.
--- /dev/null
+++ b/src/godwitwheel/sessions/running/__init__.py
@@ -0,0 +1,1 @@
+"""Runs statements and transactions: attempts, deadlines and outcomes."""
--- a/src/godwitwheel/sessions/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -3,19 +3,19 @@
 import contextlib
 from collections.abc import Iterator
 
-from ..directory.records import Route, TargetEntry
-from ..internal.sentinel import Refusal
-from ..observe.events import EventName
-from .carrying import commands_for_values
-from .choosing import record_answered, record_unanswered
-from .connection import Command, Discard, Prepare, Run, SetValue
-from .context import SessionContext, SessionState
-from .errors import ConnectFailed, ConnectionLost, PoolExhausted, TooManyConnections
+from ...directory.records import Route, TargetEntry
+from ...internal.sentinel import Refusal
+from ...observe.events import EventName
+from ..connections.carrying import commands_for_values
+from ..connections.connection import Command, Discard, Prepare, Run, SetValue
+from ..connections.pool import PooledConnection
+from ..context import SessionContext, SessionState
+from ..errors import ConnectFailed, ConnectionLost, PoolExhausted, TooManyConnections
+from ..queueing.choosing import record_answered, record_unanswered
+from ..queueing.turns import TurnRequest
+from ..queueing.waiting import Deadlines
+from ..statements import Answer, Position, Statement, TransactionState
 from .floors import read_floor
-from .pool import PooledConnection
-from .statements import Answer, Position, Statement, TransactionState
-from .turns import TurnRequest
-from .waiting import Deadlines
 
 SETUP_COMMANDS = (SetValue, Prepare, Discard)
 
--- a/src/godwitwheel/sessions/floors.py
+++ b/src/godwitwheel/sessions/running/floors.py
@@ -6,9 +6,9 @@
 import enum
 from collections import deque
 
-from ..directory.records import Consistency
-from ..internal.sentinel import Refusal
-from .statements import Position, later_of
+from ...directory.records import Consistency
+from ...internal.sentinel import Refusal
+from ..statements import Position, later_of
 
 # Samples come with the primary's answers, so a busy proxy gets many. One that is less
 # than this after the previous one is dropped.
--- a/src/godwitwheel/sessions/open_transaction.py
+++ b/src/godwitwheel/sessions/running/open_transaction.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from .statements import Answer, Statement
+from ..statements import Answer, Statement
 
 
 class OpenTransaction(ABC):
--- a/src/godwitwheel/sessions/opening.py
+++ b/src/godwitwheel/sessions/running/opening.py
@@ -1,8 +1,16 @@
 """Selects a target for a transaction and begins the transaction there."""
 
-from ..directory.records import Consistency, Route, TargetEntry
-from ..internal.loop import sleep
-from ..internal.sentinel import Refusal
+from ...directory.records import Consistency, Route, TargetEntry
+from ...internal.loop import sleep
+from ...internal.sentinel import Refusal
+from ..connections.carrying import commands_for_values
+from ..connections.connection import Begin
+from ..connections.pool import PooledConnection
+from ..context import SessionContext, SessionState
+from ..errors import ConnectionLost
+from ..queueing.choosing import choose_primary, choose_reader
+from ..queueing.waiting import RETRY_DELAY_S, Deadlines, refusal_text
+from ..statements import Answer, ErrorCode, Position, error_answer
 from .attempts import (
     acquire_connection,
     exchange,
@@ -12,16 +20,8 @@
     mark_primary,
     release_connection,
 )
-from .carrying import commands_for_values
-from .choosing import choose_primary, choose_reader
-from .connection import Begin
-from .context import SessionContext, SessionState
-from .errors import ConnectionLost
 from .outcomes import Attempts
-from .pool import PooledConnection
 from .single_run import RETRY_BUSY_MS
-from .statements import Answer, ErrorCode, Position, error_answer
-from .waiting import RETRY_DELAY_S, Deadlines, refusal_text
 
 
 class TransactionOpener:
--- a/src/godwitwheel/sessions/outcomes.py
+++ b/src/godwitwheel/sessions/running/outcomes.py
@@ -1,10 +1,10 @@
 """Records the outcome of a statement in metrics and the log."""
 
-from ..directory.records import Route
-from ..observe.events import EventName
-from .context import SessionContext, SessionState
-from .statements import Answer, Statement
-from .waiting import Deadlines
+from ...directory.records import Route
+from ...observe.events import EventName
+from ..context import SessionContext, SessionState
+from ..queueing.waiting import Deadlines
+from ..statements import Answer, Statement
 
 
 class Attempts:
--- a/src/godwitwheel/sessions/runner.py
+++ b/src/godwitwheel/sessions/running/runner.py
@@ -2,11 +2,11 @@
 
 from abc import ABC, abstractmethod
 
-from ..directory.records import Route
-from .context import SessionContext, SessionState
+from ...directory.records import Route
+from ..context import SessionContext, SessionState
+from ..statements import Answer, Statement
 from .open_transaction import OpenTransaction
 from .single import run_single
-from .statements import Answer, Statement
 from .transaction import Transaction
 
 
--- a/src/godwitwheel/sessions/single.py
+++ b/src/godwitwheel/sessions/running/single.py
@@ -1,8 +1,15 @@
 """Runs one statement outside a transaction."""
 
-from ..directory.records import Consistency, Route, TargetEntry
-from ..internal.sentinel import Refusal
-from ..wire.service import Access
+from ...directory.records import Consistency, Route, TargetEntry
+from ...internal.sentinel import Refusal
+from ...wire.service import Access
+from ..connections.connection import Begin, Rollback
+from ..connections.pool import PooledConnection
+from ..context import SessionContext, SessionState
+from ..errors import ConnectionLost
+from ..queueing.choosing import choose_reader
+from ..queueing.waiting import refusal_text
+from ..statements import Answer, ErrorCode, Position, Statement, error_answer
 from .attempts import (
     commands_to_run,
     exchange,
@@ -10,14 +17,7 @@
     is_covered_now,
     mark_primary,
 )
-from .choosing import choose_reader
-from .connection import Begin, Rollback
-from .context import SessionContext, SessionState
-from .errors import ConnectionLost
-from .pool import PooledConnection
 from .single_run import RETRY_LAGGING_MS, SingleRun
-from .statements import Answer, ErrorCode, Position, Statement, error_answer
-from .waiting import refusal_text
 
 
 def run_single(
--- a/src/godwitwheel/sessions/single_run.py
+++ b/src/godwitwheel/sessions/running/single_run.py
@@ -4,18 +4,18 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
-from ..directory.records import Route, TargetEntry
-from ..internal.loop import sleep
-from ..internal.sentinel import Refusal
+from ...directory.records import Route, TargetEntry
+from ...internal.loop import sleep
+from ...internal.sentinel import Refusal
+from ..connections.pool import PooledConnection
+from ..context import SessionContext, SessionState
+from ..errors import TurnRefused
+from ..queueing.choosing import choose_primary
+from ..queueing.turns import TurnRequest
+from ..queueing.waiting import RETRY_DELAY_S, Deadlines, refusal_text
+from ..statements import Answer, ErrorCode, Statement, error_answer
 from .attempts import acquired_connection, is_wait_exhausted, mark_not_primary
-from .choosing import choose_primary
-from .context import SessionContext, SessionState
-from .errors import TurnRefused
 from .outcomes import Attempts, record_outcome
-from .pool import PooledConnection
-from .statements import Answer, ErrorCode, Statement, error_answer
-from .turns import TurnRequest
-from .waiting import RETRY_DELAY_S, Deadlines, refusal_text
 
 # Retry delays that refused callers are given, in milliseconds.
 RETRY_BUSY_MS = 50
--- a/src/godwitwheel/sessions/transaction.py
+++ b/src/godwitwheel/sessions/running/transaction.py
@@ -1,8 +1,21 @@
 """A caller's transaction, which runs on one connection from its first statement on."""
 
-from ..directory.records import Route
-from ..internal.loop import sleep
-from ..wire.service import Access
+from ...directory.records import Route
+from ...internal.loop import sleep
+from ...wire.service import Access
+from ..connections.connection import Rollback
+from ..connections.pool import PooledConnection
+from ..context import SessionContext, SessionState
+from ..errors import ConnectionLost, TurnRefused
+from ..queueing.turns import TurnRequest
+from ..queueing.waiting import RETRY_DELAY_S, Deadlines
+from ..statements import (
+    Answer,
+    ErrorCode,
+    Statement,
+    TransactionState,
+    error_answer,
+)
 from .attempts import (
     commands_to_run,
     exchange,
@@ -11,22 +24,9 @@
     release_connection,
     turn,
 )
-from .connection import Rollback
-from .context import SessionContext, SessionState
-from .errors import ConnectionLost, TurnRefused
 from .open_transaction import OpenTransaction
 from .opening import TransactionOpener
 from .outcomes import Attempts, record_outcome
-from .pool import PooledConnection
-from .statements import (
-    Answer,
-    ErrorCode,
-    Statement,
-    TransactionState,
-    error_answer,
-)
-from .turns import TurnRequest
-from .waiting import RETRY_DELAY_S, Deadlines
 
 ROLLBACK_TIMEOUT_S = 0.5
 # Precedes the priority of every route; lower numbers go first.
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -7,7 +7,7 @@
 from ..observe.events import EventName, record_event
 from ..wire.streams import ProtocolError, StreamClosed, StreamTimeout
 from .context import SessionContext, SessionState
-from .runner import RunnerSelector
+from .running.runner import RunnerSelector
 from .session import Session
 from .statements import Answer, ErrorCode, Statement, error_answer
 
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -2,10 +2,10 @@
 
 from ..directory.records import Route
 from ..observe.events import EventName
-from .carrying import PreparedStatement
+from .connections.carrying import PreparedStatement
 from .context import SessionContext, SessionState
-from .open_transaction import OpenTransaction
-from .runner import RunnerSelector
+from .running.open_transaction import OpenTransaction
+from .running.runner import RunnerSelector
 from .statements import (
     Answer,
     ErrorCode,
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fleet.callers import LineCallerLink
-from godwitwheel.sessions.runner import RunnerSelector
+from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.serving import SessionServer
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
 from tests.common.fake_sessions import FakeGroup
--- a/tests/adapter/test_lines.py
+++ b/tests/adapter/test_lines.py
@@ -14,7 +14,7 @@
     parse_position,
     parse_statement,
 )
-from godwitwheel.sessions.connection import (
+from godwitwheel.sessions.connections.connection import (
     Begin,
     Discard,
     PauseReceiving,
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -8,7 +8,7 @@
 from fleet.targets import LineConnector
 from godwitwheel.directory.records import TargetEntry
 from godwitwheel.internal.loop import sleep
-from godwitwheel.sessions.connection import Begin, Rollback, Run
+from godwitwheel.sessions.connections.connection import Begin, Rollback, Run
 from godwitwheel.sessions.errors import (
     ConnectFailed,
     ConnectionLost,
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -15,7 +15,7 @@
 )
 from godwitwheel.internal.clock import ManualClock
 from godwitwheel.sessions.board import SessionBoard
-from godwitwheel.sessions.connection import (
+from godwitwheel.sessions.connections.connection import (
     AskStatus,
     Begin,
     Connector,
@@ -37,7 +37,7 @@
 )
 from godwitwheel.sessions.events import StatementLog
 from godwitwheel.sessions.metrics import SessionMetrics
-from godwitwheel.sessions.runner import RunnerSelector
+from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import (
     Answer,
--- a/tests/cover/test_authority.py
+++ b/tests/cover/test_authority.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitwheel.directory.records import DirectoryView
-from godwitwheel.sessions.authority import (
+from godwitwheel.sessions.reporting.authority import (
     DRAIN_TIMEOUT_S,
     LEASE_S,
     LeasedAuthority,
--- a/tests/cover/test_control_members.py
+++ b/tests/cover/test_control_members.py
@@ -2,7 +2,10 @@
 
 import random
 
-from godwitwheel.sessions.reporting import UNRESPONSIVE_PAUSE_S, ControlMembers
+from godwitwheel.sessions.reporting.reporting import (
+    UNRESPONSIVE_PAUSE_S,
+    ControlMembers,
+)
 
 SEEDS = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
 
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -7,8 +7,8 @@
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.internal.loop import Event, sleep, spawn
 from godwitwheel.sessions.errors import TurnRefused
-from godwitwheel.sessions.gate import STATEMENTS_AHEAD, ConcurrencyLimiter
-from godwitwheel.sessions.turns import MAX_RUNNING_FACTOR, TurnRequest
+from godwitwheel.sessions.queueing.gate import STATEMENTS_AHEAD, ConcurrencyLimiter
+from godwitwheel.sessions.queueing.turns import MAX_RUNNING_FACTOR, TurnRequest
 
 SLOTS = 2
 WAIT_BUDGET_S = 5.0
--- a/tests/cover/test_http_sessions.py
+++ b/tests/cover/test_http_sessions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitwheel.sessions.http_api import SESSION_IDLE_S, HttpSessions
-from godwitwheel.sessions.runner import RunnerSelector
+from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.wire.client import Client
 from godwitwheel.wire.server import Server
 from tests.common.fake_sessions import FakeGroup
--- a/tests/cover/test_isolation.py
+++ b/tests/cover/test_isolation.py
@@ -1,6 +1,6 @@
 """When a proxy counts as isolated and ends its idle sessions."""
 
-from godwitwheel.sessions.isolation import (
+from godwitwheel.sessions.reporting.isolation import (
     BALANCER_DELAY_S,
     SESSION_END_INTERVAL_S,
     UNREACHABLE_AFTER_S,
--- a/tests/cover/test_lease_fence.py
+++ b/tests/cover/test_lease_fence.py
@@ -12,7 +12,7 @@
 from godwitwheel.directory.records import ProxyReport
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
-from godwitwheel.sessions.authority import LEASE_S
+from godwitwheel.sessions.reporting.authority import LEASE_S
 from tests.common.fake_sessions import SERVICE, FakeGroup
 from tests.cover.test_promoter import ScriptedPromotionClient
 
--- a/tests/cover/test_leased_sessions.py
+++ b/tests/cover/test_leased_sessions.py
@@ -3,9 +3,9 @@
 import pytest
 
 from godwitwheel.directory.records import DirectoryView
-from godwitwheel.sessions import opening, single_run, transaction
-from godwitwheel.sessions.authority import LEASE_S, LeasedAuthority
-from godwitwheel.sessions.sampler import Sampler
+from godwitwheel.sessions.reporting.authority import LEASE_S, LeasedAuthority
+from godwitwheel.sessions.reporting.sampler import Sampler
+from godwitwheel.sessions.running import opening, single_run, transaction
 from godwitwheel.sessions.statements import ErrorCode
 from tests.common.fake_sessions import (
     SERVICE,
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -11,15 +11,15 @@
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
-from godwitwheel.sessions.owner import EXPIRY_SLACK_S, Owner
-from godwitwheel.sessions.owner_messages import RunReply, answer_of, reply_with
-from godwitwheel.sessions.owner_silence import TRIAL_INTERVAL_S
-from godwitwheel.sessions.remote import OwnerCalls, RemoteRunner
-from godwitwheel.sessions.reporting import Reporter
-from godwitwheel.sessions.runner import RunnerSelector
+from godwitwheel.sessions.owning.owner import EXPIRY_SLACK_S, Owner
+from godwitwheel.sessions.owning.owner_messages import RunReply, answer_of, reply_with
+from godwitwheel.sessions.owning.owner_silence import TRIAL_INTERVAL_S
+from godwitwheel.sessions.owning.remote import OwnerCalls, RemoteRunner
+from godwitwheel.sessions.queueing.turns import TurnRequest
+from godwitwheel.sessions.reporting.reporting import Reporter
+from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import Answer, ErrorCode, TransactionState
-from godwitwheel.sessions.turns import TurnRequest
 from godwitwheel.wire.codec import decode, encode
 from godwitwheel.wire.errors import NoReply, NotSent
 from godwitwheel.wire.server import Request
@@ -78,10 +78,12 @@
         self.runners = RunnerSelector(self.front.context, RemoteRunner(calls))
         for module in ("single_run", "transaction", "opening"):
             monkeypatch.setattr(
-                f"godwitwheel.sessions.{module}.sleep", self.targets.clock.advance
+                f"godwitwheel.sessions.running.{module}.sleep",
+                self.targets.clock.advance,
             )
         monkeypatch.setattr(
-            "godwitwheel.sessions.remote.spawn", lambda function, *args: function(*args)
+            "godwitwheel.sessions.owning.remote.spawn",
+            lambda function, *args: function(*args),
         )
         monkeypatch.setattr(
             ChangeSignal, "wait", lambda signal, seconds: self.wait(seconds)
--- a/tests/cover/test_owner_watch.py
+++ b/tests/cover/test_owner_watch.py
@@ -5,13 +5,13 @@
 
 from godwitwheel.directory.records import OwnerEntry
 from godwitwheel.internal.loop import sleep
-from godwitwheel.sessions.owner_silence import UNRESPONSIVE_AFTER_S
-from godwitwheel.sessions.owner_watch import (
+from godwitwheel.sessions.owning.owner_silence import UNRESPONSIVE_AFTER_S
+from godwitwheel.sessions.owning.owner_watch import (
     PROBE_INTERVAL_S,
     SUSPECT_AFTER_S,
     OwnerWatch,
 )
-from godwitwheel.sessions.remote import OwnerCalls
+from godwitwheel.sessions.owning.remote import OwnerCalls
 from godwitwheel.wire.errors import NoReply
 from tests.common.fake_sessions import SERVICE, FakeGroup
 
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -4,7 +4,7 @@
 import pytest
 
 from godwitwheel.internal.loop import sleep, spawn
-from godwitwheel.sessions.sampler import Sampler
+from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
 from godwitwheel.wire.service import Access
 from tests.common.fake_sessions import (
@@ -26,7 +26,9 @@
     """A group whose statements wait in simulated time."""
     made = FakeGroup()
     for module in ("single_run", "transaction", "opening"):
-        monkeypatch.setattr(f"godwitwheel.sessions.{module}.sleep", made.clock.advance)
+        monkeypatch.setattr(
+            f"godwitwheel.sessions.running.{module}.sleep", made.clock.advance
+        )
     return made
 
 
--- a/tests/cover/test_sessions_machine.py
+++ b/tests/cover/test_sessions_machine.py
@@ -12,7 +12,7 @@
 )
 
 from godwitwheel.directory.records import Consistency
-from godwitwheel.sessions.sampler import Sampler
+from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
 from godwitwheel.wire.service import Access
 from tests.common.fake_sessions import (
@@ -66,7 +66,9 @@
         super().__init__()
         self.group = FakeGroup()
         self.patches = [
-            mock.patch(f"godwitwheel.sessions.{module}.sleep", self.group.clock.advance)
+            mock.patch(
+                f"godwitwheel.sessions.running.{module}.sleep", self.group.clock.advance
+            )
             for module in ("single_run", "transaction", "opening")
         ]
         for patch in self.patches:
--- a/tests/cover/test_table_changes.py
+++ b/tests/cover/test_table_changes.py
@@ -22,7 +22,7 @@
     apply_change,
     table_change,
 )
-from godwitwheel.sessions.reporting import ControlMembers, Reporter
+from godwitwheel.sessions.reporting.reporting import ControlMembers, Reporter
 from godwitwheel.wire.codec import decode, encode
 from tests.common.fake_sessions import FakeGroup
 
--- a/tests/cover/test_turns.py
+++ b/tests/cover/test_turns.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from godwitwheel.sessions.turns import TurnQueue, TurnRequest
+from godwitwheel.sessions.queueing.turns import TurnQueue, TurnRequest
 
 SLOTS = 3
 SECONDS = 20.0
--- a/tests/cover/test_two_primaries.py
+++ b/tests/cover/test_two_primaries.py
@@ -19,7 +19,7 @@
 from godwitwheel.directory.leadership import CLOCK_DRIFT
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
-from godwitwheel.sessions.authority import LEASE_S, LeasedAuthority
+from godwitwheel.sessions.reporting.authority import LEASE_S, LeasedAuthority
 
 SERVICE = "bookings"
 PROCESSES = st.integers(0, 2)
