Name a client account with each statement, under a lease on its key

Accounts, keys and limits of accounts are new in the configuration; targets were told our own name for every caller, and keys were not read. A caller's key is resolved to its account for each statement, and the account goes with the statement to the owner, the turn and the connection as a required value. Keys are held as digests only.

Without accounts nothing changes for callers and targets; a request between proxy and owner has one more field, so that both must be of this version.

--- /dev/null
+++ b/src/godwitwheel/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: their keys, and the limits on what they may ask."""
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -91,6 +91,7 @@
                 view.version,
                 proxies,
                 members,
+                table_version=view.table.version,
                 grants_lease=grants_lease,
                 owners=owners,
             )
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -24,7 +24,7 @@
 )
 from .fencing import PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
-from .records import DirectoryView, TargetEntry
+from .records import NO_ACCOUNT, DirectoryView, TargetEntry
 
 STATUS_TIMEOUT_S = 0.4
 # The platform usually answers within about 20 ms, unless the network delays the order
@@ -231,7 +231,7 @@
     ) -> Candidate:
         unreachable_from = count_unreachable_from(entry.target_id, observations)
         try:
-            connection = self.connector.connect(entry, STATUS_TIMEOUT_S)
+            connection = self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
         except SessionsError as error:
             return self._unresponsive_candidate(entry, unreachable_from, error)
         try:
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -6,6 +6,9 @@
 
 from ..wire.numbers import Count
 
+# Account of statements and connections that belong to no client account.
+NO_ACCOUNT = ""
+
 
 class Consistency(enum.StrEnum):
     """Consistency that a route's reads need."""
@@ -24,6 +27,7 @@
     :ivar priority: 0 is the highest priority.
     :ivar max_staleness_ms: largest staleness of data that a read may return, in
         milliseconds.
+    :ivar public: whether callers need no key.
     """
 
     database: str
@@ -33,6 +37,7 @@
     latency_objective_ms: int
     priority: int = 0
     max_staleness_ms: int = 0
+    public: bool = True
 
 
 class ServicePolicy(msgspec.Struct, frozen=True):
@@ -48,6 +53,21 @@
     synchronous_replicas: int = 0
 
 
+class AccountPolicy(msgspec.Struct, frozen=True):
+    """What the configuration declares for a client account.
+
+    :ivar key_digests: digests of the keys that name the account; see
+        :func:`godwitwheel.accounts.keys.digest_of`.
+    :ivar rate_per_s: operations a second over all processes, ``None`` for no limit.
+    :ivar burst: operations above that rate that may run at once.
+    """
+
+    name: str
+    key_digests: list[str] = []
+    rate_per_s: float | None = None
+    burst: float = 0.0
+
+
 class SessionLimits(msgspec.Struct, frozen=True):
     """Time limits for callers' sessions.
 
@@ -62,7 +82,7 @@
 
 
 class RoutingTable(msgspec.Struct, frozen=True):
-    """All routes and services, at one version.
+    """All routes, services and client accounts, at one version.
 
     :ivar version: 0 before the first table; the highest published version is active.
     """
@@ -71,6 +91,7 @@
     routes: dict[str, Route] = {}
     services: dict[str, ServicePolicy] = {}
     limits: SessionLimits = SessionLimits()
+    accounts: dict[str, AccountPolicy] = {}
 
 
 class TargetEntry(msgspec.Struct, frozen=True):
@@ -178,7 +199,7 @@
     :ivar proxies: number of known proxies that serve callers, at least 1.
     :ivar view: ``None`` if the proxy holds the newest; its table is left empty and sent
         as ``table_change``.
-    :ivar table_version: version of the table that belongs to the view.
+    :ivar table_version: version of the active table, also if ``view`` is ``None``.
     :ivar table_change: ``None`` if the proxy holds that table.
     :ivar members: addresses of all control members.
     :ivar owners: number of processes that may own connections to targets.
--- a/src/godwitwheel/directory/tables.py
+++ b/src/godwitwheel/directory/tables.py
@@ -53,3 +53,21 @@
                 f"route {name!r}: got timeout {route.statement_timeout_ms} ms, "
                 "expected at least 1"
             )
+    check_keys(table)
+
+
+def check_keys(table: RoutingTable) -> None:
+    """Checks that each key names one client account.
+
+    :raises InvalidTable: naming both accounts, and the key by its digest.
+    """
+    holders: dict[str, str] = {}
+    for name, account in table.accounts.items():
+        if name != account.name:
+            raise InvalidTable(f"account {name!r}: its name is {account.name!r}")
+        for digest in account.key_digests:
+            holder = holders.setdefault(digest, name)
+            if holder != name:
+                raise InvalidTable(
+                    f"accounts {holder!r} and {name!r} share the key {digest}"
+                )
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -2,6 +2,8 @@
 
 import math
 
+from ..accounts.authority import KeyAuthority, UnleasedKeys
+from ..accounts.keys import KeyRing
 from ..directory.ownership import needs_owner, usable_connections
 from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
@@ -106,6 +108,7 @@
     :ivar serves_callers: whether this process serves callers, or only owns
         connections for proxies that do.
     :ivar authority: decides until when this process may rely on a primary.
+    :ivar key_authority: decides until when this process may rely on its keys.
     :ivar limiters: concurrency limiters by target id.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
@@ -121,6 +124,8 @@
         "process_id",
         "serves_callers",
         "authority",
+        "key_authority",
+        "held_key_ring",
         "limiters",
         "clock",
         "connector",
@@ -148,6 +153,8 @@
         self.process_id = process_id
         self.serves_callers = serves_callers
         self.authority: PrimaryAuthority = PlatformFencing()
+        self.key_authority: KeyAuthority = UnleasedKeys()
+        self.held_key_ring: KeyRing | None = None
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.clock = clock
         self.connector = connector
@@ -167,6 +174,13 @@
         """Returns all known targets of a service."""
         return [t for t in self.view.targets.values() if t.service == service]
 
+    def key_ring(self) -> KeyRing:
+        """Returns the keys of the held routing table."""
+        table = self.view.table
+        if self.held_key_ring is None or self.held_key_ring.version != table.version:
+            self.held_key_ring = KeyRing(table)
+        return self.held_key_ring
+
     def status(self, target_id: str) -> TargetStatus:
         """Returns the observed status of a target."""
         status = self.statuses.get(target_id)
--- a/src/godwitwheel/sessions/connections/connection.py
+++ b/src/godwitwheel/sessions/connections/connection.py
@@ -132,9 +132,13 @@
     """Opens connections to targets."""
 
     @abstractmethod
-    def connect(self, target: TargetEntry, timeout_s: float) -> DatabaseConnection:
+    def connect(
+        self, target: TargetEntry, account: str, timeout_s: float
+    ) -> DatabaseConnection:
         """Opens a connection to exactly this target.
 
+        :param account: name of the client account whose statements it will run, or
+            ``NO_ACCOUNT``.
         :raises ConnectFailed: if it can't be opened in time.
         """
 
--- a/src/godwitwheel/sessions/connections/pool.py
+++ b/src/godwitwheel/sessions/connections/pool.py
@@ -22,16 +22,27 @@
 class PooledConnection:
     """A pooled connection and the session state set up on it.
 
+    :ivar account: the only client account whose statements it runs.
     :ivar connection_state: session values and prepared statements that are set up on
         it.
     :ivar state: its transaction state after the last answer.
     :ivar is_broken: whether it must be closed rather than reused.
     """
 
-    __slots__ = ("connection", "connection_state", "pool", "state", "is_broken")
+    __slots__ = (
+        "connection",
+        "account",
+        "connection_state",
+        "pool",
+        "state",
+        "is_broken",
+    )
 
-    def __init__(self, connection: DatabaseConnection, pool: "TargetPool"):
+    def __init__(
+        self, connection: DatabaseConnection, account: str, pool: "TargetPool"
+    ):
         self.connection = connection
+        self.account = account
         self.connection_state = ConnectionState()
         self.pool = pool
         self.state = TransactionState.idle
@@ -95,9 +106,9 @@
         self.close()
 
     def acquire(
-        self, values: dict[str, str], priority: int, timeout_s: float
+        self, account: str, values: dict[str, str], priority: int, timeout_s: float
     ) -> PooledConnection:
-        """Acquires a connection, preferably one with ``values`` already set.
+        """Acquires a connection of an account, if possible with ``values`` set on it.
 
         :raises PoolExhausted: if none becomes free in time.
         :raises TooManyConnections: if the target refuses the only one.
@@ -105,11 +116,13 @@
         """
         deadline = self.clock.now() + timeout_s
         while True:
-            pooled = self._take_idle(values)
+            pooled = self._take_idle(account, values)
             if pooled is not None:
                 return pooled
+            if self.open_count >= self.limit and self.idle:
+                self._drop(self.idle.pop(0))
             if self._may_open(self.clock.now()):
-                opened = self._open(deadline)
+                opened = self._open(account, deadline)
                 if opened is not None:
                     return opened
             self._wait(priority, deadline)
@@ -140,9 +153,10 @@
         """Whether the target takes no connection because it has too many."""
         return self.open_count == 0 and now < self.full_until
 
-    def _take_idle(self, values: dict[str, str]) -> PooledConnection | None:
-        while self.idle:
-            index = self._best_idle_index(values)
+    def _take_idle(
+        self, account: str, values: dict[str, str]
+    ) -> PooledConnection | None:
+        while (index := self._best_idle_index(account, values)) is not None:
             pooled = self.idle.pop(index)
             if pooled.connection.is_usable():
                 self.in_use += 1
@@ -150,21 +164,26 @@
             self._drop(pooled)
         return None
 
-    def _best_idle_index(self, values: dict[str, str]) -> int:
+    def _best_idle_index(self, account: str, values: dict[str, str]) -> int | None:
         # Prefers the most recently used; the others may then be closed for being idle.
-        for index in range(len(self.idle) - 1, -1, -1):
+        own = [
+            index
+            for index in range(len(self.idle) - 1, -1, -1)
+            if self.idle[index].account == account
+        ]
+        for index in own:
             if self.idle[index].connection_state.values == values:
                 return index
-        for index in range(len(self.idle) - 1, -1, -1):
+        for index in own:
             if not self.idle[index].connection_state.needs_discard(values):
                 return index
-        return len(self.idle) - 1
+        return own[0] if own else None
 
     def _may_open(self, now: float) -> bool:
         return self.open_count < self.limit and now >= self.full_until
 
-    def _open(self, deadline: float) -> PooledConnection | None:
-        """Opens a connection.
+    def _open(self, account: str, deadline: float) -> PooledConnection | None:
+        """Opens a connection in the name of an account.
 
         :returns: ``None`` if the target refused it because it has too many, but one
             of this pool's connections will be released.
@@ -172,7 +191,7 @@
         self.open_count += 1
         timeout_s = min(CONNECT_TIMEOUT_S, max(deadline - self.clock.now(), 0.02))
         try:
-            connection = self.connector.connect(self.target, timeout_s)
+            connection = self.connector.connect(self.target, account, timeout_s)
         except TooManyConnections:
             self.full_until = self.clock.now() + FULL_PAUSE_S
             self._count_closed()
@@ -183,7 +202,7 @@
             self._count_closed()
             raise
         self.in_use += 1
-        return PooledConnection(connection, self)
+        return PooledConnection(connection, account, self)
 
     def _wait(self, priority: int, deadline: float) -> None:
         remaining_s = deadline - self.clock.now()
--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -2,7 +2,7 @@
 
 import secrets
 
-from ..directory.records import Route
+from ..directory.records import NO_ACCOUNT, Route
 from ..wire.service import Access
 from .board import SessionBoard
 from .connections.carrying import PreparedStatement
@@ -28,13 +28,26 @@
     :ivar values: session values by name.
     :ivar prepared: prepared statements, by their names in the session.
     :ivar own_positions: log position of the session's last commit, by service.
+    :ivar key_digest: digest of the caller's key; empty if it gave none.
+    :ivar account: client account of the current statement or transaction, or
+        :data:`NO_ACCOUNT`.
     """
 
-    __slots__ = ("session_id", "database", "values", "prepared", "own_positions")
-
-    def __init__(self, session_id: str, database: str):
+    __slots__ = (
+        "session_id",
+        "database",
+        "values",
+        "prepared",
+        "own_positions",
+        "key_digest",
+        "account",
+    )
+
+    def __init__(self, session_id: str, database: str, key_digest: str = ""):
         self.session_id = session_id
         self.database = database
+        self.key_digest = key_digest
+        self.account = NO_ACCOUNT
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self.own_positions: dict[str, Position] = {}
--- a/src/godwitwheel/sessions/http_api.py
+++ b/src/godwitwheel/sessions/http_api.py
@@ -9,12 +9,14 @@
 
 import msgspec
 
+from ..accounts.keys import digest_of
 from ..internal.loop import sleep
 from ..observe.events import EventName
 from ..wire.codec import decode
 from ..wire.server import Handler, Request, Response
 from ..wire.service import Access
-from ..wire.status import CONFLICT, NOT_FOUND, UNAVAILABLE
+from ..wire.status import CONFLICT, NOT_FOUND, UNAUTHORIZED, UNAVAILABLE
+from .access import authorize
 from .context import SessionContext, SessionState
 from .running.runner import RunnerSelector
 from .session import Session
@@ -123,10 +125,16 @@
         database = decode(request.body, OpenSessionRequest).database
         if self.is_draining or len(self.open) >= MAX_SESSIONS:
             return _problem("no room for a session", UNAVAILABLE)
-        if self.context.route(database) is None:
+        route = self.context.route(database)
+        if route is None:
             return _problem(f"no such database: {database}", NOT_FOUND)
         session_id = f"{self.prefix}-{next(self.numbers)}"
-        state = SessionState(session_id, database)
+        state = SessionState(session_id, database, digest_of(bearer_key(request)))
+        refusal = authorize(self.context, state, route, self.context.now())
+        if refusal is not None:
+            is_unauthorized = refusal.error is ErrorCode.unauthorized
+            status = UNAUTHORIZED if is_unauthorized else UNAVAILABLE
+            return _problem(refusal.detail, status)
         session = Session(self.context, self.runners, state)
         self.open[session_id] = HttpSession(session, self.context.now())
         return Response(SessionOpened(session_id))
@@ -186,6 +194,12 @@
                 )
 
 
+def bearer_key(request: Request) -> str:
+    """Returns the key in a request's ``Authorization`` header, or an empty string."""
+    scheme, _, key = (request.header("Authorization") or "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
 def _problem(message: str, status: int) -> Response:
     headers = [("Retry-After", RETRY_AFTER_S)] if status == UNAVAILABLE else []
     return Response(SessionProblem(message), status, headers)
--- a/src/godwitwheel/sessions/owning/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -60,6 +60,7 @@
     """Request to run one statement.
 
     :ivar proxy_id: ids of the requesting process and session, for the owner's log.
+    :ivar account: client account that the statement runs for, or ``NO_ACCOUNT``.
     :ivar handle: transaction that the statement belongs to; empty to open one with
         this statement.
     :ivar in_transaction: whether the statement belongs to a transaction.
@@ -70,6 +71,7 @@
     kind: StatementKind
     request_id: str
     text: str
+    account: str
     session: SessionPart = SessionPart()
     name: str = ""
     arguments: str = ""
@@ -109,7 +111,8 @@
 
 def route_part(route: Route) -> RoutePart:
     """Converts a route to its wire form."""
-    return RoutePart(*msgspec.structs.astuple(route))
+    fields = RoutePart.__struct_fields__
+    return RoutePart(*(getattr(route, name) for name in fields))
 
 
 def route_of(part: RoutePart) -> Route:
@@ -145,6 +148,7 @@
 def restore_session(state: SessionState, request: RunRequest) -> None:
     """Updates the owner's copy of a session from a request."""
     part = request.session
+    state.account = request.account
     state.values = dict(part.values)
     if part.prepared_access is not None:
         prepared = PreparedStatement(part.prepared_access, part.prepared_shape)
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -153,6 +153,7 @@
             statement.kind,
             statement.request_id,
             statement.text,
+            state.account,
             session_part(state, route, statement),
             statement.name,
             statement.arguments,
--- a/src/godwitwheel/sessions/queueing/turns.py
+++ b/src/godwitwheel/sessions/queueing/turns.py
@@ -44,22 +44,25 @@
     """A statement's request for a turn.
 
     :ivar kind: class of statements whose durations are averaged together.
+    :ivar account: client account that the turn is charged to, or ``NO_ACCOUNT``.
     :ivar priority: lower goes first; negative for transactions that have begun.
     :ivar start_deadline: deadline for the start of the turn, in seconds of the clock.
     :ivar opens_transaction: whether it is the first statement of a transaction; the
         later ones go first once it has run.
     """
 
-    __slots__ = ("kind", "priority", "start_deadline", "opens_transaction")
+    __slots__ = ("kind", "account", "priority", "start_deadline", "opens_transaction")
 
     def __init__(
         self,
         kind: str,
+        account: str,
         priority: int,
         start_deadline: float,
         opens_transaction: bool = False,
     ):
         self.kind = kind
+        self.account = account
         self.priority = priority
         self.start_deadline = start_deadline
         self.opens_transaction = opens_transaction
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -258,6 +258,8 @@
                 primaries=view.primaries,
                 fences=view.fences,
             )
+        if reply.table_version == board.view.table.version:
+            board.key_authority.renew(sent_at)
         if reply.grants_lease:
             board.authority.renew(reply.view_version, sent_at, board.clock.now())
 
--- a/src/godwitwheel/sessions/running/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -33,7 +33,9 @@
     """
     board = context.board
     try:
-        return board.pool(target).acquire(state.values, priority, timeout_s)
+        return board.pool(target).acquire(
+            state.account, state.values, priority, timeout_s
+        )
     except TooManyConnections:
         context.metrics.attempts.inc({"outcome": "too_many_connections"})
     except PoolExhausted:
--- a/src/godwitwheel/sessions/running/single_run.py
+++ b/src/godwitwheel/sessions/running/single_run.py
@@ -130,7 +130,10 @@
         self.attempts.count += 1
         self.attempts.target_id = target.target_id
         request = TurnRequest(
-            self.route.database, self.route.priority, self.deadlines.start_deadline
+            self.route.database,
+            self.state.account,
+            self.route.priority,
+            self.deadlines.start_deadline,
         )
         with acquired_connection(self.context, target, self.state, request) as pooled:
             if pooled is None:
--- a/src/godwitwheel/sessions/running/transaction.py
+++ b/src/godwitwheel/sessions/running/transaction.py
@@ -198,11 +198,14 @@
         connection, and if it is refused its work so far is lost.
         """
         start_deadline = self.context.now() + timeout_s
+        account = self.state.account
         if self.turns:
-            return TurnRequest(self.turn_kind, TRANSACTION_PRIORITY, start_deadline)
+            return TurnRequest(
+                self.turn_kind, account, TRANSACTION_PRIORITY, start_deadline
+            )
         priority = self.route.priority
         return TurnRequest(
-            self.turn_kind, priority, start_deadline, opens_transaction=True
+            self.turn_kind, account, priority, start_deadline, opens_transaction=True
         )
 
     def _record_turns(self, pooled: PooledConnection) -> None:
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -6,6 +6,7 @@
 from ..internal.loop import sleep
 from ..observe.events import EventName, record_event
 from ..wire.streams import ProtocolError, StreamClosed, StreamTimeout
+from .access import authorize
 from .context import SessionContext, SessionState
 from .running.runner import RunnerSelector
 from .session import Session
@@ -14,12 +15,25 @@
 DRAIN_POLL_S = 0.02
 
 
+class StartRequest:
+    """A caller's request to open a session.
+
+    :ivar key_digest: digest of its key; empty if it gave none.
+    """
+
+    __slots__ = ("database", "key_digest")
+
+    def __init__(self, database: str, key_digest: str = ""):
+        self.database = database
+        self.key_digest = key_digest
+
+
 class CallerLink(ABC):
     """A caller's connection, independent of the protocol that it uses."""
 
     @abstractmethod
-    def read_start(self, timeout_s: float) -> str:
-        """Reads the caller's start message and returns the database that it names.
+    def read_start(self, timeout_s: float) -> StartRequest:
+        """Reads the caller's start message.
 
         :raises StreamTimeout: if no start message arrives in time.
         :raises StreamClosed: if the caller disconnects or violates the protocol.
@@ -102,11 +116,11 @@
 
     def _serve(self, link: CallerLink) -> None:
         limits = self.context.board.view.table.limits
-        database = link.read_start(limits.start_timeout_ms / 1000.0)
-        if not self._may_open(link, database):
-            return
+        start = link.read_start(limits.start_timeout_ms / 1000.0)
         self.next_number += 1
-        state = SessionState(str(self.next_number), database)
+        state = SessionState(str(self.next_number), start.database, start.key_digest)
+        if not self._may_open(link, state):
+            return
         with Session(self.context, self.runners, state) as session:
             record = OpenSession(link, session)
             self.open_sessions.add(record)
@@ -138,24 +152,30 @@
                 record.session.expire()
                 record.link.end()
 
-    def _may_open(self, link: CallerLink, database: str) -> bool:
-        if self.context.route(database) is not None:
+    def _may_open(self, link: CallerLink, state: SessionState) -> bool:
+        refusal = self._refusal_to_open(state)
+        if refusal is None:
             return True
-        version = self.context.board.view.table.version
         self.context.log.record(
             EventName.session_refused,
             self.context.now(),
-            database=database,
-            reason="no route",
-            table_version=version,
+            database=state.database,
+            key=state.key_digest,
+            reason=refusal.error.value,
+            table_version=self.context.board.view.table.version,
         )
-        if version == 0:
-            text = "no routing table yet; retry after 500 ms"
-            link.refuse(error_answer(ErrorCode.overloaded, text))
-        else:
-            link.refuse(error_answer(ErrorCode.unknown_database, database))
+        link.refuse(refusal)
         return False
 
+    def _refusal_to_open(self, state: SessionState) -> Answer | None:
+        route = self.context.route(state.database)
+        if route is not None:
+            return authorize(self.context, state, route, self.context.now())
+        if self.context.board.view.table.version == 0:
+            text = "no routing table yet; retry after 500 ms"
+            return error_answer(ErrorCode.overloaded, text)
+        return error_answer(ErrorCode.unknown_database, state.database)
+
     def _serve_statements(self, record: OpenSession) -> None:
         while True:
             statement = self._next_statement(record)
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -2,6 +2,7 @@
 
 from ..directory.records import Route
 from ..observe.events import EventName
+from .access import authorize, authorize_in_transaction, record_refusal
 from .connections.carrying import PreparedStatement
 from .context import SessionContext, SessionState
 from .running.open_transaction import OpenTransaction
@@ -26,9 +27,10 @@
     connection before its first statement.
 
     :ivar transaction: the open or failed transaction, or ``None``.
+    :ivar transaction_route: the route that the transaction began on, or ``None``.
     """
 
-    __slots__ = ("context", "runners", "state", "transaction")
+    __slots__ = ("context", "runners", "state", "transaction", "transaction_route")
 
     def __init__(
         self, context: SessionContext, runners: RunnerSelector, state: SessionState
@@ -37,6 +39,7 @@
         self.runners = runners
         self.state = state
         self.transaction: OpenTransaction | None = None
+        self.transaction_route: Route | None = None
 
     def __enter__(self) -> "Session":
         return self
@@ -101,9 +104,14 @@
         route = self.route()
         if route is None:
             return self._no_route(statement)
+        refusal = authorize(self.context, self.state, route, self.context.now())
+        if refusal is not None:
+            record_refusal(self.context, self.state, statement, refusal)
+            return refusal
         self.transaction = self.runners.for_route(route).begin(
             self.state, route, statement.read_only
         )
+        self.transaction_route = route
         return Answer()
 
     def _set_value(self, statement: Statement) -> Answer:
@@ -122,10 +130,15 @@
 
     def _run(self, statement: Statement) -> Answer:
         if self.transaction is not None:
-            return self.transaction.run(statement)
+            refusal = self._refuse_in_transaction(statement)
+            return refusal or self.transaction.run(statement)
         route = self.route()
         if route is None:
             return self._no_route(statement)
+        refusal = authorize(self.context, self.state, route, self.context.now())
+        if refusal is not None:
+            record_refusal(self.context, self.state, statement, refusal)
+            return refusal
         return self.runners.for_route(route).run_single(self.state, route, statement)
 
     def _end(self, statement: Statement) -> Answer:
@@ -134,12 +147,25 @@
             return error_answer(ErrorCode.malformed, "no transaction is open")
         try:
             if statement.kind is StatementKind.commit:
-                return transaction.commit(statement)
+                refusal = self._refuse_in_transaction(statement)
+                return refusal or transaction.commit(statement)
             transaction.abandon("the caller rolled back")
             return Answer()
         finally:
             self.transaction = None
 
+    def _refuse_in_transaction(self, statement: Statement) -> Answer | None:
+        """Rolls back the open transaction if its caller's key allows it no more."""
+        if self.transaction.has_failed:
+            return None
+        refusal = authorize_in_transaction(
+            self.context, self.state, self.transaction_route, self.context.now()
+        )
+        if refusal is not None:
+            record_refusal(self.context, self.state, statement, refusal)
+            self.transaction.fail(refusal.detail)
+        return refusal
+
     def _no_route(self, statement: Statement) -> Answer:
         board = self.context.board
         self.context.log.record(
--- a/src/godwitwheel/sessions/statements.py
+++ b/src/godwitwheel/sessions/statements.py
@@ -113,7 +113,8 @@
     """Why a statement failed.
 
     ``in_doubt`` means that a write or commit was sent and not answered, so that its
-    outcome is unknown.
+    outcome is unknown; ``unauthorized`` that the caller's key names no account, and
+    nothing has run.
     """
 
     overloaded = "overloaded"
@@ -128,6 +129,7 @@
     in_doubt = "in_doubt"
     malformed = "malformed"
     unknown_database = "unknown_database"
+    unauthorized = "unauthorized"
     too_large = "too_large"
 
 
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -6,7 +6,7 @@
 
 from fleet.lines import parse_statement
 from fleet.targets import LineConnector
-from godwitwheel.directory.records import TargetEntry
+from godwitwheel.directory.records import NO_ACCOUNT, TargetEntry
 from godwitwheel.internal.loop import sleep
 from godwitwheel.sessions.connections.connection import Begin, Rollback, Run
 from godwitwheel.sessions.errors import (
@@ -32,7 +32,7 @@
 
 
 def connect(target):
-    return LineConnector().connect(entry(target), TIMEOUT_S)
+    return LineConnector().connect(entry(target), NO_ACCOUNT, TIMEOUT_S)
 
 
 def test_a_connection_names_service_and_target():
@@ -133,7 +133,7 @@
     with LineTarget(lambda text: None).running() as target:
         stopped = entry(target)
     with pytest.raises(ConnectFailed):
-        LineConnector().connect(stopped, 1.0)
+        LineConnector().connect(stopped, NO_ACCOUNT, 1.0)
 
 
 def test_an_unread_byte_makes_a_connection_unusable():
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -264,7 +264,7 @@
         primaries = {SERVICE: self.primary.target_id}
         return DirectoryView(version, table, entries, primaries)
 
-    def connect(self, target, timeout_s):
+    def connect(self, target, account, timeout_s):
         fake = self.targets[target.target_id]
         if fake.refuses or fake.is_unresponsive:
             self.clock.advance(timeout_s if fake.is_unresponsive else 0.0)
--- a/tests/cover/test_gate.py
+++ b/tests/cover/test_gate.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitwheel.directory.records import NO_ACCOUNT
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.internal.loop import Event, sleep, spawn
 from godwitwheel.sessions.errors import TurnRefused
@@ -28,7 +29,9 @@
         return len(self.limiter.queue.running)
 
     def hold(self, name, priority, wait_budget_s, release):
-        request = TurnRequest("view", priority, self.clock.now() + wait_budget_s)
+        request = TurnRequest(
+            "view", NO_ACCOUNT, priority, self.clock.now() + wait_budget_s
+        )
         try:
             with self.limiter.turn(request):
                 self.served.append(name)
@@ -137,7 +140,9 @@
     with contextlib.ExitStack() as stack:
         for _ in range(SLOTS + STATEMENTS_AHEAD):
             now = harness.clock.now()
-            stack.enter_context(harness.limiter.turn(TurnRequest("view", 1, now)))
+            stack.enter_context(
+                harness.limiter.turn(TurnRequest("view", NO_ACCOUNT, 1, now))
+            )
         assert harness.running == SLOTS + STATEMENTS_AHEAD
 
 
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitwheel.directory.records import OwnerEntry
+from godwitwheel.directory.records import NO_ACCOUNT, OwnerEntry
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
@@ -222,7 +222,7 @@
     limiter = board.limiter(board.view.targets["t1"])
     stack = contextlib.ExitStack()
     for _ in range(limiter.queue.limit):
-        request = TurnRequest("other", 0, board.clock.now() + 1.0)
+        request = TurnRequest("other", NO_ACCOUNT, 0, board.clock.now() + 1.0)
         stack.enter_context(limiter.turn(request))
     return stack
 
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from godwitwheel.directory.records import NO_ACCOUNT
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
@@ -312,7 +313,7 @@
     busy.execute(write("w1"))
     pool = group.board.pools["t1"]
     answers = []
-    task = spawn(lambda: answers.append(pool.acquire({}, 0, 5.0)))
+    task = spawn(lambda: answers.append(pool.acquire(NO_ACCOUNT, {}, 0, 5.0)))
     sleep()
     assert answers == []
     busy.execute(commit("c1"))
--- a/tests/cover/test_turns.py
+++ b/tests/cover/test_turns.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from godwitwheel.directory.records import NO_ACCOUNT
 from godwitwheel.sessions.queueing.turns import TurnQueue, TurnRequest
 
 SLOTS = 3
@@ -88,7 +89,7 @@
         kind = arrived.kind
         self.offered[kind.name] = self.offered.get(kind.name, 0) + 1
         start_deadline = now + WAIT_SHARE * kind.objective_s
-        request = TurnRequest(kind.name, kind.priority, start_deadline)
+        request = TurnRequest(kind.name, NO_ACCOUNT, kind.priority, start_deadline)
         running = self.queue.try_start(request, now)
         if running is not None:
             self.start(arrived, running, now)
@@ -143,10 +144,12 @@
 def test_a_transaction_is_queued_with_all_its_statements_until_it_has_begun():
     queue = TurnQueue(1)
     queue.record_transaction("in a transaction", 6)
-    running = queue.try_start(TurnRequest("tracking", 2, 9.0), 0.0)
-    first = queue.join(TurnRequest("in a transaction", 2, 9.0, opens_transaction=True))
-    single = queue.join(TurnRequest("tracking", 2, 9.0))
-    under_way = queue.join(TurnRequest("in a transaction", -1, 9.0))
+    running = queue.try_start(TurnRequest("tracking", NO_ACCOUNT, 2, 9.0), 0.0)
+    first = queue.join(
+        TurnRequest("in a transaction", NO_ACCOUNT, 2, 9.0, opens_transaction=True)
+    )
+    single = queue.join(TurnRequest("tracking", NO_ACCOUNT, 2, 9.0))
+    under_way = queue.join(TurnRequest("in a transaction", NO_ACCOUNT, -1, 9.0))
     served = []
     while queue.waiting:
         queue.end(running, 0.02)
