--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -9,7 +9,7 @@
 from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.serving import SessionServer
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
-from tests.common.fake_sessions import FakeGroup
+from tests.common.fake_sessions import FakeGroup, KeyedGroup
 
 TIMEOUT_S = 5.0
 
@@ -41,6 +41,10 @@
         return True
 
 
+def raise_error(error):
+    raise error
+
+
 @pytest.fixture
 def served():
     """A session server on a fake group; yields a function that connects."""
@@ -83,6 +87,22 @@
     assert caller.is_closed()
 
 
+def test_a_key_opens_the_session_of_its_account():
+    group = KeyedGroup()
+    server = SessionServer(group.context, RunnerSelector(group.context))
+    listener = StreamServer(lambda s: server.serve(LineCallerLink(s)), raise_error)
+    with listener.listening("127.0.0.1:0") as listening:
+        caller = Caller(listening.address)
+        caller.send("START primary k3")
+        assert caller.line() == "READY I -"
+        assert caller.query("a", "WRITE x y")[-2] == "COMPLETE sig-a"
+        stranger = Caller(listening.address)
+        stranger.send("START primary k9")
+        assert stranger.line().startswith("ERROR NOAUTH")
+        assert stranger.is_closed()
+    assert group.accounts_told() == ["school"]
+
+
 def test_a_malformed_statement_leaves_the_session_open(served):
     caller = served()
     caller.line()
--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -7,6 +7,7 @@
 
 from fleet.control_api import ControlApi
 from fleet.tables import FleetTableCodec
+from godwitwheel.accounts.keys import digest_of
 from godwitwheel.control.state import ControlState
 from godwitwheel.directory.errors import InvalidTable
 from godwitwheel.directory.member import DirectoryMember
@@ -106,9 +107,23 @@
     assert api.put(CONFIG).status == 200
 
 
+ACCOUNTS = [
+    {
+        "name": "bode960",
+        "api_keys": ["ta828m82thhk", "h5mgjy5rcpih"],
+        "priority": 1,
+        "rate_per_s": 176,
+        "burst": 17.5,
+    },
+    {"name": "dale51", "api_keys": []},
+]
+
+
 @pytest.mark.parametrize(
     "change",
     [
+        {"tenants": [*ACCOUNTS, {"name": "t3", "api_keys": ["ta828m82thhk"]}]},
+        {"tenants": [*ACCOUNTS, {**ACCOUNTS[1]}]},
         {"routes": [{**CONFIG["routes"][0], "service": "none"}]},
         {"routes": [{**CONFIG["routes"][0], "timeout_ms": 0}]},
         {"routes": [CONFIG["routes"][0], {**CONFIG["routes"][0], "name": "r-2"}]},
@@ -126,6 +141,29 @@
     assert api.put(json.dumps(CONFIG).encode()[:-9]).status == 400
 
 
+def test_a_key_that_two_accounts_share_is_not_shown(api):
+    shared = {"name": "t3", "api_keys": ["ta828m82thhk"]}
+    reply = api.put({**CONFIG, "tenants": [*ACCOUNTS, shared]})
+    assert reply.status == 400
+    assert b"bode960" in reply.body and b"t3" in reply.body
+    assert b"ta828m82thhk" not in reply.body
+
+
+def test_accounts_decode_with_digests_of_their_keys(api):
+    api.put({**CONFIG, "tenants": ACCOUNTS})
+    table = api.state.directory.view.table
+    account = table.accounts["bode960"]
+    assert account.key_digests == [digest_of("ta828m82thhk"), digest_of("h5mgjy5rcpih")]
+    assert (account.rate_per_s, account.burst) == (176.0, 17.5)
+    assert table.accounts["dale51"].rate_per_s is None
+    assert not table.routes["fiti"].public
+
+
+def test_without_accounts_every_route_is_public(api):
+    api.put(CONFIG)
+    assert api.state.directory.view.table.routes["fiti"].public
+
+
 def test_a_configuration_decodes_into_a_routing_table(api):
     api.put(CONFIG)
     table = api.state.directory.view.table
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -6,7 +6,13 @@
 
 from fleet.core import directory_settings
 from fleet.front import proxy_settings
-from fleet.settings import InvalidSettingsFile, SettingsFile, decode_settings
+from fleet.settings import (
+    InvalidSettingsFile,
+    SettingsFile,
+    decode_settings,
+    key_authority,
+)
+from godwitwheel.accounts.authority import LeasedKeys, UnleasedKeys
 
 SETTINGS = {
     "node_name": "core-1",
@@ -42,6 +48,14 @@
     assert directory_settings(settings()).voters == 5
 
 
+def test_keys_are_leased_only_where_withdrawals_are_bounded():
+    bounds = {"strict_revocation": True, "revoke_ms": 4000}
+    leased = key_authority(settings(bounds=bounds))
+    assert isinstance(leased, LeasedKeys)
+    assert leased.lease_s < 4.0
+    assert isinstance(key_authority(settings()), UnleasedKeys)
+
+
 @pytest.mark.parametrize(
     "changes", [{"bootstrap": False}, {"seeds": ["10.9.0.1:8782"]}]
 )
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -41,6 +41,12 @@
         assert target.start_lines == ["START huvo11a godwitwheel i-1"]
 
 
+def test_a_connection_is_started_in_the_name_of_its_account():
+    with LineTarget(lambda text: None).running() as target:
+        LineConnector().connect(entry(target), "bode960", TIMEOUT_S).close()
+        assert target.start_lines == ["START huvo11a bode960 i-1"]
+
+
 def test_pipelined_commands_are_answered_in_order():
     replies = {
         "BEGIN": b"COMPLETE -\r\nREADY T 3.4\r\n",
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -5,7 +5,12 @@
 back, and each answer holds the log position.
 """
 
+import msgspec
+
+from godwitwheel.accounts.authority import LeasedKeys
+from godwitwheel.accounts.keys import digest_of
 from godwitwheel.directory.records import (
+    AccountPolicy,
     Consistency,
     DirectoryView,
     Route,
@@ -62,6 +67,10 @@
         self.position = position
 
 
+# Bound on withdrawals of keys of a group with client accounts, in seconds.
+WITHDRAWAL_BOUND_S = 5.0
+
+
 class FakeTarget:
     """One target.
 
@@ -111,12 +120,14 @@
 class FakeConnection(DatabaseConnection):
     """A connection.
 
+    :ivar account: client account that it was opened for.
     :ivar transaction: number of its open transaction in the group, or 0.
     :ivar pending: request ids of the open transaction's writes.
     """
 
-    def __init__(self, target: FakeTarget):
+    def __init__(self, target: FakeTarget, account: str):
         self.target = target
+        self.account = account
         self.is_open = True
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[Access, str]] = {}
@@ -271,7 +282,7 @@
             raise ConnectFailed("no answer")
         if len(fake.connections) >= fake.max_connections:
             raise TooManyConnections("full", refused=True)
-        connection = FakeConnection(fake)
+        connection = FakeConnection(fake, account)
         fake.connections.append(connection)
         fake.opened += 1
         return connection
@@ -313,6 +324,43 @@
         return [run for target in self.targets.values() for run in target.ran]
 
 
+class KeyedGroup(FakeGroup):
+    """A group whose routes need a key, at a proxy under a lease on its keys."""
+
+    def __init__(self):
+        super().__init__()
+        self.version = 1
+        self.board.key_authority = LeasedKeys(WITHDRAWAL_BOUND_S)
+        self.publish({"ferry": ["k1", "k2"], "school": ["k3"]})
+
+    def publish(self, keys):
+        """Puts a table with these keys by account in force, and confirms it."""
+        self.version += 1
+        view = self.view(self.version)
+        routes = {
+            name: msgspec.structs.replace(route, public=False)
+            for name, route in view.table.routes.items()
+        }
+        accounts = {
+            name: AccountPolicy(name, [digest_of(key) for key in held])
+            for name, held in keys.items()
+        }
+        table = msgspec.structs.replace(view.table, routes=routes, accounts=accounts)
+        self.board.apply_view(msgspec.structs.replace(view, table=table))
+        self.board.key_authority.renew(self.clock.now())
+
+    def keyed_session(self, key, database="primary"):
+        state = SessionState("s1", database, digest_of(key))
+        return Session(self.context, RunnerSelector(self.context), state)
+
+    def accounts_told(self):
+        return [
+            connection.account
+            for target in self.targets.values()
+            for connection in target.connections
+        ]
+
+
 def begin(request_id: str, read_only: bool = False) -> Statement:
     return Statement(StatementKind.begin, request_id, "BEGIN", read_only=read_only)
 
--- a/tests/cover/test_http_sessions.py
+++ b/tests/cover/test_http_sessions.py
@@ -8,7 +8,7 @@
 from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.wire.client import Client
 from godwitwheel.wire.server import Server
-from tests.common.fake_sessions import FakeGroup
+from tests.common.fake_sessions import FakeGroup, KeyedGroup
 
 TIMEOUT_S = 5.0
 
@@ -53,6 +53,29 @@
     assert errors == []
 
 
+def test_a_key_over_http_names_the_account():
+    group = KeyedGroup()
+    sessions = HttpSessions(group.context, RunnerSelector(group.context), "run1")
+    errors = []
+    with (
+        Server(sessions.routes(), errors.append).listening("127.0.0.1:0") as running,
+        Client() as client,
+    ):
+
+        def open_with(key):
+            body = json.dumps({"database": "primary"}).encode()
+            headers = {"Authorization": f"Bearer {key}"}
+            return client.exchange(
+                running.address, "POST", "/v1/sessions", body, TIMEOUT_S, headers
+            )
+
+        assert open_with("k1")[0] == 200
+        status, reply = open_with("k9")
+        assert status == 401
+        assert b"k9" not in reply
+    assert errors == []
+
+
 def test_a_transaction_over_http(served):
     session = served.open()
     assert served.run(session, "begin")["state"] == "open"
