--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -18,6 +18,7 @@
 from godwitwheel.wire.errors import WireError
 from godwitwheel.wire.streams import Stream, open_stream
 
+from .accounts import AccountBook, CallerKey
 from .calm import FaultTracker
 from .fleet_processes import FRONT_PORT, READINESS_PORT
 from .platform_calls import MAX_STALENESS_MS, database_of
@@ -89,7 +90,15 @@
     :ivar values: session values whose SET was acknowledged.
     """
 
-    __slots__ = ("stream", "host", "service", "consistency", "session_id", "values")
+    __slots__ = (
+        "stream",
+        "host",
+        "service",
+        "consistency",
+        "session_id",
+        "caller_key",
+        "values",
+    )
 
     def __init__(
         self,
@@ -98,12 +107,14 @@
         service: str,
         consistency: Consistency,
         session_id: str,
+        caller_key: CallerKey,
     ):
         self.stream = stream
         self.host = host
         self.service = service
         self.consistency = consistency
         self.session_id = session_id
+        self.caller_key = caller_key
         self.values: dict[str, str] = {}
 
     def query(self, request_id: str, text: str) -> Answer:
@@ -123,6 +134,7 @@
             MAX_STALENESS_MS / 1000.0,
             is_transaction,
             self.values,
+            self.caller_key,
         )
 
 
@@ -141,8 +153,10 @@
         promises: PromiseChecker,
         successes: SuccessTimes,
         services: list[str],
+        accounts: AccountBook,
         rng: random.Random,
     ):
+        self.accounts = accounts
         self.fault_tracker = fault_tracker
         self.balancer = balancer
         self.promises = promises
@@ -188,10 +202,14 @@
         stream = open_stream(f"{host}:{FRONT_PORT}", CONNECT_TIMEOUT_S)
         try:
             database = database_of(service, consistency)
-            stream.write(f"START {database} soak\r\n".encode(), CONNECT_TIMEOUT_S)
+            caller_key = self.accounts.choose(self.rng)
+            start = f"START {database} {caller_key.key}\r\n"
+            stream.write(start.encode(), CONNECT_TIMEOUT_S)
             line = decode_line(stream.read_line(ANSWER_TIMEOUT_S, MAX_MESSAGE_BYTES))
             session_id = f"s{next(self.id_numbers)}"
-            session = Session(stream, host, service, consistency, session_id)
+            session = Session(
+                stream, host, service, consistency, session_id, caller_key
+            )
             yield session if line.startswith("READY") else None
         finally:
             stream.close()
--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -12,6 +12,7 @@
     parse_position,
     parse_statement,
 )
+from fleet.targets import OWN_NAME
 from godwitwheel.internal.loop import Semaphore, sleep
 from godwitwheel.sessions.connections.connection import (
     AskStatus,
@@ -73,7 +74,7 @@
     def serve(self, stream: Stream) -> None:
         """Serves one connection of a proxy."""
         self.streams.append(stream)
-        connection = SoakConnection(self)
+        connection = SoakConnection(self, "")
         try:
             start = decode_line(stream.read_line(5.0, MAX_MESSAGE_BYTES)).split(" ")
             if start[:2] != ["START", self.group.service] or start[3:4] not in (
@@ -85,6 +86,7 @@
             if len(self.connections) >= self.max_connections:
                 stream.write(b"ERROR TOOMANY -\r\n", 1.0)
                 return
+            connection.account = "" if start[2] == OWN_NAME else start[2]
             self.connections.append(connection)
             sleep(CONNECT_DELAY_S)
             self._wait_while_unresponsive()
@@ -179,6 +181,10 @@
                 self.transaction,
                 self.values,
             )
+            if operation is not None:
+                group.promises.check_account(
+                    operation, statement.request_id, self.account
+                )
             pending = list(self.pending)
             answer = super()._run(command)
         if answer.error is not None:
--- a/bench/soak/fleet_processes.py
+++ b/bench/soak/fleet_processes.py
@@ -11,6 +11,7 @@
 from bench.processes import ManagedProcess
 from fleet.settings import (
     SETTINGS_VARIABLE,
+    Bounds,
     FleetSettings,
     ListenAddresses,
     PlatformCalls,
@@ -18,6 +19,7 @@
 from godwitwheel.internal.loop import sleep
 from tests.common.processes import process_environment
 
+from .accounts import WITHDRAWAL_BOUND_S
 from .mischief import InjectedFaults, write_injected_faults
 from .relay import Links, Relay
 
@@ -192,6 +194,10 @@
             seeds=self.control_addresses()[:3],
             first_start=first_start,
             data_folder=str(process.folder / "data") if is_core else None,
+            bounds=Bounds(
+                bounds_withdrawals=True,
+                withdrawal_bound_ms=1000.0 * WITHDRAWAL_BOUND_S,
+            ),
             platform_calls=PlatformCalls(
                 f"{self.platform_calls_host}:{PLATFORM_CALLS_PORT}"
             ),
--- a/bench/soak/platform_calls.py
+++ b/bench/soak/platform_calls.py
@@ -16,6 +16,7 @@
 from godwitwheel.wire.server import Request, Response
 from godwitwheel.wire.status import CONFLICT
 
+from .accounts import ACTIVATION_TIME_S, AccountBook
 from .databases import MAX_CONNECTIONS, SoakGroup, SoakTarget
 from .promises import PromiseChecker
 
@@ -23,8 +24,6 @@
 CALL_TIMEOUT_S = 1.0
 PUBLISH_RETRY_PAUSE_S = 0.3
 READ_INTERVAL_S = 0.5
-# Within this time, a table is active on every member that can answer a read.
-ACTIVATION_TIME_S = 3.0
 STATEMENT_TIMEOUT_MS = 800
 LATENCY_OBJECTIVE_MS = 200
 MAX_STALENESS_MS = 1500
@@ -119,6 +118,7 @@
 
     __slots__ = (
         "services",
+        "accounts",
         "control_addresses",
         "promises",
         "rng",
@@ -131,11 +131,13 @@
     def __init__(
         self,
         services: list[str],
+        accounts: AccountBook,
         control_addresses: list[str],
         promises: PromiseChecker,
         rng,
     ):
         self.services = services
+        self.accounts = accounts
         self.control_addresses = control_addresses
         self.promises = promises
         self.rng = rng
@@ -151,12 +153,14 @@
         """
         self.version += self.rng.randint(1, 3)
         version = self.version
+        self.accounts.rotate()
         body = self.documents[version] = self._document(version)
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline:
             status = self._call("POST", "/api/config/put", body)[0]
             if status == 200:
                 self.acknowledged.append((version, time.monotonic()))
+                self.accounts.record_acknowledged()
                 return True
             if status in (400, 409, 422):
                 self.promises.report_violation(
@@ -221,7 +225,10 @@
                     )
                 )
         services = [ServiceEntry(name, MAX_CONNECTIONS) for name in self.services]
-        return msgspec.json.encode(TableDocument(version, routes, services))
+        document = TableDocument(
+            version, routes, services, accounts=self.accounts.entries()
+        )
+        return msgspec.json.encode(document)
 
 
 def database_of(service: str, consistency: Consistency) -> str:
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -6,6 +6,8 @@
 from godwitwheel.directory.records import Consistency
 from godwitwheel.sessions.statements import ErrorCode
 
+from .accounts import NO_KEY, CallerKey, QuotaChecker
+
 # Errors that guarantee that nothing of the statement's operation is committed.
 UNCOMMITTED_CODES = frozenset(
     {
@@ -32,6 +34,8 @@
         runs in.
     :ivar commit_requested: whether the caller has sent its COMMIT.
     :ivar must_not_commit: an error guaranteed that nothing of it is committed.
+    :ivar caller_key: key of its caller.
+    :ivar has_run: whether one of its statements has run.
     """
 
     __slots__ = (
@@ -45,6 +49,8 @@
         "target_transaction",
         "commit_requested",
         "must_not_commit",
+        "caller_key",
+        "has_run",
     )
 
     def __init__(
@@ -55,6 +61,7 @@
         max_staleness_s: float,
         is_transaction: bool,
         values: dict[str, str],
+        caller_key: CallerKey = NO_KEY,
     ):
         self.session_id = session_id
         self.service = service
@@ -66,6 +73,8 @@
         self.target_transaction: tuple[object, int] | None = None
         self.commit_requested = False
         self.must_not_commit = False
+        self.caller_key = caller_key
+        self.has_run = False
 
 
 class AcknowledgedWrite:
@@ -84,7 +93,9 @@
 
     Rules, as they are printed:
 
-    - UNASKED: a target ran a statement, or committed, without the caller's request.
+    - UNASKED: a target ran a statement, or committed, without the caller's request, or
+      was told another client account than the caller's.
+    - QUOTA: more operations of an account ran within a window than its limit allows.
     - PINNED: a statement ran with other session values or outside its transaction.
     - TWICE: a write was committed twice.
     - MIXED: an answer belongs to another statement, or acknowledges a write that was
@@ -94,7 +105,8 @@
     - ONE: two holders used the same fencing token.
     - HELD, LOST: without an unplanned fault, a request got no answer, or a requested
       stop interrupted it.
-    - CONFIG: a routing table was refused, altered, or not active in time.
+    - CONFIG: a routing table was refused, altered, or not active in time, or a
+      statement ran long after its caller's key was withdrawn.
     - START, RECOVER: the system was not ready in time at the start or after the faults.
     - SOAK: an error of the soak itself.
 
@@ -104,6 +116,8 @@
     :ivar violations: broken promises, each as ``RULE: detail``.
     :ivar served: number of statements that were answered without an error.
     :ivar refused: number of error answers, by code.
+    :ivar sent_at: when each statement was sent, by id, in seconds of the monotonic
+        clock.
     """
 
     __slots__ = (
@@ -113,6 +127,8 @@
         "violations",
         "served",
         "refused",
+        "sent_at",
+        "quotas",
     )
 
     def __init__(self):
@@ -122,6 +138,8 @@
         self.violations: list[str] = []
         self.served = 0
         self.refused: dict[str, int] = {}
+        self.sent_at: dict[str, float] = {}
+        self.quotas = QuotaChecker()
 
     def report_violation(self, rule: str, detail: str) -> None:
         """Records a broken promise."""
@@ -135,6 +153,7 @@
         if text == "COMMIT":
             operation.commit_requested = True
         self.statements[request_id] = (operation, text)
+        self.sent_at[request_id] = time.monotonic()
 
     def record_answer(self, operation: Operation, code: ErrorCode | None) -> None:
         """Records whether a statement was answered with an error, and which."""
@@ -202,6 +221,30 @@
                 )
         return operation
 
+    def check_account(self, operation: Operation, request_id: str, told: str) -> None:
+        """Checks the client account of a statement that a target is about to run.
+
+        :param told: the account that the target was told.
+        """
+        caller_key = operation.caller_key
+        sent_at = self.sent_at[request_id]
+        if told != caller_key.account:
+            self.report_violation(
+                "UNASKED", f"{request_id} ran for {told!r}, not {caller_key.account!r}"
+            )
+        if not caller_key.may_run(sent_at):
+            late_s = sent_at - caller_key.withdrawn_at
+            self.report_violation(
+                "CONFIG", f"{request_id} ran {late_s:.1f} s after its key was withdrawn"
+            )
+        if not operation.has_run:
+            operation.has_run = True
+            violation = self.quotas.record_run(
+                caller_key.account, operation.began_at, time.monotonic()
+            )
+            if violation:
+                self.report_violation("QUOTA", violation)
+
     def check_read(
         self,
         operation: Operation,
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -11,6 +11,7 @@
 from godwitwheel.wire.server import Server
 from godwitwheel.wire.streams import StreamServer
 
+from .accounts import AccountBook
 from .callers import Caller, LoadBalancer, SuccessTimes
 from .calm import FaultTracker
 from .databases import SoakGroup, SoakTarget
@@ -55,6 +56,10 @@
         self.cores = cores
         self.callers = callers
 
+    def has_accounts(self) -> bool:
+        """Whether callers have keys of client accounts: with every second seed."""
+        return self.seed % 2 == 0
+
 
 class Verdict:
     """Result of a run.
@@ -91,11 +96,16 @@
         self.successes = SuccessTimes()
         self.balancer = LoadBalancer(self.fleet.front_hosts)
         self.fault_tracker = FaultTracker(self.fleet, self.promises)
+        self.accounts = AccountBook(random.Random(options.seed), options.has_accounts())
         self.groups = {name: self._create_group(name) for name in SERVICES}
         self.endpoint = PromotionEndpoint(self.groups, self._derived_rng())
         control_addresses = self.fleet.control_addresses()
         self.operator = Operator(
-            SERVICES, control_addresses, self.promises, self._derived_rng()
+            SERVICES,
+            self.accounts,
+            control_addresses,
+            self.promises,
+            self._derived_rng(),
         )
         self.fault_context = FaultContext(
             self.fleet, self.groups, self.endpoint, self.operator, self.rng
@@ -229,6 +239,7 @@
             self.promises,
             self.successes,
             SERVICES,
+            self.accounts,
             self._derived_rng(),
         )
 
--- a/tests/cover/test_soak_promises.py
+++ b/tests/cover/test_soak_promises.py
@@ -4,6 +4,15 @@
 
 import pytest
 
+from bench.soak.accounts import (
+    LIMITS,
+    QUOTA_OVERAGE,
+    QUOTA_SLACK,
+    QUOTA_WINDOW_S,
+    WITHDRAWAL_BOUND_S,
+    CallerKey,
+    QuotaChecker,
+)
 from bench.soak.promises import Operation, PromiseChecker
 from godwitwheel.directory.records import Consistency
 from godwitwheel.sessions.statements import ErrorCode
@@ -66,6 +75,35 @@
     assert checked.rules() == ["PINNED"]
 
 
+def test_finds_a_statement_that_runs_for_another_account():
+    checked = CheckedStatement()
+    checked.operation.caller_key = CallerKey("k1", "charter")
+    checked.promises.check_account(checked.operation, "q1", "charter")
+    assert checked.rules() == []
+    checked.promises.check_account(checked.operation, "q1", "school")
+    assert checked.rules() == ["UNASKED"]
+
+
+def test_finds_a_statement_sent_long_after_its_key_was_withdrawn():
+    checked = CheckedStatement()
+    key = checked.operation.caller_key = CallerKey("k1", "charter")
+    key.withdrawn_at = time.monotonic() - WITHDRAWAL_BOUND_S + 1.0
+    checked.promises.check_account(checked.operation, "q1", "charter")
+    assert checked.rules() == []
+    key.withdrawn_at -= 2.0
+    checked.promises.check_account(checked.operation, "q1", "charter")
+    assert checked.rules() == ["CONFIG"]
+
+
+def test_finds_more_operations_than_the_limit_of_an_account():
+    quotas = QuotaChecker()
+    rate_per_s, burst = LIMITS["tower"]
+    allowed = (rate_per_s * QUOTA_WINDOW_S + burst) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+    results = [quotas.record_run("tower", 0.0, 1.0) for _ in range(int(allowed) + 1)]
+    assert [bool(each) for each in results] == [False] * int(allowed) + [True]
+    assert quotas.record_run("tower", 5.5, 5.5) == ""
+
+
 def test_finds_a_write_that_takes_effect_twice():
     checked = CheckedStatement("WRITE x d")
     checked.promises.check_commits(["q1"], checked.operation)
