Send the routing table in chunks that any member serves

Cause: the leader put the whole table into the reply to a report. A table of 1,500 routes has about 300 KB, which does not arrive within a report's timeout of 0.4 s over a link of 0.7 Mbit/s, so that no proxy ever received one.

Change: a reply only names the version of the active table. Each process fetches the change from the table that it holds, in chunks of at most 12 KiB of compressed JSON, from any control member. A failed member is left for another one at the same offset, a corrupt transfer is begun again, and a transfer is finished before a newer version is fetched. A member answers 404 for a version that it does not know, and 410 for a base that it does not know; then the process fetches the whole table. Each change is encoded once on a member.

The view is applied at once with the table that the process holds. The test that required both to match is replaced by tests that the view is applied at once, that keys are renewed only by a reply that names the held table, and that no older table is installed. RecentTables.change_for is gone; its tests now check the tables that are kept and the changes between them.

--- a/src/godwitwheel/directory/errors.py
+++ b/src/godwitwheel/directory/errors.py
@@ -17,3 +17,15 @@
 
 class PromotionFenced(PromotionFailed):
     """The platform refused the order: its token is too low, or the target is down."""
+
+
+class UnknownTable(DirectoryError):
+    """Raised when a member does not know a version of the routing table."""
+
+
+class UnknownBase(DirectoryError):
+    """Raised when a member no longer knows the table that a change is based on."""
+
+
+class InvalidChange(DirectoryError):
+    """Raised when a change of the routing table can't be decoded."""
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -21,7 +21,7 @@
 from .errors import InvalidTable
 from .leadership import DirectoryLeadership, holder_name
 from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
-from .table_changes import RecentTables
+from .table_chunks import TableChunks
 
 COMMIT_TIMEOUT_S = 2.0
 CONFIRM_TIMEOUT_S = 0.4
@@ -31,7 +31,7 @@
     """Serves the directory, and changes it while this member leads.
 
     :ivar leadership: soft state as leader; ``None`` while this member is not leader.
-    :ivar recent_tables: recent routing tables, from which differences are computed.
+    :ivar chunks: the changes between recent routing tables, as processes fetch them.
     :ivar grants_leases: whether proxies rely on primaries under leases, because the
         platform doesn't stop a former primary itself.
     """
@@ -43,7 +43,7 @@
         "committer",
         "confirmer",
         "leadership",
-        "recent_tables",
+        "chunks",
         "grants_leases",
     )
 
@@ -60,7 +60,7 @@
         self.committer = Committer(log)
         self.confirmer = LeadershipConfirmer(log)
         self.leadership: DirectoryLeadership | None = None
-        self.recent_tables = RecentTables()
+        self.chunks = TableChunks(state.directory.recent_tables)
         self.grants_leases = grants_leases
 
     # Requests.
@@ -101,7 +101,6 @@
             members,
             msgspec.structs.replace(view, table=RoutingTable()),
             view.table.version,
-            self.recent_tables.change_for(report.table_version, view.table),
             grants_lease,
             owners,
         )
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -197,10 +197,9 @@
     """The leader's reply to a :class:`ProxyReport`.
 
     :ivar proxies: number of known proxies that serve callers, at least 1.
-    :ivar view: ``None`` if the proxy holds the newest; its table is left empty and sent
-        as ``table_change``.
+    :ivar view: ``None`` if the proxy holds the newest; its table is left empty, the
+        proxy fetches that itself.
     :ivar table_version: version of the active table, also if ``view`` is ``None``.
-    :ivar table_change: ``None`` if the proxy holds that table.
     :ivar members: addresses of all control members.
     :ivar owners: number of processes that may own connections to targets.
     :ivar grants_lease: whether the proxy gets a lease, which belongs to this view.
@@ -211,7 +210,6 @@
     members: list[str] = []
     view: DirectoryView | None = None
     table_version: Count = 0
-    table_change: TableChange | None = None
     grants_lease: bool = False
     owners: int = 0
 
--- a/src/godwitwheel/directory/routes.py
+++ b/src/godwitwheel/directory/routes.py
@@ -3,13 +3,18 @@
 import msgspec
 
 from ..control.errors import ControlError, NotLeading
+from ..internal.validation import is_whole_number
 from ..sessions.reporting.reporting import REPORT_PATH
 from ..wire.codec import decode
 from ..wire.control import ControlProblem
+from ..wire.errors import BadMessage
+from ..wire.numbers import MAX_NUMBER
 from ..wire.server import Handler, Request, Response
-from ..wire.status import MISDIRECTED, UNAVAILABLE
+from ..wire.status import GONE, MISDIRECTED, NOT_FOUND, PARTIAL, UNAVAILABLE
+from .errors import UnknownBase, UnknownTable
 from .member import DirectoryMember
 from .records import ProxyReport, Redirect, TargetEntry
+from .table_chunks import TABLE_PATH
 
 ANNOUNCE_PATH = "/v1/directory/announce"
 REMOVE_PATH = "/v1/directory/remove"
@@ -49,7 +54,18 @@
         member.remove(message.target_id, message.started_at_ms)
         return Response(Accepted())
 
+    def table(request: Request) -> Response:
+        try:
+            chunk = member.chunks.chunk(*map(_whole_number, request.parameters))
+        except UnknownTable as error:
+            return Response(ControlProblem(str(error)), NOT_FOUND)
+        except UnknownBase as error:
+            return Response(ControlProblem(str(error)), GONE)
+        headers = [("Content-Range", chunk.content_range())]
+        return Response(chunk.data, PARTIAL, headers, "application/octet-stream")
+
     return {
+        ("GET", f"{TABLE_PATH}/{{}}/{{}}/{{}}"): table,
         ("POST", REPORT_PATH): guarded(member, report),
         ("POST", ANNOUNCE_PATH): guarded(member, announce),
         ("POST", REMOVE_PATH): guarded(member, remove),
@@ -71,3 +87,9 @@
             return Response(ControlProblem(str(error)), UNAVAILABLE)
 
     return guarded_handler
+
+
+def _whole_number(text: str) -> int:
+    if not is_whole_number(text, MAX_NUMBER):
+        raise BadMessage(f"got {text[:40]!r}, expected a whole number")
+    return int(text)
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -13,6 +13,7 @@
     TableResult,
 )
 from .records import DirectoryView, OwnerEntry, RoutingTable, TargetEntry
+from .table_changes import RecentTables
 from .tables import TableCodec
 
 MAX_DEPARTED = 1024
@@ -36,10 +37,11 @@
 
     :ivar document: the routing table exactly as published; empty before the first.
     :ivar tokens: highest fencing token of an order, by service.
+    :ivar recent_tables: the tables that were active recently.
     :ivar departed: start times of targets that left, by id, in order of departure.
     """
 
-    __slots__ = ("codec", "view", "document", "tokens", "departed")
+    __slots__ = ("codec", "view", "document", "tokens", "departed", "recent_tables")
 
     def __init__(self, codec: TableCodec):
         self.codec = codec
@@ -47,6 +49,7 @@
         self.document = b""
         self.tokens: dict[str, int] = {}
         self.departed: dict[str, int] = {}
+        self.recent_tables = RecentTables()
 
     def put_table(self, index: int, command: PutTable) -> TableResult:
         """Activates a table, if its version is higher than the active one's."""
@@ -55,6 +58,7 @@
             return TableResult(False, self.view.table.version)
         self.document = command.document
         self._update_view(index, table=table)
+        self.recent_tables.add(table)
         return TableResult(True, table.version)
 
     def put_entry(self, index: int, command: PutEntry) -> EntryResult:
@@ -143,6 +147,7 @@
         table = RoutingTable()
         if snapshot.document:
             table = self.codec.decode(snapshot.document)
+            self.recent_tables.add(table)
         self.view = DirectoryView(
             snapshot.version,
             table,
--- a/src/godwitwheel/directory/table_changes.py
+++ b/src/godwitwheel/directory/table_changes.py
@@ -7,9 +7,9 @@
 
 from .records import RoutingTable, TableChange
 
-# Tables that a leader keeps, so that a proxy that missed several consecutive changes
-# still gets a difference instead of the whole table.
-MAX_RECENT_TABLES = 16
+# Tables that a control member keeps. New ones may be published every 60 ms, and the one
+# that a process has just received must still be known as the base of the next change.
+MAX_RECENT_TABLES = 64
 
 
 def table_change(base: RoutingTable | None, table: RoutingTable) -> TableChange:
@@ -24,7 +24,7 @@
         for database, route in table.routes.items()
         if base.routes.get(database) != route
     }
-    removed = [database for database in base.routes if database not in table.routes]
+    removed = sorted(base.routes.keys() - table.routes.keys())
     difference = msgspec.structs.replace(table, routes=changed)
     return TableChange(base.version, difference, removed)
 
@@ -38,10 +38,11 @@
         return change.table
     if change.base_version != base.version:
         return None
+    removed = set(change.removed)
     kept = {
         database: route
         for database, route in base.routes.items()
-        if database not in change.removed
+        if database not in removed
     }
     return msgspec.structs.replace(change.table, routes={**kept, **change.table.routes})
 
@@ -54,21 +55,27 @@
     def __init__(self):
         self.tables: dict[int, RoutingTable] = {}
 
-    def change_for(self, held_version: int, table: RoutingTable) -> TableChange | None:
-        """Returns the change from a proxy's table to the active one.
-
-        :param held_version: version of the proxy's table, 0 if it holds none.
-        :param table: the active table.
-        :returns: ``None`` if the proxy holds ``table``.
-        """
-        self._add(table)
-        if held_version == table.version:
-            return None
-        return table_change(self.tables.get(held_version), table)
-
-    def _add(self, table: RoutingTable) -> None:
-        if table.version in self.tables:
+    def add(self, table: RoutingTable) -> None:
+        """Records the table that has become active."""
+        newest = next(reversed(self.tables.values()), RoutingTable())
+        if table.version <= newest.version:
             return
-        self.tables[table.version] = table
+        self.tables[table.version] = share_routes(table, newest)
         if len(self.tables) > MAX_RECENT_TABLES:
             del self.tables[next(iter(self.tables))]
+
+    def find(self, version: int) -> RoutingTable | None:
+        """Returns the table of a version, or ``None`` if it is not kept."""
+        return self.tables.get(version)
+
+
+def share_routes(table: RoutingTable, other: RoutingTable) -> RoutingTable:
+    """Returns an equal table that shares the unchanged routes with another one.
+
+    Tables are decoded separately, so that all would otherwise have their own copies.
+    """
+    routes = {
+        database: known if (known := other.routes.get(database)) == route else route
+        for database, route in table.routes.items()
+    }
+    return msgspec.structs.replace(table, routes=routes)
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -66,6 +66,8 @@
     isolation_changed = "isolation_changed"
     proxy_lost = "proxy_lost"
     proxy_seen = "proxy_seen"
+    table_in_force = "table_in_force"
+    table_fetch_failed = "table_fetch_failed"
 
 
 def record_failure(error: Exception) -> None:
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -2,10 +2,12 @@
 
 import math
 
+import msgspec
+
 from ..accounts.authority import KeyAuthority, UnleasedKeys
 from ..accounts.keys import KeyRing
 from ..directory.ownership import needs_owner, usable_connections
-from ..directory.records import DirectoryView, TargetEntry
+from ..directory.records import DirectoryView, RoutingTable, TargetEntry
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
 from .connections.connection import Connector
@@ -294,6 +296,19 @@
         self.changed.notify()
         return True
 
+    def apply_table(self, table: RoutingTable) -> bool:
+        """Installs a routing table unless it is outdated.
+
+        :returns: whether it was newer than the current one.
+        """
+        if table.version <= self.view.table.version:
+            return False
+        self.view = msgspec.structs.replace(self.view, table=table)
+        self._close_unused_pools()
+        self.apply_limits()
+        self.changed.notify()
+        return True
+
     def _update_leaving(self) -> None:
         now = self.clock.now()
         self.leaving_since = {
--- a/src/godwitwheel/sessions/owning/owner_process.py
+++ b/src/godwitwheel/sessions/owning/owner_process.py
@@ -15,7 +15,8 @@
 from ..context import SessionContext, new_run_id
 from ..events import StatementLog
 from ..metrics import SessionMetrics
-from ..reporting.reporting import ControlMembers, Reporter
+from ..reporting.members import ControlMembers
+from ..reporting.reporting import Reporter
 from ..reporting.sampler import Sampler
 from .owner import Owner
 
@@ -93,6 +94,7 @@
             stack.enter_context(server.listening(settings.listen))
             for task in (
                 reporter.run,
+                reporter.tables.run,
                 Sampler(self.context).run,
                 self.owner.run_expiry,
             ):
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -22,7 +22,8 @@
 from .owning.owner_watch import OwnerWatch
 from .owning.remote import OwnerCalls, RemoteRunner
 from .reporting.isolation import Isolation
-from .reporting.reporting import ControlMembers, Reporter
+from .reporting.members import ControlMembers
+from .reporting.reporting import Reporter
 from .reporting.sampler import Sampler
 from .running.runner import RunnerSelector
 from .serving import CallerLink, SessionServer
@@ -199,6 +200,7 @@
             callers = StreamServer(serve, record_failure)
             stack.enter_context(callers.listening(settings.listen))
             stack.enter_context(running_task(reporter.run, record_failure))
+            stack.enter_context(running_task(reporter.tables.run, record_failure))
             stack.enter_context(running_task(sampler.run, record_failure))
             expiry = self.http_sessions.run_expiry
             stack.enter_context(running_task(expiry, record_failure))
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -10,9 +10,7 @@
     ProxyReply,
     ProxyReport,
     Redirect,
-    RoutingTable,
 )
-from ...directory.table_changes import apply_change
 from ...internal.loop import sleep
 from ...observe.events import EventName, record_event
 from ...wire.client import Client
@@ -20,6 +18,8 @@
 from ...wire.errors import BadMessage, WireError
 from ...wire.status import MISDIRECTED
 from ..board import SessionBoard
+from .members import REPORT_TIMEOUT_S, ControlMembers
+from .table_fetch import TableFetcher
 
 REPORT_PATH = "/v1/directory/report"
 REPORT_INTERVAL_S = 0.2
@@ -34,72 +34,14 @@
 # Report interval while a primary is not confirmed under leases: control then waits for
 # this process to learn that the primary is fenced. In seconds.
 UNCONFIRMED_REPORT_INTERVAL_S = 0.05
-REPORT_TIMEOUT_S = 0.4
-# Time for which other members are tried before one that did not respond, and before
-# one that refused the connection at once, in seconds.
-UNRESPONSIVE_PAUSE_S = 1.5
-REFUSED_PAUSE_S = 0.15
 # Upper limit of the reported age of a confirmation, also reported if there was none.
 MAX_AGE_MS = 1_000_000
 
 
-class ControlMembers:
-    """Addresses of control members.
-
-    :ivar seeds: addresses from the settings.
-    :ivar members: addresses from the leader's latest reply.
-    :ivar leader: address of the known leader, or empty.
-    :ivar avoided_until: until when other members are tried first, by address of a
-        member that did not answer.
-    """
-
-    __slots__ = ("seeds", "members", "leader", "rng", "avoided_until")
-
-    def __init__(self, seeds: list[str], rng: random.Random):
-        self.seeds = seeds
-        self.members: list[str] = []
-        self.leader = ""
-        self.rng = rng
-        self.avoided_until: dict[str, float] = {}
-
-    def next_address(self, now: float) -> str:
-        """Returns the leader's address, or that of any member while none is known.
-
-        :returns: an empty string if no address is known.
-        """
-        if self.leader:
-            return self.leader
-        known = sorted({*self.seeds, *self.members})
-        preferred = [each for each in known if now >= self.avoided_until.get(each, now)]
-        choices = preferred or known
-        return self.rng.choice(choices) if choices else ""
-
-    def mark_unresponsive(self, address: str, waited_s: float, now: float) -> None:
-        """Records that a member did not answer.
-
-        A member that refuses at once is reachable and its process is about to start, so
-        it is avoided for a shorter time.
-
-        :param waited_s: time from the request to the failure, in seconds.
-        """
-        self.leader = ""
-        is_unresponsive = waited_s >= REPORT_TIMEOUT_S / 2
-        pause_s = UNRESPONSIVE_PAUSE_S if is_unresponsive else REFUSED_PAUSE_S
-        self.avoided_until[address] = now + pause_s
-
-    def record_leader(self, address: str, now: float) -> None:
-        """Sets the leader that another member named.
-
-        A follower keeps naming a leader that has just failed, so a member that did not
-        answer this proxy recently is not accepted as leader.
-        """
-        is_avoided = now < self.avoided_until.get(address, now)
-        self.leader = "" if is_avoided else address
-
-
 class Reporter:
     """Reports to the control leader at short intervals.
 
+    :ivar tables: fetches the routing tables that control names.
     :ivar leaving: whether this proxy is stopping.
     :ivar answered_at: when a leader answered last, or ``None``.
     :ivar is_control_unreachable: whether a report has failed since control answered
@@ -111,6 +53,7 @@
         "members",
         "client",
         "proxy_id",
+        "tables",
         "leaving",
         "owner_address",
         "answered_at",
@@ -130,6 +73,7 @@
         self.members = members
         self.client = client
         self.proxy_id = proxy_id
+        self.tables = TableFetcher(board, members, client, random.Random())
         self.leaving = False
         self.answered_at: float | None = None
         self.is_control_unreachable = False
@@ -248,6 +192,7 @@
             board.proxies = reply.proxies
             board.owners = reply.owners
             board.apply_limits()
+        self.tables.advertise(reply.table_version)
         view = self._view_with_table(reply)
         if view is not None and board.apply_view(view):
             record_event(
@@ -264,16 +209,10 @@
             board.authority.renew(reply.view_version, sent_at, board.clock.now())
 
     def _view_with_table(self, reply: ProxyReply) -> DirectoryView | None:
-        """Returns a reply's view including its table, or ``None`` if there is none."""
+        """Returns a reply's view with the held table, or ``None`` if there is none."""
         if reply.view is None:
             return None
-        table: RoutingTable | None = self.board.view.table
-        if reply.table_change is not None:
-            table = apply_change(table, reply.table_change)
-        if table is None or table.version != reply.table_version:
-            # The table changed after the report was made; the next reply brings it.
-            return None
-        return msgspec.structs.replace(reply.view, table=table)
+        return msgspec.structs.replace(reply.view, table=self.board.view.table)
 
     def _record_unreachable(self, address: str, reason: str) -> None:
         if not self.is_control_unreachable:
--- a/src/godwitwheel/wire/client.py
+++ b/src/godwitwheel/wire/client.py
@@ -50,6 +50,18 @@
         :raises NoReply: if no complete reply arrived in time; the connection is
             closed.
         """
+        reader = self.request(method, path, body, timeout_s, headers)
+        return reader.status, reader.body
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: dict[str, str] | None = None,
+    ) -> ResponseReader:
+        """Like :meth:`exchange`, but returns the response with its headers."""
         deadline = time.monotonic() + max(timeout_s, 0.001)
         request = format_request(method, path, self.address, headers or {}, body)
         reader = ResponseReader()
@@ -70,7 +82,7 @@
             raise
         if not reader.keeps_connection:
             self.close()
-        return reader.status, reader.body
+        return reader
 
     def close(self) -> None:
         """Closes the connection."""
@@ -136,12 +148,36 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Sends one request over an idle or a new connection."""
+        reader = self._request(address, method, path, body, timeout_s, headers)
+        return reader.status, reader.body
+
+    def fetch(
+        self, address: str, path: str, timeout_s: float
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Sends a GET request over an idle or a new connection.
+
+        :returns: status, headers by lower-case name, and body.
+        :raises NotSent: if the peer could not be reached.
+        :raises NoReply: if no complete reply arrived in time.
+        """
+        reader = self._request(address, "GET", path, b"", timeout_s, None)
+        return reader.status, reader.headers, reader.body
+
+    def _request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: dict[str, str] | None,
+    ) -> ResponseReader:
         deadline = time.monotonic() + timeout_s
         connection = self._acquire(address, timeout_s)
         remaining = deadline - time.monotonic()
-        answer = connection.exchange(method, path, body, remaining, headers)
+        reader = connection.request(method, path, body, remaining, headers)
         self._release(connection)
-        return answer
+        return reader
 
     def _acquire(self, address: str, timeout_s: float) -> HttpConnection:
         idle_connections = self.idle.get(address)
--- a/src/godwitwheel/wire/http1.py
+++ b/src/godwitwheel/wire/http1.py
@@ -85,6 +85,7 @@
 class ResponseReader:
     """Reads one response.
 
+    :ivar headers: values by lower-case name.
     :ivar has_length: whether the headers tell where the body ends.
     :ivar ends_with_stream: whether the body ends when the peer closes the connection.
     :ivar may_continue: whether the peer keeps the connection open.
@@ -94,6 +95,7 @@
     __slots__ = (
         "parser",
         "chunks",
+        "headers",
         "status",
         "is_complete",
         "has_length",
@@ -105,6 +107,7 @@
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
         self.chunks: list[bytes] = []
+        self.headers: dict[str, str] = {}
         self.status = 0
         self.is_complete = False
         self.has_length = False
@@ -157,6 +160,7 @@
         """Called by the parser."""
         if name.lower() in LENGTH_HEADERS:
             self.has_length = True
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
--- a/tests/cover/test_table_changes.py
+++ b/tests/cover/test_table_changes.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from godwitwheel.accounts.authority import UnleasedKeys
 from godwitwheel.directory.records import (
     Consistency,
     DirectoryView,
@@ -68,24 +69,36 @@
     return RoutingTable(version, {**routes, "db0": changed})
 
 
-def test_a_proxy_receives_only_changed_routes():
-    recent = RecentTables()
-    assert recent.change_for(0, table_of(1)).table == table_of(1)
-    assert recent.change_for(1, table_of(1)) is None
-    change = recent.change_for(1, table_of(2))
+def test_a_change_holds_only_the_routes_that_differ():
+    change = table_change(table_of(1), table_of(2))
     assert list(change.table.routes) == ["db0"]
     assert len(encode(change)) < len(encode(table_of(2))) / 10
     assert apply_change(table_of(1), change) == table_of(2)
 
 
-def test_a_proxy_that_missed_too_many_changes_receives_the_whole_table():
+def test_a_change_from_an_unknown_table_is_complete():
+    change = table_change(None, table_of(1))
+    assert (change.base_version, change.table) == (0, table_of(1))
+
+
+def test_the_newest_tables_are_kept_whole():
     recent = RecentTables()
     newest = MAX_RECENT_TABLES + 2
     for version in range(1, newest + 1):
-        recent.change_for(version, table_of(version))
-    change = recent.change_for(1, table_of(newest))
-    assert (change.base_version, change.table) == (0, table_of(newest))
-    assert recent.change_for(newest - 1, table_of(newest)).base_version == newest - 1
+        recent.add(table_of(version))
+    kept = [version for version in range(newest + 1) if recent.find(version)]
+    assert kept == list(range(3, newest + 1))
+    assert all(recent.find(version) == table_of(version) for version in kept)
+
+
+def test_kept_tables_share_their_unchanged_routes():
+    """64 tables of 1,500 routes each would take over 50 MB without this."""
+    recent = RecentTables()
+    for version in (1, 2):
+        recent.add(table_of(version))
+    routes = [recent.find(version).routes for version in (1, 2)]
+    assert routes[0]["db1"] is routes[1]["db1"]
+    assert routes[0]["db0"] != routes[1]["db0"]
 
 
 class ScriptedReporter:
@@ -105,22 +118,53 @@
         return 200, encode(self.replies.pop(0))
 
 
-def test_a_proxy_applies_a_view_only_with_its_matching_table():
+def test_a_view_is_applied_at_once_with_the_held_table():
+    """A large table must not hold up news of targets and primaries."""
     board = FakeGroup().board
     held = board.view.table
     scripted = ScriptedReporter(board)
-    newer = msgspec.structs.replace(held, version=held.version + 1)
     bare = DirectoryView(version=board.view.version + 1)
-    late = table_change(RoutingTable(version=held.version + 7), newer)
-    scripted.replies = [
-        ProxyReply(bare.version, 1, [], bare, newer.version, late),
-        ProxyReply(bare.version, 1, [], bare, newer.version, None),
-        ProxyReply(bare.version, 1, [], bare, newer.version, table_change(held, newer)),
-    ]
-    versions = []
-    for _ in range(3):
+    newest = held.version + 1
+    scripted.replies = [ProxyReply(bare.version, 1, [], bare, newest)]
+    scripted.reporter.report()
+    assert board.view == msgspec.structs.replace(bare, table=held)
+    assert scripted.reporter.tables.advertised == newest
+
+
+class RecordingKeys(UnleasedKeys):
+    """Records when the lease on the keys is renewed."""
+
+    def __init__(self):
+        self.renewed = []
+
+    def renew(self, sent_at):
+        self.renewed.append(sent_at)
+
+
+def test_a_reply_renews_the_lease_on_keys_only_if_it_names_the_held_table():
+    """Otherwise a withdrawn key would go on working while its table is fetched."""
+    group = FakeGroup()
+    board = group.board
+    board.key_authority = keys = RecordingKeys()
+    scripted = ScriptedReporter(board)
+    held = board.view.table
+    newer = msgspec.structs.replace(held, version=held.version + 1)
+    version = board.view.version
+    for named in (held, newer):
+        scripted.replies.append(ProxyReply(version, 1, [], None, named.version))
         scripted.reporter.report()
-        versions.append(board.view.table.version)
-    assert versions == [held.version, held.version, newer.version]
-    assert board.view == msgspec.structs.replace(bare, table=newer)
-    assert [report.table_version for report in scripted.asked] == [held.version] * 3
+        group.clock.advance(1.0)
+    assert keys.renewed == [group.clock.now() - 2.0]
+    assert board.apply_table(newer)
+    scripted.replies.append(ProxyReply(version, 1, [], None, newer.version))
+    scripted.reporter.report()
+    assert keys.renewed[1:] == [group.clock.now()]
+
+
+def test_an_older_table_is_never_installed():
+    board = FakeGroup().board
+    held = board.view.table
+    older = msgspec.structs.replace(held, version=held.version - 1)
+    assert not board.apply_table(older)
+    assert not board.apply_table(msgspec.structs.replace(held, routes={}))
+    assert board.view.table == held
