Index the observations of primaries once per round

Cause: each round of 50 ms went through all reports twice for each service, also through those of proxies that name no primary because their services have owners.

Change: observations_by_service goes through the reports once, and also counts the proxies that report on a service. observations_of and count_reporters_on are gone; their test now checks the index, and a new one checks that a proxy with an old report still counts as a reporter. The assessment is unchanged.

--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -10,9 +10,10 @@
     NEW_LEADER_GRACE_S,
     Assessment,
     Observation,
+    ServiceObservations,
     Verdict,
     assess,
-    observations_of,
+    observations_by_service,
 )
 from .fencing import LeaseFence, PlatformFence, PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
@@ -78,9 +79,12 @@
         for proxy_id in leadership.expire_proxies(now):
             record_event(EventName.proxy_lost, proxy_id=proxy_id)
         view = self.member.state.directory.view
+        observed = observations_by_service(leadership.reports, now)
+        nothing = ServiceObservations()
         for service in view.table.services:
             if service not in leadership.in_progress:
-                self._decide_service(leadership, service, now)
+                observations = observed.get(service, nothing)
+                self._decide_service(leadership, service, observations, now)
         self._decide_owners(leadership, now)
         self._remove_expired_target(leadership, now)
 
@@ -113,27 +117,29 @@
             leadership.in_progress.discard(OWNERS_KEY)
 
     def _decide_service(
-        self, leadership: DirectoryLeadership, service: str, now: float
+        self,
+        leadership: DirectoryLeadership,
+        service: str,
+        observed: ServiceObservations,
+        now: float,
     ) -> None:
         order = leadership.orders.get(service)
         if order is not None and now < order.retry_at:
             return
         view = self.member.state.directory.view
-        observations = observations_of(service, leadership.reports, now)
-        proxies = leadership.count_reporters_on(service)
         led_for_s = now - leadership.leader_since
         assessment = assess(
             service,
             view,
-            observations,
-            proxies,
+            observed.recent,
+            observed.reporters,
             led_for_s,
             may_adopt=not self.member.grants_leases,
         )
         if assessment.verdict is Verdict.keep:
             return
         leadership.in_progress.add(service)
-        spawn(self._execute, leadership, service, assessment, observations)
+        spawn(self._execute, leadership, service, assessment, observed.recent)
 
     def _execute(
         self,
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -97,26 +97,41 @@
         self.unreachable = unreachable
 
 
-def observations_of(
-    service: str, reports: dict[str, ReceivedReport], now: float
-) -> list[Observation]:
-    """Returns a service's observations from all recent reports."""
-    observations = []
+class ServiceObservations:
+    """What the proxies have observed of one service's primary.
+
+    :ivar recent: observations from recent reports.
+    :ivar reporters: number of proxies that report on the service, also if their last
+        report is old.
+    """
+
+    __slots__ = ("recent", "reporters")
+
+    def __init__(self):
+        self.recent: list[Observation] = []
+        self.reporters = 0
+
+
+def observations_by_service(
+    reports: dict[str, ReceivedReport], now: float
+) -> dict[str, ServiceObservations]:
+    """Returns the observations of each service that a report names."""
+    found: dict[str, ServiceObservations] = {}
     for proxy_id, received in reports.items():
-        if now - received.received_at > MAX_REPORT_AGE_S:
-            continue
-        for primary in received.report.primaries:
-            if primary.service == service:
-                observations.append(
-                    Observation(
-                        proxy_id,
-                        primary.target_id,
-                        primary.is_proven,
-                        primary.proof_age_ms,
-                        received.report.unreachable,
-                    )
-                )
-    return observations
+        is_recent = now - received.received_at <= MAX_REPORT_AGE_S
+        # A proxy whose services have owners names no primary.
+        for service in {primary.service for primary in received.report.primaries}:
+            found.setdefault(service, ServiceObservations()).reporters += 1
+        for primary in received.report.primaries if is_recent else ():
+            observation = Observation(
+                proxy_id,
+                primary.target_id,
+                primary.is_proven,
+                primary.proof_age_ms,
+                received.report.unreachable,
+            )
+            found[primary.service].recent.append(observation)
+    return found
 
 
 def assess(
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -131,14 +131,6 @@
             and now - received.received_at <= OWNER_TIMEOUT_S
         }
 
-    def count_reporters_on(self, service: str) -> int:
-        """Returns the number of proxies that report on a service's primary."""
-        return sum(
-            1
-            for received in self.reports.values()
-            if any(p.service == service for p in received.report.primaries)
-        )
-
     def is_unreachable_from_all(self, target_id: str, now: float) -> bool:
         """Whether there are recent reports and all list a target as unreachable."""
         fresh = [
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -8,7 +8,7 @@
     assess,
     candidates_of,
     choose_candidate,
-    observations_of,
+    observations_by_service,
 )
 from godwitwheel.directory.records import (
     DirectoryView,
@@ -95,8 +95,25 @@
 def test_old_reports_are_ignored():
     report = ProxyReport("p1", "dc-1", 1, [PrimaryReport(SERVICE, "t1", True, 10)])
     reports = {"p1": ReceivedReport(report, 100.0)}
-    assert len(observations_of(SERVICE, reports, 100.3)) == 1
-    assert observations_of(SERVICE, reports, 103.0) == []
+    assert len(observations_by_service(reports, 100.3)[SERVICE].recent) == 1
+    assert observations_by_service(reports, 103.0)[SERVICE].recent == []
+
+
+def test_proxies_whose_last_report_is_old_still_count_as_reporters():
+    primaries = [PrimaryReport(SERVICE, "t1", True, 10)]
+    primaries.append(PrimaryReport("other", "t9", True, 10))
+    reports = {
+        "p1": ReceivedReport(ProxyReport("p1", "dc-1", 1, primaries), 100.0),
+        "p2": ReceivedReport(ProxyReport("p2", "dc-1", 1, primaries[:1]), 103.0),
+        "p3": ReceivedReport(ProxyReport("p3", "dc-1", 1), 103.0),
+    }
+    found = observations_by_service(reports, 103.0)
+    assert {name: each.reporters for name, each in found.items()} == {
+        SERVICE: 2,
+        "other": 1,
+    }
+    assert [each.proxy_id for each in found[SERVICE].recent] == ["p2"]
+    assert found["other"].recent == []
 
 
 def test_the_candidate_with_the_highest_position_is_chosen():
