Send views as differences, and targets only to processes that use them

Cause: each change of the view was sent whole to each process, with about 220 bytes for every target. At 300 proxies with 300 targets no process got its first view.

Change: a reply carries the change from the process's view to the active one. A process reports whether it wants targets, primaries and fences; a proxy whose services have owners gets none. When that changes, it reports version 0 and gets a complete view. Owners are grouped by process in a change.

A proxy without targets relies on no primary, because such a view can't tell that one is fenced; it reports nothing about primaries, sends no probes, and is not ready while it uses a service whose targets it lacks. A statement that waits for a connection when an owner takes over opens none any more.

The interval between reports of proxies that use no targets is at most 2 s, so that a table is in force in 4 s although a report may fail.

--- a/src/godwitwheel/directory/errors.py
+++ b/src/godwitwheel/directory/errors.py
@@ -29,3 +29,7 @@
 
 class InvalidChange(DirectoryError):
     """Raised when a change of the routing table can't be decoded."""
+
+
+class AssemblyPostponed(DirectoryError):
+    """Raised when a member has put together too many views and tables lately."""
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -8,6 +8,7 @@
 from ..control.state import ControlState
 from ..internal.clock import Clock
 from ..observe.events import EventName, record_event
+from .assembly import AssemblyBudget
 from .commands import (
     DropEntry,
     EntryResult,
@@ -21,7 +22,8 @@
 from .errors import InvalidTable
 from .leadership import DirectoryLeadership, holder_name
 from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
-from .table_chunks import TableChunks
+from .table_chunks import TableChunk, TableChunks
+from .view_changes import ViewChanges
 
 COMMIT_TIMEOUT_S = 2.0
 CONFIRM_TIMEOUT_S = 0.4
@@ -32,6 +34,7 @@
 
     :ivar leadership: soft state as leader; ``None`` while this member is not leader.
     :ivar chunks: the changes between recent routing tables, as processes fetch them.
+    :ivar view_changes: the changes between recent views.
     :ivar grants_leases: whether proxies rely on primaries under leases, because the
         platform doesn't stop a former primary itself.
     """
@@ -44,6 +47,7 @@
         "confirmer",
         "leadership",
         "chunks",
+        "view_changes",
         "grants_leases",
     )
 
@@ -60,7 +64,10 @@
         self.committer = Committer(log)
         self.confirmer = LeadershipConfirmer(log)
         self.leadership: DirectoryLeadership | None = None
-        self.chunks = TableChunks(state.directory.recent_tables)
+        budget = AssemblyBudget()
+        directory = state.directory
+        self.chunks = TableChunks(directory.recent_tables, budget)
+        self.view_changes = ViewChanges(directory.recent_views, budget)
         self.grants_leases = grants_leases
 
     # Requests.
@@ -78,33 +85,36 @@
         leadership.leases.acknowledge(holder_name(report), report.drained_version)
         self.confirm()
         view = self.state.directory.view
-        grants_lease = self.grants_leases and report.wants_lease
+        now = self.clock.now()
+        proxies = max(leadership.count_caller_facing_proxies(), 1)
+        change = None
+        if report.view_version < view.version:
+            change = self.view_changes.change_for(report, view, proxies, now)
+        holds_view = change is not None or report.view_version >= view.version
+        grants_lease = self.grants_leases and report.wants_lease and holds_view
         if grants_lease:
             # Another leadership may have begun here during the confirmation.
             leadership = self.current_leadership()
             leadership.grant_lease(report, view.version, received_at)
-        proxies = max(leadership.count_caller_facing_proxies(), 1)
-        members = self.log.member_addresses()
-        owners = len(leadership.live_owners(self.clock.now()))
-        if report.view_version >= view.version:
-            return ProxyReply(
-                view.version,
-                proxies,
-                members,
-                table_version=view.table.version,
-                grants_lease=grants_lease,
-                owners=owners,
-            )
         return ProxyReply(
             view.version,
             proxies,
-            members,
-            msgspec.structs.replace(view, table=RoutingTable()),
+            self.log.member_addresses(),
             view.table.version,
             grants_lease,
-            owners,
+            len(leadership.live_owners(now)),
+            change,
         )
 
+    def table_chunk(self, base_version: int, version: int, offset: int) -> TableChunk:
+        """Returns part of a change of the routing table; any member has it.
+
+        :raises UnknownTable: if this member does not know the version.
+        :raises UnknownBase: if it does not know the base.
+        :raises AssemblyPostponed: if it has put together too many tables.
+        """
+        return self.chunks.chunk(base_version, version, offset, self.clock.now())
+
     def publish_table(self, document: bytes) -> TableResult:
         """Activates a routing table if its version is above the active one's.
 
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -168,10 +168,41 @@
     removed: list[str] = []
 
 
+class OwnedServices(msgspec.Struct, frozen=True):
+    """The services whose connections one process holds."""
+
+    proxy_id: str
+    address: str
+    services: list[str]
+
+
+class ViewChange(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The difference between a process's view and the active one, without tables.
+
+    :ivar base_version: version of the view to apply it to; 0 if it is complete.
+    :ivar version: version of the resulting view.
+    :ivar has_targets: whether both views include targets, primaries and fences.
+    :ivar owners: by process, the services that it has become the owner of.
+    """
+
+    base_version: Count
+    version: Count
+    has_targets: bool = True
+    targets: dict[str, TargetEntry] = {}
+    primaries: dict[str, str] = {}
+    owners: list[OwnedServices] = []
+    fences: dict[str, str] = {}
+    removed_targets: list[str] = []
+    removed_primaries: list[str] = []
+    removed_owners: list[str] = []
+    removed_fences: list[str] = []
+
+
 class ProxyReport(msgspec.Struct, frozen=True):
     """A proxy's periodic report to the leader.
 
-    :ivar view_version: version of the view that the proxy holds.
+    :ivar view_version: version of the view that the proxy holds; 0 if it holds none, or
+        one that lacks what it wants.
     :ivar table_version: version of its routing table.
     :ivar unreachable: targets that the proxy can't currently reach.
     :ivar leaving: whether the proxy is shutting down.
@@ -179,6 +210,8 @@
         other proxies; empty for a proxy that serves callers.
     :ivar wants_lease: whether it uses targets itself and needs a lease for that.
     :ivar drained_version: the proxy relies on no primary of a view below this version.
+    :ivar wants_targets: whether it connects to targets itself, or is an owner; the
+        others need no targets, primaries and fences.
     """
 
     proxy_id: str
@@ -191,27 +224,29 @@
     table_version: Count = 0
     wants_lease: bool = False
     drained_version: Count = 0
+    wants_targets: bool = True
 
 
 class ProxyReply(msgspec.Struct, frozen=True):
     """The leader's reply to a :class:`ProxyReport`.
 
     :ivar proxies: number of known proxies that serve callers, at least 1.
-    :ivar view: ``None`` if the proxy holds the newest; its table is left empty, the
-        proxy fetches that itself.
-    :ivar table_version: version of the active table, also if ``view`` is ``None``.
+    :ivar view_version: version of the active view.
+    :ivar table_version: version of the active table, which the proxy fetches itself.
     :ivar members: addresses of all control members.
     :ivar owners: number of processes that may own connections to targets.
     :ivar grants_lease: whether the proxy gets a lease, which belongs to this view.
+    :ivar view_change: leads to the active view; ``None`` if the proxy holds that, or is
+        to ask again because the leader is busy with the views of others.
     """
 
     view_version: Count
     proxies: int
     members: list[str] = []
-    view: DirectoryView | None = None
     table_version: Count = 0
     grants_lease: bool = False
     owners: int = 0
+    view_change: ViewChange | None = None
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/directory/routes.py
+++ b/src/godwitwheel/directory/routes.py
@@ -11,7 +11,7 @@
 from ..wire.numbers import MAX_NUMBER
 from ..wire.server import Handler, Request, Response
 from ..wire.status import GONE, MISDIRECTED, NOT_FOUND, PARTIAL, UNAVAILABLE
-from .errors import UnknownBase, UnknownTable
+from .errors import AssemblyPostponed, UnknownBase, UnknownTable
 from .member import DirectoryMember
 from .records import ProxyReport, Redirect, TargetEntry
 from .table_chunks import TABLE_PATH
@@ -56,9 +56,11 @@
 
     def table(request: Request) -> Response:
         try:
-            chunk = member.chunks.chunk(*map(_whole_number, request.parameters))
+            chunk = member.table_chunk(*map(_whole_number, request.parameters))
         except UnknownTable as error:
             return Response(ControlProblem(str(error)), NOT_FOUND)
+        except AssemblyPostponed as error:
+            return Response(ControlProblem(str(error)), UNAVAILABLE)
         except UnknownBase as error:
             return Response(ControlProblem(str(error)), GONE)
         headers = [("Content-Range", chunk.content_range())]
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -15,6 +15,7 @@
 from .records import DirectoryView, OwnerEntry, RoutingTable, TargetEntry
 from .table_changes import RecentTables
 from .tables import TableCodec
+from .view_changes import RecentViews
 
 MAX_DEPARTED = 1024
 
@@ -38,10 +39,19 @@
     :ivar document: the routing table exactly as published; empty before the first.
     :ivar tokens: highest fencing token of an order, by service.
     :ivar recent_tables: the tables that were active recently.
+    :ivar recent_views: the views that were active recently.
     :ivar departed: start times of targets that left, by id, in order of departure.
     """
 
-    __slots__ = ("codec", "view", "document", "tokens", "departed", "recent_tables")
+    __slots__ = (
+        "codec",
+        "view",
+        "document",
+        "tokens",
+        "departed",
+        "recent_tables",
+        "recent_views",
+    )
 
     def __init__(self, codec: TableCodec):
         self.codec = codec
@@ -50,6 +60,7 @@
         self.tokens: dict[str, int] = {}
         self.departed: dict[str, int] = {}
         self.recent_tables = RecentTables()
+        self.recent_views = RecentViews()
 
     def put_table(self, index: int, command: PutTable) -> TableResult:
         """Activates a table, if its version is higher than the active one's."""
@@ -156,6 +167,7 @@
             snapshot.owners,
             snapshot.fences,
         )
+        self.recent_views.add(self.view)
         self.tokens = dict(snapshot.tokens)
         self.departed = dict(snapshot.gone)
 
@@ -181,3 +193,4 @@
 
     def _update_view(self, index: int, **fields: object) -> None:
         self.view = msgspec.structs.replace(self.view, version=index, **fields)
+        self.recent_views.add(self.view)
--- a/src/godwitwheel/directory/table_chunks.py
+++ b/src/godwitwheel/directory/table_chunks.py
@@ -10,7 +10,8 @@
 
 from ..wire.codec import decode
 from ..wire.errors import BadMessage
-from .errors import InvalidChange, UnknownBase, UnknownTable
+from .assembly import AssemblyBudget
+from .errors import AssemblyPostponed, InvalidChange, UnknownBase, UnknownTable
 from .records import RoutingTable, TableChange
 from .table_changes import RecentTables, table_change
 
@@ -68,40 +69,45 @@
     """Encodes each change between two recent tables once.
 
     :ivar recent: the tables that were active recently.
+    :ivar budget: bounds how often a complete table is encoded.
     :ivar encoded: encoded changes by base and new version, the least recently fetched
         one first.
     """
 
-    __slots__ = ("recent", "encoded")
+    __slots__ = ("recent", "budget", "encoded")
 
-    def __init__(self, recent: RecentTables):
+    def __init__(self, recent: RecentTables, budget: AssemblyBudget):
         self.recent = recent
+        self.budget = budget
         self.encoded: dict[tuple[int, int], bytes] = {}
 
-    def chunk(self, base_version: int, version: int, offset: int) -> TableChunk:
+    def chunk(
+        self, base_version: int, version: int, offset: int, now: float
+    ) -> TableChunk:
         """Returns the part of a change from an offset on.
 
         :param base_version: version of the table that the process holds, or 0.
         :raises UnknownTable: if this member does not know the new version.
         :raises UnknownBase: if it does not know the base.
+        :raises AssemblyPostponed: if it has put together too many tables.
         :raises BadMessage: if the offset is beyond the end.
         """
-        data = self._find(base_version, version)
+        data = self._find(base_version, version, now)
         if offset >= len(data):
             raise BadMessage(f"offset: got {offset}, expected less than {len(data)}")
         return TableChunk(data[offset : offset + CHUNK_BYTES], offset, len(data))
 
-    def _find(self, base_version: int, version: int) -> bytes:
+    def _find(self, base_version: int, version: int, now: float) -> bytes:
         pair = (base_version, version)
         data = self.encoded.pop(pair, None)
         if data is None:
-            data = encode_change(self._change(base_version, version))
+            data = encode_change(self._change(base_version, version, now))
         self.encoded[pair] = data
         if len(self.encoded) > MAX_ENCODED_CHANGES:
             del self.encoded[next(iter(self.encoded))]
         return data
 
-    def _change(self, base_version: int, version: int) -> TableChange:
+    def _change(self, base_version: int, version: int, now: float) -> TableChange:
         table = self.recent.find(version)
         if table is None:
             raise UnknownTable(f"version {version} is not known")
@@ -110,4 +116,6 @@
             base = self.recent.find(base_version)
             if base is None:
                 raise UnknownBase(f"base {base_version} is not known")
+        elif not self.budget.take(now):
+            raise AssemblyPostponed("too many complete tables")
         return table_change(base, table)
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -113,6 +113,7 @@
     :ivar key_authority: decides until when this process may rely on its keys.
     :ivar limiters: concurrency limiters by target id.
     :ivar view: newest view from control; version 0 before the first.
+    :ivar has_targets: whether the view includes targets, primaries and fences.
     :ivar proxies: how many proxies share the targets' connections.
     :ivar owners: how many processes may become owners of connections.
     :ivar leaving_grace_s: how long a primary that is leaving may get new work while
@@ -133,6 +134,7 @@
         "connector",
         "data_centre",
         "view",
+        "has_targets",
         "proxies",
         "owners",
         "pools",
@@ -162,6 +164,7 @@
         self.connector = connector
         self.data_centre = data_centre
         self.view = DirectoryView()
+        self.has_targets = True
         self.proxies = 1
         self.owners = 0
         self.pools: dict[str, TargetPool] = {}
@@ -241,6 +244,14 @@
         """Whether this process connects to the targets of any service itself."""
         return any(self.uses_targets(service) for service in self.view.table.services)
 
+    def wants_targets(self) -> bool:
+        """Whether the view has to include targets, primaries and fences."""
+        return not self.serves_callers or self.uses_any_targets()
+
+    def lacks_targets(self) -> bool:
+        """Whether the view does not include the targets that this process uses."""
+        return not self.has_targets and self.wants_targets()
+
     def lacks_a_primary(self) -> bool:
         """Whether a service whose targets this process uses has no known primary."""
         return any(
@@ -269,16 +280,23 @@
             share = usable_connections(policy) // max(self.proxies, 1)
         return max(share, MIN_POOL_SIZE)
 
-    def apply_view(self, view: DirectoryView) -> bool:
+    def apply_view(self, view: DirectoryView, has_targets: bool = True) -> bool:
         """Installs a view from control unless it is outdated.
 
-        :returns: whether it was newer than the current one.
+        :param has_targets: whether it includes targets, primaries and fences.
+        :returns: whether it differs from the current one.
         """
-        if view.version <= self.view.version:
+        is_held = view.version == self.view.version and has_targets == self.has_targets
+        if view.version < self.view.version or is_held:
             return False
         previous = self.view
         self.view = view
-        self.authority.apply_view(view, self.clock.now())
+        self.has_targets = has_targets
+        if has_targets:
+            self.authority.apply_view(view, self.clock.now())
+        else:
+            self.authority.apply_without_primaries(view.version, self.clock.now())
+            self._forget_targets()
         for target_id in list(self.pools):
             if target_id not in view.targets:
                 self.pools.pop(target_id).close()
@@ -296,6 +314,13 @@
         self.changed.notify()
         return True
 
+    def _forget_targets(self) -> None:
+        """Forgets what was observed of targets, which is no longer kept up to date."""
+        self.statuses.clear()
+        for known_primary in self.known_primaries.values():
+            known_primary.confirmed_at = None
+            known_primary.search_started_at = None
+
     def apply_table(self, table: RoutingTable) -> bool:
         """Installs a routing table unless it is outdated.
 
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -116,7 +116,8 @@
 
     def is_ready(self) -> bool:
         """Whether the proxy accepts new callers."""
-        if self.stopping or self.board.view.table.version == 0:
+        board = self.board
+        if self.stopping or board.view.table.version == 0 or board.lacks_targets():
             return False
         return not self.isolation.is_isolated
 
--- a/src/godwitwheel/sessions/reporting/authority.py
+++ b/src/godwitwheel/sessions/reporting/authority.py
@@ -54,6 +54,13 @@
     def apply_view(self, view: DirectoryView, now: float) -> None:
         """Follows the primaries and fences of a new view."""
 
+    @abstractmethod
+    def apply_without_primaries(self, version: int, now: float) -> None:
+        """Ends the use of all primaries, at a view that names none.
+
+        The process could not learn from such views that a primary is fenced.
+        """
+
     @abstractmethod
     def renew(self, carried_version: int, sent_at: float, now: float) -> None:
         """Records a lease.
@@ -91,6 +98,9 @@
     def apply_view(self, view: DirectoryView, now: float) -> None:
         pass
 
+    def apply_without_primaries(self, version: int, now: float) -> None:
+        pass
+
     def renew(self, carried_version: int, sent_at: float, now: float) -> None:
         pass
 
@@ -202,6 +212,12 @@
             elif not self.accepts(service, target_id):
                 self.tenures[service] = PrimaryTenure(target_id, now)
 
+    def apply_without_primaries(self, version: int, now: float) -> None:
+        self.view_version = version
+        for tenure in self.tenures.values():
+            if tenure.fenced_version is None:
+                tenure.fence(version, self.expires_at, now)
+
     def renew(self, carried_version: int, sent_at: float, now: float) -> None:
         if self.view_version < carried_version:
             # This process still relies on a view that the lease is not for.
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -2,15 +2,14 @@
 
 import random
 
-import msgspec
-
 from ...directory.records import (
-    DirectoryView,
     PrimaryReport,
     ProxyReply,
     ProxyReport,
     Redirect,
+    ViewChange,
 )
+from ...directory.view_changes import apply_view_change
 from ...internal.loop import sleep
 from ...observe.events import EventName, record_event
 from ...wire.client import Client
@@ -18,6 +17,7 @@
 from ...wire.errors import BadMessage, WireError
 from ...wire.status import MISDIRECTED
 from ..board import SessionBoard
+from .backoff import postponed_pause_s, retry_pause_s
 from .members import REPORT_TIMEOUT_S, ControlMembers
 from .table_fetch import TableFetcher
 
@@ -26,11 +26,16 @@
 # Reports a second that the leader receives from all proxies that use no targets and
 # have no change to report.
 IDLE_REPORTS_PER_S = 200
+# Longest interval of these, so that a new routing table is in force everywhere within
+# 4 s although a report may fail. In seconds.
+MAX_IDLE_INTERVAL_S = 2.0
 # Time that a process needs to find a primary, from its first probe on, in seconds.
 INITIAL_SEARCH_S = 0.5
 # Delay before a report, so that changes in quick succession are reported together.
 REPORT_SPACING_S = 0.01
-RETRY_INTERVAL_S = 0.05
+# Longest pause after failed reports of a process that uses targets, in seconds: it has
+# to find the next leader before its lease on the primaries ends.
+MAX_USER_RETRY_S = 0.1
 # Report interval while a primary is not confirmed under leases: control then waits for
 # this process to learn that the primary is fenced. In seconds.
 UNCONFIRMED_REPORT_INTERVAL_S = 0.05
@@ -43,6 +48,9 @@
 
     :ivar tables: fetches the routing tables that control names.
     :ivar leaving: whether this proxy is stopping.
+    :ivar asked_targets: whether the last report asked for targets.
+    :ivar is_postponed: whether control has put off the view that it asked for.
+    :ivar failures: reports in a row that no leader answered.
     :ivar answered_at: when a leader answered last, or ``None``.
     :ivar is_control_unreachable: whether a report has failed since control answered
         last.
@@ -54,6 +62,10 @@
         "client",
         "proxy_id",
         "tables",
+        "rng",
+        "asked_targets",
+        "is_postponed",
+        "failures",
         "leaving",
         "owner_address",
         "answered_at",
@@ -73,7 +85,11 @@
         self.members = members
         self.client = client
         self.proxy_id = proxy_id
-        self.tables = TableFetcher(board, members, client, random.Random())
+        self.rng = random.Random()
+        self.tables = TableFetcher(board, members, client, self.rng)
+        self.asked_targets = False
+        self.is_postponed = False
+        self.failures = 0
         self.leaving = False
         self.answered_at: float | None = None
         self.is_control_unreachable = False
@@ -82,17 +98,30 @@
         """Reports until the process stops."""
         while True:
             was_answered = self.report()
-            if was_answered:
+            if was_answered and not self.is_postponed:
                 # A change of the view or of a known primary is reported at once.
-                self.board.changed.wait(self._interval_s())
+                self.board.changed.wait(self.interval_s())
                 sleep(REPORT_SPACING_S)
             else:
-                sleep(RETRY_INTERVAL_S)
+                sleep(self.retry_pause_s())
+
+    def retry_pause_s(self) -> float:
+        """Returns the pause after a report that brought no answer, or no view."""
+        if self.is_postponed:
+            return postponed_pause_s(self.rng)
+        pause_s = retry_pause_s(self.failures, self.rng)
+        if self.board.uses_any_targets():
+            return min(pause_s, MAX_USER_RETRY_S)
+        return pause_s
 
-    def _interval_s(self) -> float:
+    def interval_s(self) -> float:
+        """Returns the time until the next report after an answered one, in seconds."""
         board = self.board
-        if not board.uses_any_targets():
-            return max(REPORT_INTERVAL_S, board.proxies / IDLE_REPORTS_PER_S)
+        if board.wants_targets() != self.asked_targets:
+            return 0.0
+        if not board.uses_any_targets() or board.lacks_targets():
+            idle_s = min(board.proxies / IDLE_REPORTS_PER_S, MAX_IDLE_INTERVAL_S)
+            return max(REPORT_INTERVAL_S, idle_s)
         if board.authority.needs_lease and board.lacks_a_primary():
             return UNCONFIRMED_REPORT_INTERVAL_S
         return REPORT_INTERVAL_S
@@ -102,7 +131,13 @@
 
         :returns: whether a leader answered.
         """
+        was_answered = self._report()
+        self.failures = 0 if was_answered else self.failures + 1
+        return was_answered
+
+    def _report(self) -> bool:
         now = self.board.clock.now()
+        self.is_postponed = False
         address = self.members.next_address(now)
         if not address:
             return False
@@ -145,10 +180,12 @@
             for target_id, status in board.statuses.items()
             if status.failing_since is not None
         ]
+        wants_targets = board.wants_targets()
+        self.asked_targets = wants_targets
         return ProxyReport(
             self.proxy_id,
             board.data_centre,
-            board.view.version,
+            board.view.version if wants_targets == board.has_targets else 0,
             reports,
             sorted(unreachable),
             self.leaving,
@@ -156,13 +193,15 @@
             board.view.table.version,
             board.authority.needs_lease and board.uses_any_targets(),
             board.authority.drained_version(now),
+            wants_targets,
         )
 
     def _has_searched(self, service: str, now: float) -> bool:
         """Whether this process has had time to find the service's primary."""
         known_primary = self.board.known_primary(service)
         if (
-            not self.board.uses_targets(service)
+            not self.board.has_targets
+            or not self.board.uses_targets(service)
             or known_primary.search_started_at is None
         ):
             return False
@@ -193,8 +232,19 @@
             board.owners = reply.owners
             board.apply_limits()
         self.tables.advertise(reply.table_version)
-        view = self._view_with_table(reply)
-        if view is not None and board.apply_view(view):
+        if reply.view_change is not None:
+            self._apply_change(reply.view_change)
+        is_refused = reply.view_change is None and board.lacks_targets()
+        self.is_postponed = board.view.version < reply.view_version or is_refused
+        if reply.table_version == board.view.table.version:
+            board.key_authority.renew(sent_at)
+        if reply.grants_lease:
+            board.authority.renew(reply.view_version, sent_at, board.clock.now())
+
+    def _apply_change(self, change: ViewChange) -> None:
+        board = self.board
+        view = apply_view_change(board.view, board.has_targets, change)
+        if view is not None and board.apply_view(view, change.has_targets):
             record_event(
                 EventName.view_in_force,
                 version=view.version,
@@ -203,16 +253,6 @@
                 primaries=view.primaries,
                 fences=view.fences,
             )
-        if reply.table_version == board.view.table.version:
-            board.key_authority.renew(sent_at)
-        if reply.grants_lease:
-            board.authority.renew(reply.view_version, sent_at, board.clock.now())
-
-    def _view_with_table(self, reply: ProxyReply) -> DirectoryView | None:
-        """Returns a reply's view with the held table, or ``None`` if there is none."""
-        if reply.view is None:
-            return None
-        return msgspec.structs.replace(reply.view, table=self.board.view.table)
 
     def _record_unreachable(self, address: str, reason: str) -> None:
         if not self.is_control_unreachable:
--- a/src/godwitwheel/sessions/reporting/sampler.py
+++ b/src/godwitwheel/sessions/reporting/sampler.py
@@ -46,7 +46,7 @@
         """Starts a task for each active service whose targets this process uses."""
         board = self.context.board
         while True:
-            services = {s for s in board.view.table.services if board.uses_targets(s)}
+            services = {s for s in board.view.table.services if self._is_sampled(s)}
             for service in services - set(self.tasks):
                 self.tasks[service] = spawn(self._sample_repeatedly, service)
             board.changed.wait(SAMPLE_INTERVAL_S if services else IDLE_INTERVAL_S)
@@ -62,7 +62,7 @@
     def _is_sampled(self, service: str) -> bool:
         board = self.context.board
         is_known = service in board.view.table.services
-        return is_known and board.uses_targets(service)
+        return is_known and board.has_targets and board.uses_targets(service)
 
     def sample(self, service: str) -> float:
         """Sends the probes that are due.
--- a/src/godwitwheel/sessions/reporting/table_fetch.py
+++ b/src/godwitwheel/sessions/reporting/table_fetch.py
@@ -12,9 +12,9 @@
 from ...wire.client import Client
 from ...wire.errors import WireError
 from ...wire.numbers import MAX_NUMBER
-from ...wire.status import GONE, NOT_FOUND, PARTIAL
+from ...wire.status import GONE, NOT_FOUND, PARTIAL, UNAVAILABLE
 from ..board import SessionBoard
-from .backoff import retry_pause_s
+from .backoff import postponed_pause_s, retry_pause_s
 from .members import ControlMembers
 
 CHUNK_TIMEOUT_S = 2.0
@@ -146,6 +146,8 @@
             return self._retry_elsewhere(str(error))
         if status == PARTIAL:
             return self._add(headers.get("content-range", ""), chunk)
+        if status == UNAVAILABLE:
+            return postponed_pause_s(self.rng)
         if status == GONE:
             self.forgets_base = True
             self.transfer = None
--- a/src/godwitwheel/sessions/running/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -32,6 +32,9 @@
     :returns: ``None`` if none is available in time; nothing ran.
     """
     board = context.board
+    if not board.uses_targets(target.service):
+        # An owner has taken the service over since the target was chosen.
+        return None
     try:
         return board.pool(target).acquire(
             state.account, state.values, priority, timeout_s
--- a/tests/cover/test_control_members.py
+++ b/tests/cover/test_control_members.py
@@ -2,7 +2,7 @@
 
 import random
 
-from godwitwheel.sessions.reporting.reporting import (
+from godwitwheel.sessions.reporting.members import (
     UNRESPONSIVE_PAUSE_S,
     ControlMembers,
 )
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -17,6 +17,7 @@
 from godwitwheel.sessions.owning.remote import OwnerCalls, RemoteRunner
 from godwitwheel.sessions.queueing.turns import TurnRequest
 from godwitwheel.sessions.reporting.reporting import Reporter
+from godwitwheel.sessions.running.attempts import acquire_connection
 from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import Answer, ErrorCode, TransactionState
@@ -331,6 +332,18 @@
     assert session.execute(write("w2")).error is ErrorCode.aborted
 
 
+def test_a_statement_that_waits_when_an_owner_takes_over_opens_no_connection():
+    """It would take one of the connections that the owner counts on."""
+    group = FakeGroup()
+    entry = group.board.view.targets["t1"]
+    view = msgspec.structs.replace(group.board.view, version=9, owners=OWNERS)
+    group.board.apply_view(view)
+    state = SessionState("s1", "primary")
+    assert acquire_connection(group.context, entry, state, 0, 1.0) is None
+    assert group.targets["t1"].opened == 0
+    assert group.board.pools == {}
+
+
 def test_proxies_use_their_own_connections_if_no_process_can_be_an_owner(deployment):
     board = start_a_large_fleet(deployment)
     board.owners = 0
--- a/tests/cover/test_table_changes.py
+++ b/tests/cover/test_table_changes.py
@@ -16,6 +16,7 @@
     RoutingTable,
     ServicePolicy,
     SessionLimits,
+    ViewChange,
 )
 from godwitwheel.directory.table_changes import (
     MAX_RECENT_TABLES,
@@ -123,11 +124,12 @@
     board = FakeGroup().board
     held = board.view.table
     scripted = ScriptedReporter(board)
-    bare = DirectoryView(version=board.view.version + 1)
+    version = board.view.version + 1
     newest = held.version + 1
-    scripted.replies = [ProxyReply(bare.version, 1, [], bare, newest)]
+    change = ViewChange(0, version)
+    scripted.replies = [ProxyReply(version, 1, [], newest, view_change=change)]
     scripted.reporter.report()
-    assert board.view == msgspec.structs.replace(bare, table=held)
+    assert board.view == DirectoryView(version, held)
     assert scripted.reporter.tables.advertised == newest
 
 
@@ -151,12 +153,12 @@
     newer = msgspec.structs.replace(held, version=held.version + 1)
     version = board.view.version
     for named in (held, newer):
-        scripted.replies.append(ProxyReply(version, 1, [], None, named.version))
+        scripted.replies.append(ProxyReply(version, 1, [], named.version))
         scripted.reporter.report()
         group.clock.advance(1.0)
     assert keys.renewed == [group.clock.now() - 2.0]
     assert board.apply_table(newer)
-    scripted.replies.append(ProxyReply(version, 1, [], None, newer.version))
+    scripted.replies.append(ProxyReply(version, 1, [], newer.version))
     scripted.reporter.report()
     assert keys.renewed[1:] == [group.clock.now()]
 
