Send only the client accounts that a new table changes

A change of the table carried all accounts: for 74 accounts with two keys each some 5 KB of digests that don't compress, to each process, although most changes touch none. Views and tables now share the functions that compute and apply differences.

tests/cover/test_table_changes.py, test_view_changes.py, test_table_fetch.py pass.

--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -159,13 +159,16 @@
     """The difference between a proxy's routing table and the active one.
 
     :ivar base_version: version to apply it to; 0 if ``table`` is complete.
-    :ivar table: the new table, with only those routes that differ from the base.
+    :ivar table: the new table, with only those routes and accounts that differ from the
+        base.
     :ivar removed: databases whose routes were removed.
+    :ivar removed_accounts: names of the client accounts that were removed.
     """
 
     base_version: Count
     table: RoutingTable
     removed: list[str] = []
+    removed_accounts: list[str] = []
 
 
 class OwnedServices(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/directory/table_changes.py
+++ b/src/godwitwheel/directory/table_changes.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .differences import apply_difference, changed_items, removed_keys
 from .records import RoutingTable, TableChange
 
 # Tables that a control member keeps. New ones may be published every 60 ms, and the one
@@ -19,14 +20,17 @@
     """
     if base is None:
         return TableChange(0, table)
-    changed = {
-        database: route
-        for database, route in table.routes.items()
-        if base.routes.get(database) != route
-    }
-    removed = sorted(base.routes.keys() - table.routes.keys())
-    difference = msgspec.structs.replace(table, routes=changed)
-    return TableChange(base.version, difference, removed)
+    difference = msgspec.structs.replace(
+        table,
+        routes=changed_items(base.routes, table.routes),
+        accounts=changed_items(base.accounts, table.accounts),
+    )
+    return TableChange(
+        base.version,
+        difference,
+        removed_keys(base.routes, table.routes),
+        removed_keys(base.accounts, table.accounts),
+    )
 
 
 def apply_change(base: RoutingTable, change: TableChange) -> RoutingTable | None:
@@ -38,13 +42,14 @@
         return change.table
     if change.base_version != base.version:
         return None
-    removed = set(change.removed)
-    kept = {
-        database: route
-        for database, route in base.routes.items()
-        if database not in removed
-    }
-    return msgspec.structs.replace(change.table, routes={**kept, **change.table.routes})
+    table = change.table
+    return msgspec.structs.replace(
+        table,
+        routes=apply_difference(base.routes, table.routes, change.removed),
+        accounts=apply_difference(
+            base.accounts, table.accounts, change.removed_accounts
+        ),
+    )
 
 
 class RecentTables:
--- a/src/godwitwheel/directory/view_changes.py
+++ b/src/godwitwheel/directory/view_changes.py
@@ -8,6 +8,7 @@
 
 from ..wire.codec import encode
 from .assembly import AssemblyBudget
+from .differences import apply_difference, changed_items, removed_keys
 from .ownership import OWNER_MIN_PROXIES
 from .records import (
     DirectoryView,
@@ -41,19 +42,19 @@
         held.version,
         view.version,
         has_targets,
-        owners=group_owners(_changed(held.owners, view.owners)),
-        removed_owners=_removed(held.owners, view.owners),
+        owners=group_owners(changed_items(held.owners, view.owners)),
+        removed_owners=removed_keys(held.owners, view.owners),
     )
     if not has_targets:
         return change
     return msgspec.structs.replace(
         change,
-        targets=_changed(held.targets, view.targets),
-        primaries=_changed(held.primaries, view.primaries),
-        fences=_changed(held.fences, view.fences),
-        removed_targets=_removed(held.targets, view.targets),
-        removed_primaries=_removed(held.primaries, view.primaries),
-        removed_fences=_removed(held.fences, view.fences),
+        targets=changed_items(held.targets, view.targets),
+        primaries=changed_items(held.primaries, view.primaries),
+        fences=changed_items(held.fences, view.fences),
+        removed_targets=removed_keys(held.targets, view.targets),
+        removed_primaries=removed_keys(held.primaries, view.primaries),
+        removed_fences=removed_keys(held.fences, view.fences),
     )
 
 
@@ -74,10 +75,10 @@
     return DirectoryView(
         change.version,
         held.table,
-        _applied(base.targets, change.targets, change.removed_targets),
-        _applied(base.primaries, change.primaries, change.removed_primaries),
-        _applied(base.owners, owners, change.removed_owners),
-        _applied(base.fences, change.fences, change.removed_fences),
+        apply_difference(base.targets, change.targets, change.removed_targets),
+        apply_difference(base.primaries, change.primaries, change.removed_primaries),
+        apply_difference(base.owners, owners, change.removed_owners),
+        apply_difference(base.fences, change.fences, change.removed_fences),
     )
 
 
@@ -101,25 +102,6 @@
     }
 
 
-def _changed(base: dict, new: dict) -> dict:
-    if base is new:
-        return {}
-    return {key: value for key, value in new.items() if base.get(key) != value}
-
-
-def _removed(base: dict, new: dict) -> list:
-    return [] if base is new else sorted(base.keys() - new.keys())
-
-
-def _applied(base: dict, changed: dict, removed: list) -> dict:
-    if not changed and not removed:
-        return base
-    result = {**base, **changed}
-    for key in removed:
-        result.pop(key, None)
-    return result
-
-
 class RecentViews:
     """The views that were active recently, by version, the oldest first."""
 
--- a/tests/cover/test_table_changes.py
+++ b/tests/cover/test_table_changes.py
@@ -8,6 +8,7 @@
 
 from godwitwheel.accounts.authority import UnleasedKeys
 from godwitwheel.directory.records import (
+    AccountPolicy,
     Consistency,
     DirectoryView,
     ProxyReply,
@@ -46,6 +47,10 @@
         st.builds(ServicePolicy, name=st.just("s"), max_connections=st.integers(1, 3)),
     ),
     limits=st.builds(SessionLimits, transaction_idle_ms=st.integers(1, 3)),
+    accounts=st.dictionaries(
+        st.sampled_from(["ferry", "school", "tower"]),
+        st.builds(AccountPolicy, name=st.just("a"), rate_per_s=st.floats(1, 3)),
+    ),
 )
 
 
@@ -77,6 +82,15 @@
     assert apply_change(table_of(1), change) == table_of(2)
 
 
+def test_a_change_holds_only_the_accounts_that_differ():
+    """Digests of keys don't compress, and most changes touch no account."""
+    accounts = {name: AccountPolicy(name) for name in ("ferry", "school")}
+    base = msgspec.structs.replace(table_of(1), accounts=accounts)
+    moved = {"ferry": AccountPolicy("ferry", ["k1"]), "school": AccountPolicy("school")}
+    change = table_change(base, msgspec.structs.replace(base, accounts=moved))
+    assert list(change.table.accounts) == ["ferry"]
+
+
 def test_a_change_from_an_unknown_table_is_complete():
     change = table_change(None, table_of(1))
     assert (change.base_version, change.table) == (0, table_of(1))
