Queue and shed statements by fair order between accounts

Cause: the queue at a target orders by priority, kind and arrival only. An account at 7 times its share takes turns from accounts that stay below theirs, and everyone's statements are refused alike.

A refusal gives the retry time of its account instead of that of the whole queue.

--- a/src/godwitwheel/sessions/errors.py
+++ b/src/godwitwheel/sessions/errors.py
@@ -38,7 +38,8 @@
 class TurnRefused(SessionsError):
     """A statement got no turn at a target in time; nothing ran.
 
-    :ivar retry_after_s: expected time until the queued statements have run, in seconds.
+    :ivar retry_after_s: expected time until the queued statements of its account, and
+        those that go before them, have run, in seconds.
     """
 
     def __init__(self, message: str, retry_after_s: float):
--- a/src/godwitwheel/sessions/queueing/gate.py
+++ b/src/godwitwheel/sessions/queueing/gate.py
@@ -63,23 +63,21 @@
             raise
         self._withdraw(turn)
         raise TurnRefused(
-            f"no turn in time, {self._describe(turn)}", self.queue.wait_s()
+            f"no turn in time, {self._describe(turn)}", self.queue.wait_s(turn)
         )
 
     def _describe(self, refused: QueuedTurn) -> str:
         """Returns the state of the queue that led to a refusal."""
         queue = self.queue
         return (
-            f"{len(queue.running)} of {queue.limit} run, {len(queue.waiting)} wait, "
+            f"{len(queue.running)} of {queue.limit} run, {queue.waiting_count} wait, "
             f"turn of {1000 * refused.expected_s:.0f} ms, "
             f"{refused.available_share:.0%} of the turns left by others"
         )
 
     def _withdraw(self, turn: QueuedTurn) -> None:
         self.events.pop(turn, None)
-        if turn in self.queue.waiting:
-            self.queue.waiting.remove(turn)
-        elif turn.running is not None:
+        if not self.queue.withdraw(turn) and turn.running is not None:
             self.queue.end(turn.running, self.clock.now())
             self._admit()
 
