Withdraw the queued statements of callers that have left

Cause: a caller's connection is read only between statements, so that a proxy does not notice when a caller disconnects while its statement is queued. The statement keeps its place in the owner's queue and then runs at the target, for nobody.

Change: a proxy checks the connections of sessions with a statement in progress every 20 ms, with a non-blocking look at the socket. When one has ended, the proxy asks the owner to withdraw the session's statement (POST /v1/sessions/withdraw). The owner refuses it if it still waits for a turn, which answers the proxy's call at once; nothing is interrupted that has been sent to a target. Commits are never withdrawn. A proxy that runs statements itself withdraws them in the same way. An owner that does not know the path answers 404, and the statement goes on as before.

A caller that closes only its sending direction counts as disconnected: it gets the refusal of a statement that has not run. Sessions over HTTP are not watched, nor are callers with unread input.

--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -8,6 +8,7 @@
 from .connections.carrying import PreparedStatement
 from .events import StatementLog
 from .metrics import SessionMetrics
+from .queueing.presence import CallerPresence
 from .statements import Position, Statement, StatementKind, later_of
 
 RUN_ID_BYTES = 4
@@ -31,6 +32,7 @@
     :ivar key_digest: digest of the caller's key; empty if it gave none.
     :ivar account: client account of the current statement or transaction, or
         :data:`NO_ACCOUNT`.
+    :ivar presence: whether the session's caller is still connected.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         "own_positions",
         "key_digest",
         "account",
+        "presence",
     )
 
     def __init__(self, session_id: str, database: str, key_digest: str = ""):
@@ -48,6 +51,7 @@
         self.database = database
         self.key_digest = key_digest
         self.account = NO_ACCOUNT
+        self.presence = CallerPresence()
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self.own_positions: dict[str, Position] = {}
--- a/src/godwitwheel/sessions/owning/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -4,23 +4,28 @@
 targets when there are too many proxies for each to have its own.
 """
 
+import contextlib
 import itertools
+from collections.abc import Iterator
 
 from ...internal.loop import sleep
 from ...observe.events import EventName
 from ...wire.codec import decode
 from ...wire.server import Handler, Request, Response
 from ..context import SessionContext, SessionState
+from ..queueing.presence import CallerPresence
 from ..running.single import run_single
 from ..running.transaction import Transaction
 from ..statements import Answer, ErrorCode, StatementKind, error_answer
 from .owner_messages import (
     END_PATH,
     RUN_PATH,
+    WITHDRAW_PATH,
     Ended,
     EndRequest,
     RunReply,
     RunRequest,
+    WithdrawRequest,
     reply_with,
     restore_session,
     route_of,
@@ -56,14 +61,17 @@
 
     :ivar prefix: start of every handle, unique to this run of the process.
     :ivar open: open transactions by handle.
+    :ivar callers: presence of the caller of each statement that is running or queued,
+        by the ids of its process and session.
     """
 
-    __slots__ = ("context", "prefix", "open", "numbers")
+    __slots__ = ("context", "prefix", "open", "callers", "numbers")
 
     def __init__(self, context: SessionContext, prefix: str):
         self.context = context
         self.prefix = prefix
         self.open: dict[str, OwnedTransaction] = {}
+        self.callers: dict[str, CallerPresence] = {}
         self.numbers = itertools.count(1)
 
     def routes(self) -> dict[tuple[str, str], Handler]:
@@ -76,7 +84,15 @@
             self.end(decode(request.body, EndRequest).handle)
             return Response(Ended())
 
-        return {("POST", RUN_PATH): run, ("POST", END_PATH): end}
+        def withdraw(request: Request) -> Response:
+            self.withdraw(decode(request.body, WithdrawRequest).proxy_id)
+            return Response(Ended())
+
+        return {
+            ("POST", RUN_PATH): run,
+            ("POST", END_PATH): end,
+            ("POST", WITHDRAW_PATH): withdraw,
+        }
 
     def run(self, request: RunRequest) -> RunReply:
         """Runs one statement."""
@@ -108,6 +124,12 @@
             return
         owned.transaction.abandon("its proxy ended it")
 
+    def withdraw(self, proxy_id: str) -> None:
+        """Withdraws a session's statement if it waits for a turn."""
+        presence = self.callers.get(proxy_id)
+        if presence is not None:
+            presence.leave()
+
     def run_expiry(self) -> None:
         """Calls :meth:`expire` periodically, for as long as the process runs."""
         while True:
@@ -130,9 +152,22 @@
         state = SessionState(request.proxy_id, request.route.database)
         restore_session(state, request)
         route = route_of(request.route)
-        answer = run_single(self.context, state, route, statement_of(request))
+        with self._serving(request.proxy_id, state):
+            answer = run_single(self.context, state, route, statement_of(request))
         return reply_with(answer, "", state.own_positions.get(request.route.service))
 
+    @contextlib.contextmanager
+    def _serving(self, proxy_id: str, state: SessionState) -> Iterator[None]:
+        """Lets a session's statement be withdrawn inside the block."""
+        self.callers[proxy_id] = state.presence
+        try:
+            yield
+        finally:
+            # A statement that its proxy no longer waits for may end after the
+            # session's next one has begun.
+            if self.callers.get(proxy_id) is state.presence:
+                del self.callers[proxy_id]
+
     def _find_or_create(self, request: RunRequest) -> OwnedTransaction | None:
         if request.handle:
             owned = self.open.get(request.handle)
@@ -150,7 +185,8 @@
         self.open[handle] = owned
         owned.is_busy = True
         try:
-            answer = self._run_statement(owned, request)
+            with self._serving(request.proxy_id, owned.state):
+                answer = self._run_statement(owned, request)
         except BaseException:
             owned.is_ending = True
             raise
--- a/src/godwitwheel/sessions/owning/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -21,6 +21,7 @@
 
 RUN_PATH = "/v1/sessions/run"
 END_PATH = "/v1/sessions/end"
+WITHDRAW_PATH = "/v1/sessions/withdraw"
 
 
 class RoutePart(msgspec.Struct, frozen=True, array_like=True):
@@ -105,8 +106,17 @@
     handle: str
 
 
+class WithdrawRequest(msgspec.Struct, frozen=True):
+    """Request to withdraw a session's queued statement, because its caller has left.
+
+    :ivar proxy_id: that of the session's :class:`RunRequest`.
+    """
+
+    proxy_id: str
+
+
 class Ended(msgspec.Struct, frozen=True):
-    """Reply to :class:`EndRequest`."""
+    """Reply to :class:`EndRequest` and :class:`WithdrawRequest`."""
 
 
 def route_part(route: Route) -> RoutePart:
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -21,9 +21,11 @@
 from .owner_messages import (
     END_PATH,
     RUN_PATH,
+    WITHDRAW_PATH,
     EndRequest,
     RunReply,
     RunRequest,
+    WithdrawRequest,
     answer_of,
     position_of,
     route_part,
@@ -118,6 +120,35 @@
         except WireError as error:
             self._log_unreachable(owner, error)
 
+    def withdraw(self, owner: OwnerEntry, proxy_id: str) -> None:
+        """Withdraws a statement if it is queued. If the request is lost, it may run."""
+        try:
+            body = encode(WithdrawRequest(proxy_id))
+            self.client.exchange(
+                owner.address, "POST", WITHDRAW_PATH, body, END_TIMEOUT_S
+            )
+        except WireError as error:
+            self._log_unreachable(owner, error)
+
+    def run_for(
+        self,
+        state: SessionState,
+        owner: OwnerEntry | None,
+        request: RunRequest,
+        timeout_s: float,
+    ) -> RunReply:
+        """Runs a session's statement, and withdraws it if the caller leaves meanwhile.
+
+        :raises OwnerLost: if the owner gives no valid reply.
+        """
+
+        def withdraw() -> None:
+            if owner is not None:
+                spawn(self.withdraw, owner, request.proxy_id)
+
+        with state.presence.queued(withdraw):
+            return self.run(owner, request, timeout_s)
+
     def _owner_lost(
         self,
         owner: OwnerEntry,
@@ -181,11 +212,13 @@
             owner = self.calls.owner_of(route.service)
             try:
                 timeout_s = deadlines.left_s(now) + CALL_SLACK_S
-                reply = self.calls.run(owner, request, timeout_s)
+                reply = self.calls.run_for(state, owner, request, timeout_s)
             except OwnerLost as error:
                 if error.was_sent and is_write:
                     return error_answer(ErrorCode.in_doubt, str(error))
-                if not self._wait_for_new_owner(owner, route, deadlines):
+                if state.presence.has_left or not self._wait_for_new_owner(
+                    owner, route, deadlines
+                ):
                     return _refused(error)
                 continue
             state.record_commit(route.service, position_of(reply.own_position))
@@ -282,7 +315,7 @@
             handle=self.handle,
         )
         timeout_s = deadlines.left_s(context.now()) + CALL_SLACK_S
-        reply = self.calls.run(self.owner, request, timeout_s)
+        reply = self.calls.run_for(self.state, self.owner, request, timeout_s)
         is_commit = statement.kind is StatementKind.commit
         self.handle = "" if is_commit else reply.handle
         self.state.record_commit(self.route.service, position_of(reply.own_position))
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -200,6 +200,8 @@
             stack.enter_context(callers.listening(settings.listen))
             stack.enter_context(running_task(reporter.run, record_failure))
             stack.enter_context(running_task(sampler.run, record_failure))
+            watch_callers = self.server.watch_callers
+            stack.enter_context(running_task(watch_callers, record_failure))
             expiry = self.http_sessions.run_expiry
             stack.enter_context(running_task(expiry, record_failure))
 
--- a/src/godwitwheel/sessions/queueing/gate.py
+++ b/src/godwitwheel/sessions/queueing/gate.py
@@ -11,11 +11,14 @@
 from ...internal.clock import Clock
 from ...internal.loop import Event, wait_for
 from ..errors import TurnRefused
+from .presence import CallerPresence
 from .turns import QueuedTurn, RunningTurn, TurnQueue, TurnRequest
 
 # Statements sent to the target beyond its slots, so that a slot that becomes free has
 # work at once.
 STATEMENTS_AHEAD = 1
+# Reason of the refusal of a withdrawn statement.
+CALLER_LEFT = "the caller has left"
 
 
 class ConcurrencyLimiter:
@@ -46,6 +49,9 @@
             self._admit()
 
     def _wait_for_turn(self, request: TurnRequest) -> RunningTurn:
+        presence = request.presence or CallerPresence()
+        if presence.has_left:
+            raise TurnRefused(CALLER_LEFT, 0.0)
         running = self.queue.try_start(request, self.clock.now())
         if running is not None:
             return running
@@ -55,13 +61,16 @@
         self._refuse_late()
         left_s = request.start_deadline - self.clock.now()
         try:
-            if wait_for(event, left_s) and event.wait():
-                return turn.running
+            with presence.queued(lambda: self._refuse(turn)):
+                if wait_for(event, left_s) and event.wait():
+                    return turn.running
         except BaseException:
             # The waiting task was killed; a turn granted meanwhile goes to the next.
             self._withdraw(turn)
             raise
         self._withdraw(turn)
+        if presence.has_left:
+            raise TurnRefused(CALLER_LEFT, 0.0)
         raise TurnRefused(
             f"no turn in time, {self._describe(turn)}", self.queue.wait_s(turn)
         )
@@ -81,6 +90,11 @@
             self.queue.end(turn.running, self.clock.now())
             self._admit()
 
+    def _refuse(self, turn: QueuedTurn) -> None:
+        """Refuses a request unless it has been granted a turn."""
+        if self.queue.withdraw(turn):
+            self.events.pop(turn).send(False)
+
     def _refuse_late(self) -> None:
         for turn in self.queue.shed_late(self.clock.now()):
             self.events.pop(turn).send(False)
--- a/src/godwitwheel/sessions/queueing/turn_records.py
+++ b/src/godwitwheel/sessions/queueing/turn_records.py
@@ -1,5 +1,7 @@
 """Requests for turns, and the states of a request: queued, then running."""
 
+from .presence import CallerPresence
+
 # Expected durations are compared in steps of this size; requests of the same step are
 # served in order of arrival. In seconds.
 RANK_STEP_S = 0.005
@@ -18,9 +20,18 @@
     :ivar start_deadline: deadline for the start of the turn, in seconds of the clock.
     :ivar opens_transaction: whether it is the first statement of a transaction; the
         later ones go first once it has run.
+    :ivar presence: withdraws the request when its caller leaves; ``None`` if it waits
+        for its turn in any case.
     """
 
-    __slots__ = ("kind", "account", "priority", "start_deadline", "opens_transaction")
+    __slots__ = (
+        "kind",
+        "account",
+        "priority",
+        "start_deadline",
+        "opens_transaction",
+        "presence",
+    )
 
     def __init__(
         self,
@@ -29,12 +40,14 @@
         priority: int,
         start_deadline: float,
         opens_transaction: bool = False,
+        presence: CallerPresence | None = None,
     ):
         self.kind = kind
         self.account = account
         self.priority = priority
         self.start_deadline = start_deadline
         self.opens_transaction = opens_transaction
+        self.presence = presence
 
 
 class QueuedTurn:
--- a/src/godwitwheel/sessions/running/single_run.py
+++ b/src/godwitwheel/sessions/running/single_run.py
@@ -134,6 +134,7 @@
             self.state.account,
             self.route.priority,
             self.deadlines.start_deadline,
+            presence=self.state.presence,
         )
         with acquired_connection(self.context, target, self.state, request) as pooled:
             if pooled is None:
--- a/src/godwitwheel/sessions/running/transaction.py
+++ b/src/godwitwheel/sessions/running/transaction.py
@@ -13,6 +13,7 @@
     Answer,
     ErrorCode,
     Statement,
+    StatementKind,
     TransactionState,
     error_answer,
 )
@@ -167,7 +168,10 @@
         pooled = self.pooled
         target = pooled.pool.target
         try:
-            with turn(self.context, target, self._turn_request(timeout_s)):
+            request = self._turn_request(timeout_s)
+            if statement.kind is not StatementKind.commit:
+                request.presence = self.state.presence
+            with turn(self.context, target, request):
                 self.turns += 1
                 if self.has_failed or self.pooled is not pooled:
                     # The connection may serve another transaction by now.
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -13,6 +13,8 @@
 from .statements import Answer, ErrorCode, Statement, error_answer
 
 DRAIN_POLL_S = 0.02
+# Interval of checks for callers that have left while a statement of theirs is served.
+PRESENCE_POLL_S = 0.02
 
 
 class StartRequest:
@@ -63,6 +65,10 @@
     def has_input(self) -> bool:
         """Whether unread input has arrived, such as a part of a statement."""
 
+    @abstractmethod
+    def has_ended(self) -> bool:
+        """Whether the caller has disconnected and no input of it is left unread."""
+
     @abstractmethod
     def end(self) -> None:
         """Shuts down the connection, which wakes a task that waits for a statement."""
@@ -145,6 +151,19 @@
             if record.is_idle():
                 record.link.end()
 
+    def watch_callers(self) -> None:
+        """Calls :meth:`withdraw_abandoned` for as long as the process runs."""
+        while True:
+            sleep(PRESENCE_POLL_S)
+            self.withdraw_abandoned()
+
+    def withdraw_abandoned(self) -> None:
+        """Withdraws the queued statements of callers that have left."""
+        for record in list(self.open_sessions):
+            presence = record.session.state.presence
+            if record.is_busy and not presence.has_left and record.link.has_ended():
+                presence.leave()
+
     def expire_transactions(self) -> None:
         """Fails idle transactions, and ends every session that serves no statement."""
         for record in list(self.open_sessions):
--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -153,6 +153,17 @@
             return True
         return True
 
+    def has_ended(self) -> bool:
+        """Whether the peer has closed the stream, and all it has sent has been read."""
+        if self.buffer:
+            return False
+        try:
+            return not self.socket.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def shut_down(self) -> None:
         """Shuts down both directions, which wakes a task that waits for data."""
         with contextlib.suppress(OSError):
