Estimate late requests closer for accounts below their shares

Cause: the estimate bounds the work that overtakes a request by the smaller of two sums over accounts, although some accounts reach the one bound and some the other. Accounts below their shares were refused statements that would have started in time.

Change: the account with the largest recent load keeps the upper bound, so that its requests are refused early. For the others, half of the harmonic mean of the two sums is taken (expected_wait_s). Choosing the account with the most queued work for the bound changed little, since that is often an account that has just sent three statements.

--- a/src/godwitwheel/sessions/queueing/shedding.py
+++ b/src/godwitwheel/sessions/queueing/shedding.py
@@ -10,12 +10,17 @@
   rate, up to a fair share, and only until its virtual time has caught up.
 
 In fair order the requests that an account has beyond its share come last, so they are
-the first that are late: those of the account with the most queued work.
+the first that are late: those of the account with the most queued work. For the
+account with the largest recent load, the estimate of what overtakes is an upper bound,
+so that its requests are refused early. For the others it is an expected value, because
+with the bound, requests are refused that would have started in time.
 """
 
 import heapq
+import math
 from collections.abc import Callable
 
+from ...directory.records import NO_ACCOUNT
 from .fair_level import FairLevel
 from .loads import AccountLoads, DecayingLoad, fair_concurrency
 from .turn_records import QueuedTurn
@@ -23,6 +28,9 @@
 # Smallest share of a target's capacity that is assumed to be left by the statements
 # that go first.
 MIN_CAPACITY_SHARE = 0.02
+# Loads, and durations in seconds, that are taken for 0 where their products could be
+# rounded to 0.
+NEGLIGIBLE = 1e-9
 
 
 class RecentLoads:
@@ -97,6 +105,34 @@
         return max(self.count * time_s - self.times_sum_s, 0.0)
 
 
+def expected_wait_s(
+    capacity: float, ahead_s: float, load: float, overtaking_s: float
+) -> float:
+    """Returns the expected wait for work ahead, with what overtakes meanwhile.
+
+    In a wait of W, the accounts that overtake put at most ``load * W`` first, and at
+    most ``overtaking_s``. As some of them reach the one bound and some the other, half
+    of the harmonic mean of both is taken.
+
+    :param capacity: turns that run concurrently.
+    :param ahead_s: work that is queued ahead, in seconds.
+    :param load: load of the accounts that overtake.
+    :param overtaking_s: work after which these have caught up, in seconds.
+    :returns: seconds; the W that solves
+        ``capacity * W = ahead_s + 1 / (1 / (load * W) + 1 / overtaking_s)``.
+    """
+    if min(ahead_s, load, overtaking_s) <= NEGLIGIBLE:
+        return ahead_s / capacity
+    square = capacity * load
+    linear = capacity * overtaking_s - load * (ahead_s + overtaking_s)
+    product = ahead_s * overtaking_s
+    root = math.sqrt(linear * linear + 4.0 * square * product)
+    # Of two equal forms, the one without a difference of almost equal numbers.
+    if linear > 0.0:
+        return 2.0 * product / (linear + root)
+    return (root - linear) / (2.0 * square)
+
+
 class LateSearch:
     """One search for late requests, over the priorities in ascending order.
 
@@ -111,6 +147,7 @@
     :ivar urgent_total: load of the more urgent priorities.
     :ivar urgent: the same by account.
     :ivar overtaking: the accounts that overtake at the current priority.
+    :ivar busiest: account with the largest recent load at the current priority.
     :ivar ranks: rank by kind, for the kinds looked up so far.
     :ivar own_loads: by account and rank, the load of the account's own statements that
         go first.
@@ -127,6 +164,7 @@
         "urgent_total",
         "urgent",
         "overtaking",
+        "busiest",
         "ranks",
         "own_loads",
     )
@@ -148,6 +186,7 @@
         self.urgent_total = 0.0
         self.urgent: dict[str, float] = {}
         self.overtaking: Overtaking | None = None
+        self.busiest = NO_ACCOUNT
         self.ranks: dict[str, tuple[int, int]] = {}
         self.own_loads: dict[tuple[str, tuple[int, int]], float] = {}
 
@@ -165,6 +204,7 @@
                 least = MIN_CAPACITY_SHARE * self.limit
                 capacity = max(self.limit - self.urgent_total, least)
                 self.overtaking = Overtaking(level, loads, capacity)
+                self.busiest = max(loads, key=loads.get, default=NO_ACCOUNT)
                 level.walk(self._keeps, self.overtaking.add)
             if priority >= last:
                 break
@@ -197,10 +237,12 @@
         turn.available_share = share = self._share_left_by(own + urgent + load)
         wait_s = self.ahead_s / (self.limit * share)
         if load:
-            # Accounts that have caught up overtake no more.
-            share = self._share_left_by(own + urgent)
-            work_s = self.ahead_s + overtaking.work_s(time_s)
-            wait_s = min(wait_s, work_s / (self.limit * share))
+            capacity = self.limit * self._share_left_by(own + urgent)
+            overtaking_s = overtaking.work_s(time_s)
+            if account == self.busiest:
+                wait_s = min(wait_s, (self.ahead_s + overtaking_s) / capacity)
+            else:
+                wait_s = expected_wait_s(capacity, self.ahead_s, load, overtaking_s)
         if load or urgent:
             alone_s = self.ahead_s / (self.limit * self._share_left_by(own))
             turn.slowdown = wait_s / alone_s if alone_s else 1.0
--- a/tests/cover/test_fair_turns.py
+++ b/tests/cover/test_fair_turns.py
@@ -16,6 +16,7 @@
     DecayingLoad,
     fair_concurrency,
 )
+from godwitwheel.sessions.queueing.shedding import expected_wait_s
 from godwitwheel.sessions.queueing.turn_records import QueuedTurn
 from godwitwheel.sessions.queueing.turns import (
     DEFAULT_TURN_S,
@@ -341,6 +342,21 @@
     assert used == pytest.approx(capacity)
 
 
+@given(
+    st.floats(0.06, 10.0), st.floats(0.0, 2.0), st.floats(0.0, 5.0), st.floats(0.0, 5.0)
+)
+@settings(max_examples=1000)
+def test_the_expected_wait_is_below_both_bounds(capacity, ahead_s, load, overtaking_s):
+    """Guards against refusals for work that can't overtake, and against rounding."""
+    wait_s = expected_wait_s(capacity, ahead_s, load, overtaking_s)
+    most_s = min(load * wait_s, overtaking_s)
+    assert wait_s >= ahead_s / capacity * (1 - 1e-6)
+    assert capacity * wait_s <= (ahead_s + most_s) * (1 + 1e-6) + 1e-9
+    if ahead_s > 1e-3 and load > 1e-3 and overtaking_s > 1e-3:
+        mean_s = 1 / (1 / (load * wait_s) + 1 / overtaking_s)
+        assert capacity * wait_s == pytest.approx(ahead_s + mean_s, rel=1e-4)
+
+
 def count_calls(accounts, requests):
     """Returns how many functions one search for late requests calls."""
     queue = TurnQueue(SLOTS)
@@ -398,8 +414,8 @@
 def test_a_hot_account_costs_the_others_little(beside_hot_account):
     """Guards 20 accounts below their shares against one at 7 times its share."""
     others = others_of(beside_hot_account)
-    assert share_in_time(others) >= 0.975
-    assert min(tally.share_in_time() for tally in others) >= 0.93
+    assert share_in_time(others) >= 0.99
+    assert min(tally.share_in_time() for tally in others) >= 0.96
 
 
 def test_a_hot_account_gets_what_the_others_leave(beside_hot_account):
@@ -411,10 +427,24 @@
     """Guards its callers against waiting for the refusal until the deadline."""
     hot = beside_hot_account["hot", "view"]
     assert hot.late <= 0.03 * len(hot.refused)
-    assert hot.refused_after_s(0.5) <= 0.08
+    assert hot.refused_after_s(0.5) <= 0.05
     assert max(hot.retry_s) <= 1.0
 
 
+def test_few_requests_within_the_shares_are_refused():
+    """Guards accounts near their shares against an estimate that is too high.
+
+    With the upper bound of what overtakes for all accounts, 0.977 of their statements
+    were served in time.
+    """
+    others = []
+    for seed in range(1, 5):
+        loads = [Load(f"account-{number}", 0.9 * FAIR_RATE) for number in range(20)]
+        tallies = Simulation(seed=seed).run([*loads, Load("hot", 7 * FAIR_RATE)])
+        others += others_of(tallies)
+    assert share_in_time(others) >= 0.982
+
+
 def test_without_fair_order_a_hot_account_takes_the_service_of_the_others():
     """Shows that the simulated load is one that needs the fair order."""
     simulation = Simulation(OneAccountQueue, seed=1)
