--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -3,6 +3,7 @@
 from ..decisions.leases import HolderName, LeaseTable
 from ..sessions.reporting.authority import LEASE_S
 from .failover import MAX_REPORT_AGE_S, ReceivedReport
+from .ownership import OWNER_MIN_PROXIES
 from .records import ProxyReport, TargetEntry
 
 # A proxy that has not reported for this long no longer counts when connections are
@@ -12,6 +13,9 @@
 CLOCK_DRIFT = 0.01
 # An owner that has not reported for this long loses its services.
 OWNER_TIMEOUT_S = 0.8
+# All proxies of a fleet that starts have reported once there was no new one for this
+# long, in seconds.
+FLEET_SETTLE_S = 0.8
 
 
 class LastAnnouncement:
@@ -50,6 +54,7 @@
     :ivar leader_since: when this member became leader, in seconds of the clock.
     :ivar term: consensus term, unique to this leader.
     :ivar reports: last report of each proxy.
+    :ivar fleet_changed_at: when a new proxy reported last, in seconds of the clock.
     :ivar last_announcements: by target id.
     :ivar orders: last promotion order for each service.
     :ivar in_progress: services for which a change is being carried out.
@@ -62,6 +67,7 @@
         "leader_since",
         "term",
         "reports",
+        "fleet_changed_at",
         "last_announcements",
         "orders",
         "in_progress",
@@ -73,6 +79,7 @@
         self.leader_since = since
         self.term = term
         self.reports: dict[str, ReceivedReport] = {}
+        self.fleet_changed_at = since
         self.last_announcements: dict[str, LastAnnouncement] = {}
         self.orders: dict[str, PromotionOrder] = {}
         self.in_progress: set[str] = set()
@@ -89,6 +96,8 @@
             self.reports.pop(report.proxy_id, None)
             return False
         self.reports[report.proxy_id] = ReceivedReport(report, now)
+        if is_new:
+            self.fleet_changed_at = now
         return is_new
 
     def grant_lease(
@@ -122,6 +131,11 @@
             1 for received in self.reports.values() if not received.report.owner_address
         )
 
+    def is_small_fleet(self, now: float) -> bool:
+        """Whether too few proxies serve callers for their services to need owners."""
+        is_complete = now - self.fleet_changed_at >= FLEET_SETTLE_S
+        return is_complete and self.count_caller_facing_proxies() < OWNER_MIN_PROXIES
+
     def live_owners(self, now: float) -> dict[str, str]:
         """Returns the addresses of the owners with a recent report, by id."""
         return {
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -89,7 +89,8 @@
         proxies = max(leadership.count_caller_facing_proxies(), 1)
         change = None
         if report.view_version < view.version:
-            change = self.view_changes.change_for(report, view, proxies, now)
+            is_small = leadership.is_small_fleet(now)
+            change = self.view_changes.change_for(report, view, is_small, now)
         holds_view = change is not None or report.view_version >= view.version
         grants_lease = self.grants_leases and report.wants_lease and holds_view
         if grants_lease:
--- a/src/godwitwheel/directory/view_changes.py
+++ b/src/godwitwheel/directory/view_changes.py
@@ -8,7 +8,6 @@
 
 from ..wire.codec import encode
 from .assembly import AssemblyBudget
-from .ownership import OWNER_MIN_PROXIES
 from .records import (
     DirectoryView,
     OwnedServices,
@@ -159,17 +158,20 @@
         self.sizes: dict[int, int] = {}
 
     def change_for(
-        self, report: ProxyReport, view: DirectoryView, proxies: int, now: float
+        self,
+        report: ProxyReport,
+        view: DirectoryView,
+        is_small_fleet: bool,
+        now: float,
     ) -> ViewChange | None:
         """Returns the change from a process's view to the active one.
 
-        :param proxies: number of known proxies that serve callers.
+        :param is_small_fleet: whether proxies connect to targets themselves.
         :returns: ``None`` if a complete view can't be put together now.
         """
         change = self._find(report.view_version, view, report.wants_targets, now)
         if change is None or change.base_version or not report.wants_targets:
             return change
-        is_small_fleet = proxies < OWNER_MIN_PROXIES
         if report.owner_address or is_small_fleet or not self._is_large(change):
             return change
         # Control will name owners; until then there is no use in so many targets.
--- a/tests/cover/test_view_changes.py
+++ b/tests/cover/test_view_changes.py
@@ -14,6 +14,8 @@
     SetOwners,
     SetPrimary,
 )
+from godwitwheel.directory.leadership import DirectoryLeadership
+from godwitwheel.directory.ownership import OWNER_MIN_PROXIES
 from godwitwheel.directory.records import (
     DirectoryView,
     OwnerEntry,
@@ -474,10 +476,35 @@
     changes = ViewChanges(RecentViews(), AssemblyBudget())
     report = ProxyReport("p1", "dc-1", 0)
     assert len(encode(view_change(None, view, True))) > MAX_PROXY_VIEW_BYTES
-    assert not changes.change_for(report, view, 300, 1.0).has_targets
-    assert changes.change_for(report, view, 8, 1.0).has_targets
+    assert not changes.change_for(report, view, False, 1.0).has_targets
+    assert changes.change_for(report, view, True, 1.0).has_targets
     owner = ProxyReport("o1", "dc-1", 0, owner_address="10.0.0.9:1")
-    assert changes.change_for(owner, view, 300, 1.0).targets == view.targets
+    assert changes.change_for(owner, view, False, 1.0).targets == view.targets
+
+
+def test_a_fleet_is_small_only_once_all_proxies_have_reported():
+    """The first of 300 proxies that start would each get a view of 66 KB."""
+    leadership = DirectoryLeadership(0.0, 1)
+    assert not leadership.is_small_fleet(0.1)
+    for number in range(OWNER_MIN_PROXIES):
+        assert leadership.is_small_fleet(10.0 * number + 9.9)
+        report = ProxyReport(f"p{number}", "dc-1", 0)
+        leadership.receive_report(report, 10.0 * number + 10.0)
+        assert not leadership.is_small_fleet(10.0 * number + 10.1)
+    assert not leadership.is_small_fleet(1000.0)
+
+
+def test_a_small_fleet_with_many_targets_receives_them(clock):
+    member = FakeMember(clock)
+    member.publish(large_table(1, routes=4, services=2))
+    for number in range(100):
+        put_target(member, f"t{number}", 1)
+    process = start(member, clock)
+    process.settle()
+    assert process.board.lacks_targets()
+    clock.advance(1.0)
+    process.report()
+    assert process.board.view == member.state.directory.view
 
 
 def test_pauses_after_failed_reports_grow(member, clock):
