Divide accounts' rate limits among the runners

Cause: rate_per_s and burst of an account were in the configuration and limited nothing.

The leader divides the operations that an account may run in a window of 5 s. A runner keeps what it has used, the rest is divided by demand.

--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -1,9 +1,11 @@
 """Soft state about proxies and targets that a leader keeps only while it leads."""
 
+from ..accounts.rate_shares import RateShares
 from ..decisions.leases import HolderName, LeaseTable
 from ..sessions.reporting.authority import LEASE_S
 from .failover import MAX_REPORT_AGE_S, ReceivedReport
-from .records import ProxyReport, TargetEntry
+from .ownership import needs_owner
+from .records import DirectoryView, ProxyReport, TargetEntry
 
 # A proxy that has not reported for this long no longer counts when connections are
 # divided; until then it may still have its share open.
@@ -56,6 +58,7 @@
     :ivar orders_issued: number of fencing tokens issued.
     :ivar leases: leases under which proxies rely on primaries; unused on a platform
         that stops a former primary itself.
+    :ivar rate_shares: division of the accounts' rate limits among the runners.
     """
 
     __slots__ = (
@@ -67,6 +70,7 @@
         "in_progress",
         "orders_issued",
         "leases",
+        "rate_shares",
     )
 
     def __init__(self, since: float, term: int):
@@ -78,6 +82,7 @@
         self.in_progress: set[str] = set()
         self.orders_issued = 0
         self.leases = LeaseTable(since, LEASE_S, CLOCK_DRIFT)
+        self.rate_shares = RateShares(since, term, CLOCK_DRIFT)
 
     def receive_report(self, report: ProxyReport, now: float) -> bool:
         """Records a proxy's report.
@@ -114,6 +119,7 @@
         for proxy_id in expired:
             del self.reports[proxy_id]
         self.leases.drop_expired(now)
+        self.rate_shares.drop_expired(now)
         return expired
 
     def count_caller_facing_proxies(self) -> int:
@@ -122,6 +128,25 @@
             1 for received in self.reports.values() if not received.report.owner_address
         )
 
+    def runners_in_use(self, view: DirectoryView) -> set[str]:
+        """Returns the ids of the processes that connect to targets.
+
+        These are the owners in a view, and every proxy that serves callers if a service
+        has no owner and isn't about to get one.
+        """
+        runners = {owner.proxy_id for owner in view.owners.values()}
+        proxies = self.count_caller_facing_proxies()
+        if any(
+            name not in view.owners and not needs_owner(policy, proxies)
+            for name, policy in view.table.services.items()
+        ):
+            runners.update(
+                proxy_id
+                for proxy_id, received in self.reports.items()
+                if not received.report.owner_address
+            )
+        return runners
+
     def live_owners(self, now: float) -> dict[str, str]:
         """Returns the addresses of the owners with a recent report, by id."""
         return {
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -20,7 +20,13 @@
 )
 from .errors import InvalidTable
 from .leadership import DirectoryLeadership, holder_name
-from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
+from .records import (
+    ProxyReply,
+    ProxyReport,
+    RateReply,
+    RoutingTable,
+    TargetEntry,
+)
 from .table_changes import RecentTables
 
 COMMIT_TIMEOUT_S = 2.0
@@ -83,6 +89,7 @@
             # Another leadership may have begun here during the confirmation.
             leadership = self.current_leadership()
             leadership.grant_lease(report, view.version, received_at)
+        rates = self._answer_rates(report, received_at)
         proxies = max(leadership.count_caller_facing_proxies(), 1)
         members = self.log.member_addresses()
         owners = len(leadership.live_owners(self.clock.now()))
@@ -94,6 +101,7 @@
                 table_version=view.table.version,
                 grants_lease=grants_lease,
                 owners=owners,
+                rates=rates,
             )
         return ProxyReply(
             view.version,
@@ -104,6 +112,29 @@
             self.recent_tables.change_for(report.table_version, view.table),
             grants_lease,
             owners,
+            rates,
+        )
+
+    def _answer_rates(
+        self, report: ProxyReport, received_at: float
+    ) -> RateReply | msgspec.UnsetType:
+        """Returns the part of a reply that concerns rate limits, after confirmation.
+
+        :param received_at: when the report arrived, in seconds of the clock.
+        :raises NotLeading: if this member no longer leads.
+        """
+        if report.rates is msgspec.UNSET:
+            return msgspec.UNSET
+        # Another leadership may have begun here during the confirmation.
+        leadership = self.current_leadership()
+        view = self.state.directory.view
+        return leadership.rate_shares.answer(
+            report.proxy_id,
+            report.rates,
+            view.table.accounts,
+            leadership.runners_in_use(view),
+            received_at,
+            self.clock.now(),
         )
 
     def publish_table(self, document: bytes) -> TableResult:
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..wire.numbers import Count
+from ..wire.numbers import Count, Rate
 
 # Account of statements and connections that belong to no client account.
 NO_ACCOUNT = ""
@@ -168,6 +168,61 @@
     removed: list[str] = []
 
 
+class AccountDemand(msgspec.Struct, frozen=True):
+    """The operations of an account on a runner.
+
+    :ivar rate_per_s: operations requested per second, a moving average over about 1 s.
+    :ivar used: operations admitted in the last window.
+    """
+
+    account: str
+    rate_per_s: Rate
+    used: Count = 0
+
+
+class RateShare(msgspec.Struct, frozen=True):
+    """A runner's share of an account's limit.
+
+    :ivar operations: operations that it may run in any window.
+    """
+
+    account: str
+    operations: Rate
+
+
+class RateReport(msgspec.Struct, frozen=True):
+    """What a runner, which connects to targets, reports about rate limits.
+
+    :ivar run_id: differs after a restart of the process.
+    :ivar sequence: increases with each report of a run.
+    :ivar leader_term: term of the leader that granted its shares, 0 for none.
+    :ivar share_version: version of the shares that it holds, 0 for none.
+    :ivar held_shares: the shares that it holds, for a leader that does not know them;
+        ``None`` if it does.
+    """
+
+    run_id: str
+    sequence: Count
+    leader_term: Count = 0
+    share_version: Count = 0
+    demands: list[AccountDemand] = []
+    held_shares: list[RateShare] | None = None
+
+
+class RateReply(msgspec.Struct, frozen=True):
+    """The leader's reply to a :class:`RateReport`.
+
+    :ivar leader_term: the leader's term.
+    :ivar share_version: version of the shares whose lease the reply begins or renews;
+        0 if it does neither.
+    :ivar shares: all shares of the runner; ``None`` if it keeps those that it holds.
+    """
+
+    leader_term: Count
+    share_version: Count = 0
+    shares: list[RateShare] | None = None
+
+
 class ProxyReport(msgspec.Struct, frozen=True):
     """A proxy's periodic report to the leader.
 
@@ -179,6 +234,8 @@
         other proxies; empty for a proxy that serves callers.
     :ivar wants_lease: whether it uses targets itself and needs a lease for that.
     :ivar drained_version: the proxy relies on no primary of a view below this version.
+    :ivar rates: set by runners where accounts have limits; otherwise left out of the
+        message.
     """
 
     proxy_id: str
@@ -191,6 +248,7 @@
     table_version: Count = 0
     wants_lease: bool = False
     drained_version: Count = 0
+    rates: RateReport | msgspec.UnsetType = msgspec.UNSET
 
 
 class ProxyReply(msgspec.Struct, frozen=True):
@@ -204,6 +262,7 @@
     :ivar members: addresses of all control members.
     :ivar owners: number of processes that may own connections to targets.
     :ivar grants_lease: whether the proxy gets a lease, which belongs to this view.
+    :ivar rates: set if the report's are; otherwise left out of the message.
     """
 
     view_version: Count
@@ -214,6 +273,7 @@
     table_change: TableChange | None = None
     grants_lease: bool = False
     owners: int = 0
+    rates: RateReply | msgspec.UnsetType = msgspec.UNSET
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -1,9 +1,11 @@
 """The shared mutable state of a process for interactive sessions."""
 
 import math
+import secrets
 
 from ..accounts.authority import KeyAuthority, UnleasedKeys
 from ..accounts.keys import KeyRing
+from ..accounts.limiter import AccountLimiter
 from ..directory.ownership import needs_owner, usable_connections
 from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
@@ -26,6 +28,9 @@
 # Typical time from a promotion order until the target is the primary, in seconds.
 EXPECTED_PROMOTION_S = 0.6
 
+# Random bytes of the id that tells a run of the process from earlier ones.
+RUN_ID_BYTES = 4
+
 
 class TargetStatus:
     """What this process has observed of a target.
@@ -109,6 +114,7 @@
         connections for proxies that do.
     :ivar authority: decides until when this process may rely on a primary.
     :ivar key_authority: decides until when this process may rely on its keys.
+    :ivar account_limiter: limits the operations of client accounts on this process.
     :ivar limiters: concurrency limiters by target id.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
@@ -126,6 +132,7 @@
         "authority",
         "key_authority",
         "held_key_ring",
+        "account_limiter",
         "limiters",
         "clock",
         "connector",
@@ -155,6 +162,7 @@
         self.authority: PrimaryAuthority = PlatformFencing()
         self.key_authority: KeyAuthority = UnleasedKeys()
         self.held_key_ring: KeyRing | None = None
+        self.account_limiter = AccountLimiter(secrets.token_hex(RUN_ID_BYTES))
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.clock = clock
         self.connector = connector
--- a/src/godwitwheel/sessions/metrics.py
+++ b/src/godwitwheel/sessions/metrics.py
@@ -1,14 +1,59 @@
 """Metrics of a proxy's interactive sessions."""
 
+from aioprometheus import Counter
+
 from ..observe.metrics import ProcessMetrics
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]
 
+# Accounts whose refusals are counted separately; the others are counted together.
+NAMED_ACCOUNTS = 10
+# Label of the others; no account has an empty name.
+OTHER_ACCOUNTS = ""
+
+
+class LimitRefusals:
+    """Counts refusals by rate limits, with a bounded number of labels.
+
+    The accounts with the most refusals have labels of their own. When another account
+    takes the place of one, the count of that one goes to the others.
+
+    :ivar counts: refusals by account.
+    """
+
+    __slots__ = ("counter", "counts")
+
+    def __init__(self, counter: Counter):
+        self.counter = counter
+        self.counts: dict[str, int] = {}
+
+    def record(self, account: str) -> None:
+        """Counts a refusal."""
+        self.counts[account] = self.counts.get(account, 0) + 1
+
+    def update(self) -> None:
+        """Sets the counter's values."""
+        ranked = sorted(self.counts, key=lambda name: (-self.counts[name], name))
+        named = ranked[:NAMED_ACCOUNTS]
+        self.counter.values.clear()
+        for name in named:
+            self.counter.set({"account": name}, self.counts[name])
+        rest = sum(self.counts[name] for name in ranked[NAMED_ACCOUNTS:])
+        if rest:
+            self.counter.set({"account": OTHER_ACCOUNTS}, rest)
+
 
 class SessionMetrics(ProcessMetrics):
     """Counts statements by outcome and measures their latency."""
 
-    __slots__ = ("statements", "latency", "sessions", "attempts", "lost_connections")
+    __slots__ = (
+        "statements",
+        "latency",
+        "sessions",
+        "attempts",
+        "lost_connections",
+        "limit_refusals",
+    )
 
     def __init__(self, process_id: str):
         super().__init__(process_id, "sessions")
@@ -27,3 +72,14 @@
         self.lost_connections = self.counter(
             "session_connections_lost_total", "Connections to targets that broke."
         )
+        self.limit_refusals = LimitRefusals(
+            self.counter(
+                "account_limit_refusals_total",
+                "Operations refused by rate limits, by account.",
+            )
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        self.limit_refusals.update()
+        return super().render()
--- a/src/godwitwheel/sessions/owning/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -19,8 +19,8 @@
     RUN_PATH,
     Ended,
     EndRequest,
-    RunReply,
     RunRequest,
+    StatementReply,
     reply_with,
     restore_session,
     route_of,
@@ -78,7 +78,7 @@
 
         return {("POST", RUN_PATH): run, ("POST", END_PATH): end}
 
-    def run(self, request: RunRequest) -> RunReply:
+    def run(self, request: RunRequest) -> StatementReply:
         """Runs one statement."""
         if not request.in_transaction:
             return self._run_single(request)
@@ -126,7 +126,7 @@
             )
             self.end(handle)
 
-    def _run_single(self, request: RunRequest) -> RunReply:
+    def _run_single(self, request: RunRequest) -> StatementReply:
         state = SessionState(request.proxy_id, request.route.database)
         restore_session(state, request)
         route = route_of(request.route)
@@ -144,7 +144,7 @@
 
     def _run_in_transaction(
         self, owned: OwnedTransaction, request: RunRequest
-    ) -> RunReply:
+    ) -> StatementReply:
         restore_session(owned.state, request)
         handle = request.handle or f"{self.prefix}-{next(self.numbers)}"
         self.open[handle] = owned
--- a/src/godwitwheel/sessions/owning/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ...directory.records import Consistency, Route
+from ...wire.numbers import Count
 from ...wire.service import Access
 from ..connections.carrying import PreparedStatement
 from ..context import SessionState
@@ -80,8 +81,8 @@
     handle: str = ""
 
 
-class RunReply(msgspec.Struct, frozen=True, array_like=True):
-    """The answer to a statement.
+class StatementReply(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to a statement that no rate limit has refused.
 
     :ivar rows: the rows' bytes as characters of Latin-1; JSON has no bytes, and Base64
         would lengthen them by a third.
@@ -99,6 +100,16 @@
     own_position: PositionPart | None = None
 
 
+class RunReply(StatementReply, frozen=True, array_like=True):
+    """The answer to a statement.
+
+    :ivar account_retry_ms: time until the account's rate limit admits an operation at
+        this owner, if the limit refused this one; else 0. In milliseconds.
+    """
+
+    account_retry_ms: Count = 0
+
+
 class EndRequest(msgspec.Struct, frozen=True):
     """Request to roll back a transaction."""
 
@@ -167,13 +178,16 @@
     )
 
 
-def reply_with(answer: Answer, handle: str, own: Position | None) -> RunReply:
+def reply_with(answer: Answer, handle: str, own: Position | None) -> StatementReply:
     """Converts an answer to its wire form.
 
+    Arrays hold every field, so only the refusals by a rate limit are sent as
+    :class:`RunReply`.
+
     :param handle: handle of the open transaction, or empty.
     :param own: log position of the session's last commit.
     """
-    return RunReply(
+    reply = StatementReply(
         [row.decode("latin-1") for row in answer.rows],
         answer.signature,
         answer.error,
@@ -183,11 +197,14 @@
         handle,
         position_part(own),
     )
+    if not answer.account_retry_ms:
+        return reply
+    return RunReply(*msgspec.structs.astuple(reply), answer.account_retry_ms)
 
 
 def answer_of(reply: RunReply) -> Answer:
     """Converts an answer from its wire form."""
-    return Answer(
+    answer = Answer(
         [row.encode("latin-1") for row in reply.rows],
         reply.signature,
         reply.error,
@@ -195,3 +212,5 @@
         reply.state,
         position_of(reply.position),
     )
+    answer.account_retry_ms = reply.account_retry_ms
+    return answer
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -18,6 +18,7 @@
     StatementKind,
     error_answer,
 )
+from .owner_limits import OwnerLimits
 from .owner_messages import (
     END_PATH,
     RUN_PATH,
@@ -56,15 +57,17 @@
     """Calls owners of services and tracks whether they answer.
 
     :ivar breakers: fail calls to unresponsive owners at once.
+    :ivar limits: refuses operations that an owner would refuse for a rate limit.
     """
 
-    __slots__ = ("context", "client", "proxy_id", "breakers")
+    __slots__ = ("context", "client", "proxy_id", "breakers", "limits")
 
     def __init__(self, context: SessionContext, client: Client, proxy_id: str):
         self.context = context
         self.client = client
         self.proxy_id = proxy_id
         self.breakers = OwnerBreakers()
+        self.limits = OwnerLimits(context)
 
     def owner_of(self, service: str) -> OwnerEntry | None:
         """Returns the owner of a service's connections."""
@@ -175,6 +178,9 @@
         context = self.calls.context
         deadlines = Deadlines(route, context.now())
         is_write = state.access_of(statement) is Access.write
+        refusal = self.calls.limits.refusal(state, route, statement)
+        if refusal is not None:
+            return refusal
         request = self.calls.request(state, route, statement)
         while True:
             now = context.now()
@@ -189,6 +195,7 @@
                     return _refused(error)
                 continue
             state.record_commit(route.service, position_of(reply.own_position))
+            self.calls.limits.record(state, route, reply.account_retry_ms)
             return answer_of(reply)
 
     def begin(
@@ -272,6 +279,9 @@
         context = self.calls.context
         deadlines = Deadlines(self.route, context.now())
         if self.owner is None:
+            refusal = self.calls.limits.refusal(self.state, self.route, statement)
+            if refusal is not None:
+                return refusal
             self.owner = self.calls.owner_of(self.route.service)
         request = self.calls.request(
             self.state,
@@ -286,4 +296,5 @@
         is_commit = statement.kind is StatementKind.commit
         self.handle = "" if is_commit else reply.handle
         self.state.record_commit(self.route.service, position_of(reply.own_position))
+        self.calls.limits.record(self.state, self.route, reply.account_retry_ms)
         return answer_of(reply)
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -20,6 +20,7 @@
 from ...wire.errors import BadMessage, WireError
 from ...wire.status import MISDIRECTED
 from ..board import SessionBoard
+from .rates import apply_rate_reply, build_rate_report
 
 REPORT_PATH = "/v1/directory/report"
 REPORT_INTERVAL_S = 0.2
@@ -140,7 +141,8 @@
             was_answered = self.report()
             if was_answered:
                 # A change of the view or of a known primary is reported at once.
-                self.board.changed.wait(self._interval_s())
+                if not self.board.account_limiter.is_report_due:
+                    self.board.changed.wait(self._interval_s())
                 sleep(REPORT_SPACING_S)
             else:
                 sleep(RETRY_INTERVAL_S)
@@ -163,11 +165,14 @@
         if not address:
             return False
         try:
+            report = self.build()
             status, body = self.client.exchange(
-                address, "POST", REPORT_PATH, encode(self.build()), REPORT_TIMEOUT_S
+                address, "POST", REPORT_PATH, encode(report), REPORT_TIMEOUT_S
             )
             if status == 200:
-                self._apply_reply(address, decode(body, ProxyReply), now)
+                reply = decode(body, ProxyReply)
+                self._apply_reply(address, reply, now)
+                apply_rate_reply(self.board, report, reply, now)
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
@@ -212,6 +217,7 @@
             board.view.table.version,
             board.authority.needs_lease and board.uses_any_targets(),
             board.authority.drained_version(now),
+            rates=build_rate_report(board, now),
         )
 
     def _has_searched(self, service: str, now: float) -> bool:
--- a/src/godwitwheel/sessions/running/opening.py
+++ b/src/godwitwheel/sessions/running/opening.py
@@ -127,6 +127,7 @@
             return None
         self.attempts.target_id = target.target_id
         self.attempts.count += 1
+        self.attempts.has_reached_target = True
         sent_at = self.context.now()
         answer = self._send_begin(pooled, target, floor, deadlines)
         if answer is None or answer.error is not None:
--- a/src/godwitwheel/sessions/running/outcomes.py
+++ b/src/godwitwheel/sessions/running/outcomes.py
@@ -13,14 +13,16 @@
     :ivar target_id: target of the last attempt, or empty.
     :ivar count: attempts made so far.
     :ivar reason: why the last attempt failed.
+    :ivar has_reached_target: whether anything may have been sent to a target.
     """
 
-    __slots__ = ("target_id", "count", "reason")
+    __slots__ = ("target_id", "count", "reason", "has_reached_target")
 
     def __init__(self):
         self.target_id = ""
         self.count = 0
         self.reason = ""
+        self.has_reached_target = False
 
 
 def record_outcome(
--- a/src/godwitwheel/sessions/running/single.py
+++ b/src/godwitwheel/sessions/running/single.py
@@ -10,6 +10,7 @@
 from ..queueing.choosing import choose_reader
 from ..queueing.waiting import refusal_text
 from ..statements import Answer, ErrorCode, Position, Statement, error_answer
+from .admission import admit
 from .attempts import (
     commands_to_run,
     exchange,
@@ -24,13 +25,19 @@
     context: SessionContext, state: SessionState, route: Route, statement: Statement
 ) -> Answer:
     """Runs a read or a write on its own and returns its answer."""
+    admission = admit(context, state, statement)
+    if isinstance(admission, Answer):
+        return admission
     if state.access_of(statement) is Access.write:
         run: SingleRun = WriteRun(context, state, route, statement)
     elif route.consistency is Consistency.primary:
         run = PrimaryReadRun(context, state, route, statement)
     else:
         run = ReadRun(context, state, route, statement)
-    return run.run()
+    try:
+        return run.run()
+    finally:
+        admission.end(run.attempts.has_reached_target)
 
 
 class WriteRun(SingleRun):
--- a/src/godwitwheel/sessions/running/single_run.py
+++ b/src/godwitwheel/sessions/running/single_run.py
@@ -138,6 +138,8 @@
         with acquired_connection(self.context, target, self.state, request) as pooled:
             if pooled is None:
                 self.attempts.reason = f"no connection to {target.target_id}"
+            else:
+                self.attempts.has_reached_target = True
             yield pooled
 
     def record_refusal(self, target: TargetEntry, answer: Answer) -> None:
--- a/src/godwitwheel/sessions/running/transaction.py
+++ b/src/godwitwheel/sessions/running/transaction.py
@@ -16,6 +16,7 @@
     TransactionState,
     error_answer,
 )
+from .admission import admit
 from .attempts import (
     commands_to_run,
     exchange,
@@ -86,7 +87,7 @@
                 error_answer(ErrorCode.aborted, "the transaction only reads"),
                 deadlines,
             )
-        refusal = self._open(deadlines)
+        refusal = self._open(statement, deadlines)
         if refusal is not None:
             return self._finish(statement, refusal, deadlines)
         answer = self._run(statement, deadlines)
@@ -101,7 +102,7 @@
         if self.has_failed:
             text = "the transaction had failed; nothing is kept"
             return error_answer(ErrorCode.aborted, text)
-        refusal = self._open(deadlines)
+        refusal = self._open(statement, deadlines)
         if refusal is None:
             refusal = self._commit(statement, deadlines)
         return self._finish(statement, refusal, deadlines)
@@ -128,14 +129,22 @@
         finally:
             release_connection(pooled)
 
-    def _open(self, deadlines: Deadlines) -> Answer | None:
+    def _open(self, statement: Statement, deadlines: Deadlines) -> Answer | None:
         """Begins the transaction at a target if it has not begun.
 
         :returns: ``None`` if it is open, else the refusal that answers the statement.
         """
         if self.pooled is not None:
             return None
-        opened = self.opener.open(deadlines)
+        admission = admit(self.context, self.state, statement)
+        if isinstance(admission, Answer):
+            self.attempts.reason = "rate limit"
+            self.has_failed = True
+            return admission
+        try:
+            opened = self.opener.open(deadlines)
+        finally:
+            admission.end(self.attempts.has_reached_target)
         if isinstance(opened, Answer):
             self.has_failed = True
             return opened
--- a/src/godwitwheel/sessions/statements.py
+++ b/src/godwitwheel/sessions/statements.py
@@ -152,9 +152,19 @@
     :ivar error: ``None`` for success.
     :ivar state: transaction state of the session or connection after the answer.
     :ivar position: log position of the target, if it reported one.
+    :ivar account_retry_ms: time until the account's rate limit admits an operation, if
+        the limit refused this one; else 0. In milliseconds.
     """
 
-    __slots__ = ("rows", "signature", "error", "detail", "state", "position")
+    __slots__ = (
+        "rows",
+        "signature",
+        "error",
+        "detail",
+        "state",
+        "position",
+        "account_retry_ms",
+    )
 
     def __init__(
         self,
@@ -171,6 +181,7 @@
         self.detail = detail
         self.state = state
         self.position = position
+        self.account_retry_ms = 0
 
     def was_not_run(self) -> bool:
         """Whether the target reports that it has not run the statement."""
