Test each rule that keeps rate limits from being exceeded

Cause: with a rule switched off, the state machine found only two of seven faults (the shares of a former leader, and of a runner's former run), since its bound leaves room.

Change: directed tests with the exact number of divided operations.

Result: with each of the seven rules switched off in turn, at least one test of test_rate_limits.py failed; with all of them on, 26 passed.

--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -13,8 +13,18 @@
     run_state_machine_as_test,
 )
 
-from godwitwheel.accounts.rate_shares import SHARE_LEASE_S, share_of
-from godwitwheel.directory.records import AccountPolicy
+from godwitwheel.accounts.rate_shares import (
+    SHARE_LEASE_S,
+    RateShares,
+    most_operations,
+    share_of,
+)
+from godwitwheel.directory.records import (
+    AccountDemand,
+    AccountPolicy,
+    RateReport,
+    RateShare,
+)
 from tests.common.rate_simulation import (
     DRIFT,
     STEP_S,
@@ -46,7 +56,7 @@
 
     @initialize(
         seed=st.integers(0, 2**32),
-        limit=st.sampled_from([(2.0, 2.0), (20.0, 10.0), (60.0, 0.0)]),
+        limit=st.sampled_from([(2.0, 2.0), (20.0, 10.0), (60.0, 0.0), (60.0, 300.0)]),
         loss=st.sampled_from([0.0, 0.2]),
         late=st.sampled_from([0.0, 0.3]),
     )
@@ -259,3 +269,87 @@
     demands = [0.0] * (runners - 1) + [1.0]
     for index in range(runners):
         assert share_of(22.0, index, [0] * runners, demands) >= 1.0
+
+
+class Pair:
+    """Two runners of an account whose burst makes its shares large."""
+
+    def __init__(self):
+        policy = AccountPolicy("a", [], 60.0, 300.0)
+        self.allowed = most_operations(policy)
+        self.sim = RateSimulation({"a": policy}, ["o1", "o2"], 1)
+        self.sim.wait(SETTLED_S)
+
+    def flood(self, names, seconds):
+        """Requests far more operations than are admitted."""
+        end = self.sim.now + seconds
+        while self.sim.now < end:
+            self.sim.step()
+            for name in names:
+                while self.sim.request(name, "a"):
+                    count = self.sim.in_window("a")
+                    assert count <= self.allowed
+
+    def isolate(self, name):
+        self.sim.runners[name].is_connected = False
+
+
+def test_what_a_silent_runner_may_use_is_granted_to_no_other():
+    pair = Pair()
+    pair.isolate("o1")
+    pair.flood(["o2"], 2.0)
+    pair.flood(["o1"], 0.5)
+
+
+def test_a_share_is_not_used_after_its_lease():
+    pair = Pair()
+    pair.isolate("o1")
+    pair.sim.wait(SETTLED_S)
+    pair.flood(["o1", "o2"], 3.0)
+
+
+def test_what_ran_at_the_end_of_a_lease_counts_for_a_window():
+    pair = Pair()
+    pair.isolate("o1")
+    pair.sim.wait(SHARE_LEASE_S - 0.4)
+    pair.flood(["o1"], 0.4)
+    pair.flood(["o2"], 3.0)
+
+
+def test_a_restarted_runner_does_not_use_its_share_again():
+    pair = Pair()
+    pair.flood(["o1"], 1.0)
+    pair.sim.restart("o1")
+    pair.flood(["o1", "o2"], 3.0)
+
+
+def test_a_new_leader_counts_what_a_former_one_granted():
+    pair = Pair()
+    pair.isolate("o1")
+    pair.sim.elect()
+    pair.flood(["o2"], 2.0)
+    pair.flood(["o1"], 0.5)
+
+
+POLICIES = {"a": AccountPolicy("a", [], 60.0, 300.0)}
+
+
+def answer(leader, runner_id, sequence, version, used, held=None):
+    demands = [AccountDemand("a", 1.0, used)]
+    report = RateReport("run1", sequence, 1, version, demands, held)
+    return leader.answer(runner_id, report, POLICIES, {"o1", "o2"}, 100.0, 100.0)
+
+
+def test_a_late_report_does_not_hide_operations():
+    leader = RateShares(0.0, 1, DRIFT)
+    first = answer(leader, "o1", 1, 0, 0, [])
+    answer(leader, "o1", 3, first.share_version, 700)
+    answer(leader, "o1", 2, first.share_version, 5)
+    assert leader.runners["o1"].in_use("a", 100.0) == 700
+
+
+def test_operations_beyond_a_lowered_share_count():
+    leader = RateShares(0.0, 1, DRIFT)
+    held = [RateShare("a", 10.0)]
+    answer(leader, "o1", 1, 0, 250, held)
+    assert leader.runners["o1"].in_use("a", 100.0) == 250
