--- a/src/godwitwheel/accounts/limiter.py
+++ b/src/godwitwheel/accounts/limiter.py
@@ -34,6 +34,8 @@
 MIN_REPORTED_DEMAND = 0.02
 # Part of a new share's unused operations after which the next report is due.
 REPORTED_USE = 0.3
+# Part of a former share below which a lowered one is acknowledged at once.
+ACKNOWLEDGED_CHANGE = 0.8
 # Shortest time between two reports for a lack of operations, in seconds.
 EARLY_REPORT_SPACING_S = 0.05
 # Lowest rate for which a waiting time is computed, in operations per second.
@@ -272,6 +274,9 @@
             used = use.window.advance(now)
             unused = max(self.shares.get(name, 0.0) - used, 0.0)
             use.report_above = used + REPORTED_USE * unused
-        if any(self.shares.get(name, 0.0) < share for name, share in before.items()):
+        if any(
+            self.shares.get(name, 0.0) < ACKNOWLEDGED_CHANGE * share
+            for name, share in before.items()
+        ):
             # Another runner may be waiting until this one has acknowledged it.
             self.is_report_due = True
--- a/src/godwitwheel/accounts/rate_shares.py
+++ b/src/godwitwheel/accounts/rate_shares.py
@@ -23,6 +23,8 @@
 WINDOW_SLOT_S = 0.05
 # Window in which a runner counts its operations: its clock may be fast by 1%.
 COUNTED_WINDOW_S = 1.01 * QUOTA_WINDOW_S
+# Time for which an operation counts at most, in seconds.
+HELD_WINDOW_S = COUNTED_WINDOW_S + WINDOW_SLOT_S
 # Operations that are added to each account's burst, over all runners together: a share
 # of a small burst would otherwise be less than one operation.
 SLACK_OPERATIONS = 10.0
@@ -33,7 +35,7 @@
 FLOOR_OPERATIONS = 3.0
 # Change of a share that is sent, as a part of the limit; and the same while another
 # runner lacks a part of its share.
-SENT_CHANGE = 0.02
+SENT_CHANGE = 0.05
 SENT_CHANGE_IN_SHORTAGE = 0.002
 # A share is also sent if a runner has less than this part of the unused operations that
 # it should have.
@@ -44,8 +46,7 @@
 
 def most_operations(policy: AccountPolicy) -> float:
     """Returns how many operations of an account are divided among the runners."""
-    counted_s = COUNTED_WINDOW_S + WINDOW_SLOT_S
-    return policy.rate_per_s * counted_s + policy.burst + SLACK_OPERATIONS
+    return policy.rate_per_s * HELD_WINDOW_S + policy.burst + SLACK_OPERATIONS
 
 
 class Grant:
@@ -118,19 +119,19 @@
 
     def in_use(self, account: str, now: float) -> float:
         """Returns the most operations of an account that ran or may run in a window."""
-        operations = [
-            grant.shares.get(account, 0.0)
-            for grant in self.grants.values()
-            if now < grant.expires_at + _held_window_s()
-        ]
-        if now < self.reported_at + _held_window_s():
-            operations.append(self.used.get(account, 0))
-        return max(operations, default=0.0)
+        most = 0.0
+        counted_from = now - HELD_WINDOW_S
+        if counted_from < self.reported_at:
+            most = self.used.get(account, 0)
+        for grant in self.grants.values():
+            if counted_from < grant.expires_at:
+                most = max(most, grant.shares.get(account, 0.0))
+        return most
 
     def is_gone(self, now: float) -> bool:
         """Whether nothing that it holds or has run counts any longer."""
         ends = [grant.expires_at for grant in self.grants.values()]
-        return now >= max([self.reported_at, *ends]) + _held_window_s()
+        return now >= max([self.reported_at, *ends]) + HELD_WINDOW_S
 
 
 class RateShares:
@@ -158,7 +159,7 @@
     def __init__(self, leader_since: float, term: int, drift: float):
         self.term = term
         self.lease_s = SHARE_LEASE_S * (1.0 + drift)
-        self.unknown_until = leader_since + self.lease_s + _held_window_s()
+        self.unknown_until = leader_since + self.lease_s + HELD_WINDOW_S
         self.former_accounts: set[str] | None = None
         self.runners: dict[str, RunnerState] = {}
         self.replaced: list[RunnerState] = []
@@ -339,13 +340,14 @@
         """
         name = policy.name
         whole = most_operations(policy) - self._unknown(policy, now)
-        others = [*self.runners.values(), *self.replaced]
-        left = whole - sum(
-            each.in_use(name, now) for each in others if each is not runner
-        )
-        divided = whole - sum(
-            each.in_use(name, now) for each in others if each not in sharing
-        )
+        left = divided = whole
+        for each in [*self.runners.values(), *self.replaced]:
+            if each is runner:
+                continue
+            in_use = each.in_use(name, now)
+            left -= in_use
+            if each not in sharing:
+                divided -= in_use
         target = share_of(
             divided,
             sharing.index(runner),
@@ -405,11 +407,6 @@
     }
 
 
-def _held_window_s() -> float:
-    """Returns for how long an operation counts at the leader, in seconds."""
-    return COUNTED_WINDOW_S + WINDOW_SLOT_S
-
-
 def _held_or_used(report: RateReport) -> dict[str, float]:
     """Returns what counts of a runner's earlier shares, by account."""
     counted = {share.account: share.operations for share in report.held_shares or []}
--- a/tests/cover/test_account_admission.py
+++ b/tests/cover/test_account_admission.py
@@ -171,6 +171,16 @@
     assert sum(answer.error is None for answer in answers) == SLACK_OPERATIONS
 
 
+def test_operations_before_a_limit_was_lowered_count_for_the_lowered_one():
+    limiter = AccountLimiter()
+    reply = RateReply(1, 1, [RateShare("limited", 500.0)])
+    limiter.apply_reply(reply, limiter.build_report(100.0), 100.0, 100.0)
+    before = AccountPolicy("limited", ["k1"], 60.0, 290.0)
+    for _ in range(300):
+        assert limiter.take(before, 100.0) is None
+    assert limiter.take(AccountPolicy("limited", ["k1"], 20.0, 0.0), 101.0) is not None
+
+
 def test_only_the_owner_counts_an_operation(deployment):
     session = session_with(deployment.session(), "k1")
     assert session.execute(write("w1")).error is None
