--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -21,7 +21,13 @@
 )
 from .errors import InvalidTable
 from .leadership import DirectoryLeadership, holder_name
-from .records import ProxyReply, ProxyReport, RoutingTable, TargetEntry
+from .records import (
+    ProxyReply,
+    ProxyReport,
+    RateReply,
+    RoutingTable,
+    TargetEntry,
+)
 from .table_chunks import TableChunk, TableChunks
 from .view_changes import ViewChanges
 
@@ -97,6 +103,7 @@
             # Another leadership may have begun here during the confirmation.
             leadership = self.current_leadership()
             leadership.grant_lease(report, view.version, received_at)
+        rates = self._answer_rates(report, received_at)
         return ProxyReply(
             view.version,
             proxies,
@@ -105,6 +112,29 @@
             grants_lease,
             len(leadership.live_owners(now)),
             change,
+            rates,
+        )
+
+    def _answer_rates(
+        self, report: ProxyReport, received_at: float
+    ) -> RateReply | msgspec.UnsetType:
+        """Returns the part of a reply that concerns rate limits, after confirmation.
+
+        :param received_at: when the report arrived, in seconds of the clock.
+        :raises NotLeading: if this member no longer leads.
+        """
+        if report.rates is msgspec.UNSET:
+            return msgspec.UNSET
+        # Another leadership may have begun here during the confirmation.
+        leadership = self.current_leadership()
+        view = self.state.directory.view
+        return leadership.rate_shares.answer(
+            report.proxy_id,
+            report.rates,
+            view.table.accounts,
+            leadership.runners_in_use(view),
+            received_at,
+            self.clock.now(),
         )
 
     def table_chunk(self, base_version: int, version: int, offset: int) -> TableChunk:
--- a/src/godwitwheel/sessions/owning/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -23,8 +23,8 @@
     WITHDRAW_PATH,
     Ended,
     EndRequest,
-    RunReply,
     RunRequest,
+    StatementReply,
     WithdrawRequest,
     reply_with,
     restore_session,
@@ -94,7 +94,7 @@
             ("POST", WITHDRAW_PATH): withdraw,
         }
 
-    def run(self, request: RunRequest) -> RunReply:
+    def run(self, request: RunRequest) -> StatementReply:
         """Runs one statement."""
         if not request.in_transaction:
             return self._run_single(request)
@@ -148,7 +148,7 @@
             )
             self.end(handle)
 
-    def _run_single(self, request: RunRequest) -> RunReply:
+    def _run_single(self, request: RunRequest) -> StatementReply:
         state = SessionState(request.proxy_id, request.route.database)
         restore_session(state, request)
         route = route_of(request.route)
@@ -179,7 +179,7 @@
 
     def _run_in_transaction(
         self, owned: OwnedTransaction, request: RunRequest
-    ) -> RunReply:
+    ) -> StatementReply:
         restore_session(owned.state, request)
         handle = request.handle or f"{self.prefix}-{next(self.numbers)}"
         self.open[handle] = owned
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -19,6 +19,7 @@
 from ..board import SessionBoard
 from .backoff import postponed_pause_s, retry_pause_s
 from .members import REPORT_TIMEOUT_S, ControlMembers
+from .rates import apply_rate_reply, build_rate_report
 from .table_fetch import TableFetcher
 
 REPORT_PATH = "/v1/directory/report"
@@ -100,7 +101,8 @@
             was_answered = self.report()
             if was_answered and not self.is_postponed:
                 # A change of the view or of a known primary is reported at once.
-                self.board.changed.wait(self.interval_s())
+                if not self.board.account_limiter.is_report_due:
+                    self.board.changed.wait(self.interval_s())
                 sleep(REPORT_SPACING_S)
             else:
                 sleep(self.retry_pause_s())
@@ -142,11 +144,14 @@
         if not address:
             return False
         try:
+            report = self.build()
             status, body = self.client.exchange(
-                address, "POST", REPORT_PATH, encode(self.build()), REPORT_TIMEOUT_S
+                address, "POST", REPORT_PATH, encode(report), REPORT_TIMEOUT_S
             )
             if status == 200:
-                self._apply_reply(address, decode(body, ProxyReply), now)
+                reply = decode(body, ProxyReply)
+                self._apply_reply(address, reply, now)
+                apply_rate_reply(self.board, report, reply, now)
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
@@ -194,6 +199,7 @@
             board.authority.needs_lease and board.uses_any_targets(),
             board.authority.drained_version(now),
             wants_targets,
+            rates=build_rate_report(board, now),
         )
 
     def _has_searched(self, service: str, now: float) -> bool:
