Evict connections of accounts that use their last one least

Counting the connections used within 10 s made nearly all accounts equal, so that the least recently used connection was evicted whether its account asks twice a second or once a minute. Decaying counts (10 s) of how often an account took its first, second, third connection tell the two apart; above half of the limit a connection counts as unused.

--- a/src/godwitwheel/decisions/connection_shares.py
+++ b/src/godwitwheel/decisions/connection_shares.py
@@ -6,6 +6,7 @@
 be used again soon.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 
 # Connections that are kept for the reserved account while other accounts use the pool.
@@ -13,9 +14,11 @@
 # Most connections that are being opened at once while others are in use; each occupies
 # one of the target's slots.
 MAX_OPENING = 2
-# An account's fair share counts the connections that it has used within this time, in
-# seconds.
-RECENT_USE_S = 10.0
+# Time constant of the decaying counts of an account's use of its connections, in
+# seconds. A shorter one forgets how accounts that ask every few seconds differ.
+USE_DECAY_S = 10.0
+# How long the use of an account without connections is remembered, in seconds.
+FORGET_AFTER_S = 60.0
 # An account that has half of the limit in use takes no other if fewer than one in this
 # many connections would be left: sessions that are idle in transactions release none
 # when other accounts begin to wait.
@@ -51,26 +54,59 @@
         self.number = number
 
 
+class DecayingCount:
+    """Counts events, each of which weighs less the longer ago it was.
+
+    :ivar count: the count at ``updated_at``.
+    :ivar updated_at: time of the last event, in seconds of the clock.
+    """
+
+    __slots__ = ("count", "updated_at")
+
+    def __init__(self, now: float):
+        self.count = 0.0
+        self.updated_at = now
+
+    def add(self, now: float) -> None:
+        """Counts an event."""
+        self.count = self.at(now) + 1.0
+        self.updated_at = now
+
+    def at(self, now: float) -> float:
+        """Returns the count at a time."""
+        return self.count * math.exp((self.updated_at - now) / USE_DECAY_S)
+
+
 class AccountUse:
     """An account's connections in a pool.
 
     :ivar open_count: connections that are open or being opened.
     :ivar in_use: connections that a statement or transaction holds, or that are being
         opened for one.
+    :ivar counts: how often the account recently took a connection while it had none,
+        one, two etc. in use: the use of its first, second, third connection.
     """
 
-    __slots__ = ("open_count", "in_use")
+    __slots__ = ("open_count", "in_use", "counts")
 
     def __init__(self):
         self.open_count = 0
         self.in_use = 0
+        self.counts: list[DecayingCount] = []
+
+    def take(self, now: float) -> None:
+        """Counts another connection as in use."""
+        if self.in_use == len(self.counts):
+            self.counts.append(DecayingCount(now))
+        self.counts[self.in_use].add(now)
+        self.in_use += 1
 
 
 class ConnectionShares:
     """The connections of a pool by account.
 
     :ivar reserved_account: account that can always have a connection.
-    :ivar uses: accounts that have connections.
+    :ivar uses: accounts that have connections, or had some recently.
     :ivar in_use: connections that are in use or being opened, of all accounts.
     """
 
@@ -81,14 +117,17 @@
         self.uses: dict[str, AccountUse] = {}
         self.in_use = 0
 
-    def record_opening(self, account: str) -> None:
+    def record_opening(self, account: str, now: float) -> None:
         """Records that a connection is being opened for a request."""
-        self.uses.setdefault(account, AccountUse()).open_count += 1
-        self.record_taken(account)
-
-    def record_taken(self, account: str) -> None:
-        """Records that a request took an idle connection."""
-        self.uses[account].in_use += 1
+        if account not in self.uses:
+            self._forget_unused(now)
+            self.uses[account] = AccountUse()
+        self.uses[account].open_count += 1
+        self.record_taken(account, now)
+
+    def record_taken(self, account: str, now: float) -> None:
+        """Records that a request took a connection."""
+        self.uses[account].take(now)
         self.in_use += 1
 
     def record_released(self, account: str) -> None:
@@ -98,10 +137,7 @@
 
     def record_closed(self, account: str) -> None:
         """Records that a connection that was not in use is closed."""
-        use = self.uses[account]
-        use.open_count -= 1
-        if use.open_count == 0:
-            del self.uses[account]
+        self.uses[account].open_count -= 1
 
     def open_count(self, account: str) -> int:
         """Returns how many connections of an account are open or being opened."""
@@ -174,10 +210,9 @@
     ) -> SharedConnection | None:
         """Returns the idle connection to close in favour of an account, if any.
 
-        It is of the account that has the most connections above its fair share, and
-        among equals the least recently used. The fair share of an account is the number
-        of connections that it has used recently, at most half of the limit, so that an
-        account keeps the connections that it uses.
+        The fair share of an account is the number of connections that it uses, at most
+        half of the limit. Of the account that uses the last of its connections least,
+        and among equals of all of them, the least recently used is closed.
 
         :param limit: most connections that the pool may hold.
         """
@@ -188,8 +223,11 @@
         ]
         if not evictable:
             return None
-        excess = self._excess(idle, limit, now)
-        return min(evictable, key=lambda c: (-excess[c.account], c.last_used_at))
+        use = {
+            account: self._use_of_last(account, limit, now)
+            for account in {each.account for each in evictable}
+        }
+        return min(evictable, key=lambda c: (use[c.account], c.last_used_at))
 
     def order(self, requests: Iterable[ConnectionRequest]) -> list[ConnectionRequest]:
         """Returns the first request of each account, the one to serve next first.
@@ -217,17 +255,18 @@
             return False
         return self.open_count(account) <= self._reserved(limit)
 
-    def _excess(
-        self, idle: Sequence[SharedConnection], limit: int, now: float
-    ) -> dict[str, int]:
-        """Returns the connections above the fair share of each account."""
-        recent = {account: use.in_use for account, use in self.uses.items()}
-        for each in idle:
-            if now - each.last_used_at <= RECENT_USE_S:
-                recent[each.account] += 1
-        return {
-            account: use.open_count - min(recent[account], half_of(limit))
+    def _use_of_last(self, account: str, limit: int, now: float) -> float:
+        """Returns how much an account uses the last of its connections."""
+        use = self.uses[account]
+        if use.open_count > half_of(limit):
+            return 0.0
+        return use.counts[use.open_count - 1].at(now)
+
+    def _forget_unused(self, now: float) -> None:
+        self.uses = {
+            account: use
             for account, use in self.uses.items()
+            if use.open_count or now - use.counts[0].updated_at < FORGET_AFTER_S
         }
 
 
--- a/src/godwitwheel/sessions/connections/pool.py
+++ b/src/godwitwheel/sessions/connections/pool.py
@@ -219,7 +219,7 @@
             return False
         self.open_count += 1
         self.opening += 1
-        self.shares.record_opening(waiter.account)
+        self.shares.record_opening(waiter.account, self.clock.now())
         waiter.may_open = True
         return True
 
@@ -241,7 +241,7 @@
         while (index := self._best_idle_index(account, values)) is not None:
             pooled = self.idle.pop(index)
             if pooled.connection.is_usable():
-                self.shares.record_taken(account)
+                self.shares.record_taken(account, self.clock.now())
                 return pooled
             self._drop(pooled)
         return None
