--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -13,6 +13,7 @@
 from ..internal.clock import Clock
 from ..internal.signals import ChangeSignal
 from .connections.connection import Connector
+from .connections.counts import PoolCounts
 from .connections.pool import TargetPool
 from .queueing.gate import ConcurrencyLimiter
 from .reporting.authority import PlatformFencing, PrimaryAuthority
@@ -118,6 +119,7 @@
     :ivar key_authority: decides until when this process may rely on its keys.
     :ivar account_limiter: limits the operations of client accounts on this process.
     :ivar limiters: concurrency limiters by target id.
+    :ivar pool_counts: counters of all connection pools.
     :ivar view: newest view from control; version 0 before the first.
     :ivar has_targets: whether the view includes targets, primaries and fences.
     :ivar proxies: how many proxies share the targets' connections.
@@ -145,6 +147,7 @@
         "proxies",
         "owners",
         "pools",
+        "pool_counts",
         "statuses",
         "known_primaries",
         "histories",
@@ -176,6 +179,7 @@
         self.proxies = 1
         self.owners = 0
         self.pools: dict[str, TargetPool] = {}
+        self.pool_counts = PoolCounts()
         self.statuses: dict[str, TargetStatus] = {}
         self.known_primaries: dict[str, KnownPrimary] = {}
         self.histories: dict[str, PositionHistory] = {}
@@ -223,7 +227,9 @@
             pool = None
         if pool is None:
             limit = self.pool_limit(target.service)
-            pool = TargetPool(target, self.connector, self.clock, limit)
+            pool = TargetPool(
+                target, self.connector, self.clock, limit, self.pool_counts
+            )
             self.pools[target.target_id] = pool
         return pool
 
--- a/src/godwitwheel/sessions/metrics.py
+++ b/src/godwitwheel/sessions/metrics.py
@@ -3,6 +3,7 @@
 from aioprometheus import Counter
 
 from ..observe.metrics import ProcessMetrics
+from .connections.counts import PoolCounts
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]
 
@@ -44,7 +45,10 @@
 
 
 class SessionMetrics(ProcessMetrics):
-    """Counts statements by outcome and measures their latency."""
+    """Counts statements by outcome and measures their latency.
+
+    :ivar pool_counts: what the connection pools have done.
+    """
 
     __slots__ = (
         "statements",
@@ -53,6 +57,10 @@
         "attempts",
         "lost_connections",
         "limit_refusals",
+        "pool_counts",
+        "opened_connections",
+        "evicted_connections",
+        "connection_waits",
     )
 
     def __init__(self, process_id: str):
@@ -78,8 +86,23 @@
                 "Operations refused by rate limits, by account.",
             )
         )
+        self.pool_counts = PoolCounts()
+        self.opened_connections = self.counter(
+            "session_connections_opened_total", "Connections to targets opened."
+        )
+        self.evicted_connections = self.counter(
+            "session_connections_evicted_total",
+            "Idle connections closed in favour of another account.",
+        )
+        self.connection_waits = self.counter(
+            "session_connection_waits_total",
+            "Requests for a connection that had to wait.",
+        )
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         self.limit_refusals.update()
+        self.opened_connections.set({}, self.pool_counts.opened)
+        self.evicted_connections.set({}, self.pool_counts.evicted)
+        self.connection_waits.set({}, self.pool_counts.waits)
         return super().render()
