Eject targets whose answers stand out from those of their service

Cause: a target may report itself healthy and still fail, reset or hang part of its statements, or take several times as long. Choices of a target looked at its average latency and at its last unanswered exchange alone, so that a target which fails at once even looked fast and drew more reads.

Each process that connects to targets now compares the exchanges of the last two seconds by target (decisions/outliers.py): failures against the rate of the others, durations against the others' median for the same kind. An outlier gets no reads for 1 to 8 s, and then one statement at a time until five in a row succeeded. At most half of the targets are left out, never the last that could run a read; a primary that stands out is left out of reads that a replica can run, and only while no replica is ejected. Retries after failed answers are limited to a fifth of a service's statements, or 3 a second.

Three bursts of failures are needed now, and a chance of at most 1 in 1000 at the others' rate. The queue at a target now counts as part of the usual duration, time-outs behind a full round of queued statements don't count, and a primary counts in the limit of one of three. - The way to another data centre made statements of 3 ms look slow, so it is taken off. - When all became 8 times as slow at once, the first to show it was ejected; the longest of the medians of the window and its halves is compared now.

--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -22,6 +22,8 @@
     target_unreachable = "target_unreachable"
     target_reachable = "target_reachable"
     target_forgotten = "target_forgotten"
+    target_ejected = "target_ejected"
+    target_restored = "target_restored"
     primary_lost = "primary_lost"
     group_fenced = "group_fenced"
     leases_out = "leases_out"
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -4,6 +4,8 @@
 
 from ..accounts.authority import KeyAuthority, UnleasedKeys
 from ..accounts.keys import KeyRing
+from ..decisions.outliers import Members, OutlierDetector
+from ..decisions.retry_budget import WindowedRetryBudget
 from ..directory.ownership import needs_owner, usable_connections
 from ..directory.records import DirectoryView, TargetEntry
 from ..internal.clock import Clock
@@ -25,6 +27,10 @@
 LEAVING_GRACE_S = 5.0
 # Typical time from a promotion order until the target is the primary, in seconds.
 EXPECTED_PROMOTION_S = 0.6
+# Retries after failed answers, as a share of a service's statements, and how many are
+# allowed a second however few the statements are.
+FAILED_RETRY_SHARE = 0.2
+MIN_FAILED_RETRIES = 3
 
 
 class TargetStatus:
@@ -110,6 +116,8 @@
     :ivar authority: decides until when this process may rely on a primary.
     :ivar key_authority: decides until when this process may rely on its keys.
     :ivar limiters: concurrency limiters by target id.
+    :ivar outlier_detectors: by service.
+    :ivar retry_budgets: budgets of retries after failed answers, by service.
     :ivar view: newest view from control; version 0 before the first.
     :ivar proxies: how many proxies share the targets' connections.
     :ivar owners: how many processes may become owners of connections.
@@ -127,6 +135,8 @@
         "key_authority",
         "held_key_ring",
         "limiters",
+        "outlier_detectors",
+        "retry_budgets",
         "clock",
         "connector",
         "data_centre",
@@ -156,6 +166,8 @@
         self.key_authority: KeyAuthority = UnleasedKeys()
         self.held_key_ring: KeyRing | None = None
         self.limiters: dict[str, ConcurrencyLimiter] = {}
+        self.outlier_detectors: dict[str, OutlierDetector] = {}
+        self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.clock = clock
         self.connector = connector
         self.data_centre = data_centre
@@ -188,6 +200,26 @@
             status = self.statuses[target_id] = TargetStatus()
         return status
 
+    def members_of(self, service: str) -> Members:
+        """Returns the known targets of a service and which is its primary."""
+        target_ids = [target.target_id for target in self.targets_of(service)]
+        return Members(target_ids, self.known_primary(service).target_id)
+
+    def outliers(self, service: str) -> OutlierDetector:
+        """Returns the detector of outliers among a service's targets."""
+        detector = self.outlier_detectors.get(service)
+        if detector is None:
+            detector = self.outlier_detectors[service] = OutlierDetector()
+        return detector
+
+    def retry_budget(self, service: str) -> WindowedRetryBudget:
+        """Returns the budget of retries after failed answers of a service."""
+        budget = self.retry_budgets.get(service)
+        if budget is None:
+            budget = WindowedRetryBudget(FAILED_RETRY_SHARE, MIN_FAILED_RETRIES)
+            self.retry_budgets[service] = budget
+        return budget
+
     def history(self, service: str) -> PositionHistory:
         """Returns the samples of the log position of a service's primary."""
         history = self.histories.get(service)
--- a/src/godwitwheel/sessions/queueing/choosing.py
+++ b/src/godwitwheel/sessions/queueing/choosing.py
@@ -71,9 +71,33 @@
     ]
     if not candidates:
         return Refusal(NoTarget.none_reachable, f"tried {sorted(excluded)}")
+    candidates = without_ejected(board, service, candidates, excluded, now)
     return min(candidates, key=lambda target: expected_wait_s(board, target))
 
 
+def without_ejected(
+    board: SessionBoard,
+    service: str,
+    candidates: list[TargetEntry],
+    excluded: set[str],
+    now: float,
+) -> list[TargetEntry]:
+    """Returns the candidates that are not ejected, or one that is on trial.
+
+    A read that has already failed elsewhere runs at no target on trial.
+    """
+    detector = board.outliers(service)
+    if not detector.has_ejected():
+        return candidates
+    admitted = detector.admitted(
+        [target.target_id for target in candidates],
+        board.members_of(service),
+        may_try=not excluded,
+        now=now,
+    )
+    return [target for target in candidates if target.target_id in admitted]
+
+
 def is_behind(status: TargetStatus, floor: Position, now: float) -> bool:
     """Whether a target's last reported position is recent and below ``floor``."""
     if status.position is None or now - status.position_at > LAG_MAX_AGE_S:
--- a/src/godwitwheel/sessions/running/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -16,6 +16,7 @@
 from ..queueing.waiting import Deadlines
 from ..statements import Answer, Position, Statement, TransactionState
 from .floors import read_floor
+from .health import begin_exchange, end_exchange, outcome_of, outcome_of_loss
 
 SETUP_COMMANDS = (SetValue, Prepare, Discard)
 
@@ -112,15 +113,20 @@
     pooled: PooledConnection,
     commands: list[Command],
     timeout_s: float,
+    kind: str = "",
 ) -> list[Answer]:
     """Exchanges commands and updates the target's status from the result.
 
+    :param kind: kind of the statement, within which durations are compared; empty for
+        exchanges that say nothing about how the target serves statements.
     :raises ConnectionLost: if not all were answered; the connection is broken.
     """
     board = context.board
     target = pooled.pool.target
     status = board.status(target.target_id)
     started_at = board.clock.now()
+    observed = begin_exchange(context, target, kind)
+    outcome = None
     try:
         answers = pooled.connection.exchange(commands, max(timeout_s, 0.001))
     except ConnectionLost as error:
@@ -128,11 +134,16 @@
         context.metrics.lost_connections.inc({})
         if error.timed_out:
             mark_unanswered(context, target, str(error))
+        outcome = outcome_of_loss(error, timeout_s)
         raise
     except BaseException:
         # A task killed here leaves answers unread on the connection.
         pooled.is_broken = True
         raise
+    else:
+        outcome = outcome_of(commands, answers)
+    finally:
+        end_exchange(context, target, observed, outcome)
     pooled.state = answers[-1].state
     if answers[-1].position is not None:
         status.position = answers[-1].position
--- a/src/godwitwheel/sessions/running/opening.py
+++ b/src/godwitwheel/sessions/running/opening.py
@@ -150,7 +150,9 @@
         begin = Begin(read_only=True, floor=floor) if needs_floor else Begin()
         try:
             timeout_s = deadlines.attempt_s(self.context.now())
-            answer = exchange(self.context, pooled, [*commands, begin], timeout_s)[-1]
+            kind = f"{self.route.database}, begin"
+            commands.append(begin)
+            answer = exchange(self.context, pooled, commands, timeout_s, kind)[-1]
         except ConnectionLost as error:
             self.attempts.reason = f"{target.target_id}: {error}"
             release_connection(pooled)
--- a/src/godwitwheel/sessions/running/single.py
+++ b/src/godwitwheel/sessions/running/single.py
@@ -17,6 +17,7 @@
     is_covered_now,
     mark_primary,
 )
+from .health import kind_of
 from .single_run import RETRY_LAGGING_MS, SingleRun
 
 
@@ -24,6 +25,7 @@
     context: SessionContext, state: SessionState, route: Route, statement: Statement
 ) -> Answer:
     """Runs a read or a write on its own and returns its answer."""
+    context.board.retry_budget(route.service).record_statement(context.now())
     if state.access_of(statement) is Access.write:
         run: SingleRun = WriteRun(context, state, route, statement)
     elif route.consistency is Consistency.primary:
@@ -55,7 +57,8 @@
         try:
             timeout_s = self.deadlines.left_s(sent_at)
             with authority.in_flight(target.service):
-                answer = exchange(self.context, pooled, commands, timeout_s)[-1]
+                kind = kind_of(self.route, Access.write)
+                answer = exchange(self.context, pooled, commands, timeout_s, kind)[-1]
                 is_covered = is_covered_now(self.context, target, sent_at)
         except ConnectionLost as error:
             self.attempts.reason = f"{target.target_id}: {error}"
@@ -101,13 +104,15 @@
         *setup, run = commands_to_run(pooled, self.state, self.statement)
         sent_at = self.context.now()
         timeout_s = self.deadlines.read_attempt_s(sent_at)
-        begun = exchange(self.context, pooled, [*setup, Begin()], timeout_s)[-1]
+        kind = kind_of(self.route, Access.read)
+        begun = exchange(self.context, pooled, [*setup, Begin()], timeout_s, kind)[-1]
         if begun.error is not None:
             self.record_refusal(target, begun)
             return None
         mark_primary(self.context, target, sent_at, begun.position)
         timeout_s = self.deadlines.read_attempt_s(self.context.now())
-        answer, _ = exchange(self.context, pooled, [run, Rollback()], timeout_s)
+        commands = [run, Rollback()]
+        answer, _ = exchange(self.context, pooled, commands, timeout_s, kind)
         if answer.was_not_run():
             pooled.connection_state.prepared.clear()
             self.record_refusal(target, answer)
@@ -172,10 +177,21 @@
             self.excluded.add(target.target_id)
             self.is_lagging = answer.error is ErrorCode.lagging
             self.record_refusal(target, answer)
-            return None
+            return None if self._may_retry(answer) else answer
         return answer
 
+    def _may_retry(self, answer: Answer) -> bool:
+        """Whether the read may be sent to another target after a target's refusal."""
+        if answer.error is not ErrorCode.failed:
+            return True
+        now = self.context.now()
+        if self.context.board.retry_budget(self.route.service).spend(now):
+            return True
+        self.context.metrics.retries_withheld.inc({})
+        return False
+
     def _exchange(self, pooled: PooledConnection, floor: Position) -> Answer:
         commands = commands_to_run(pooled, self.state, self.statement, floor)
         timeout_s = self.deadlines.read_attempt_s(self.context.now())
-        return exchange(self.context, pooled, commands, timeout_s)[-1]
+        kind = kind_of(self.route, Access.read)
+        return exchange(self.context, pooled, commands, timeout_s, kind)[-1]
--- a/src/godwitwheel/sessions/running/transaction.py
+++ b/src/godwitwheel/sessions/running/transaction.py
@@ -77,7 +77,9 @@
 
     def run(self, statement: Statement) -> Answer:
         """Runs a statement, and first begins the transaction if it has not begun."""
-        deadlines = Deadlines(self.route, self.context.now())
+        now = self.context.now()
+        deadlines = Deadlines(self.route, now)
+        self.context.board.retry_budget(self.route.service).record_statement(now)
         is_write = self.state.access_of(statement) is Access.write
         if is_write and self.read_only:
             self.fail("the transaction only reads")
@@ -178,7 +180,8 @@
                         ErrorCode.aborted, reason, TransactionState.open
                     )
                 commands = commands_to_run(pooled, self.state, statement)
-                return exchange(self.context, pooled, commands, timeout_s)[-1]
+                kind = f"{self.turn_kind}, {statement.kind.value}"
+                return exchange(self.context, pooled, commands, timeout_s, kind)[-1]
         except TurnRefused as error:
             return error_answer(ErrorCode.overloaded, str(error))
 
