--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -8,6 +8,8 @@
 from ..accounts.authority import KeyAuthority, UnleasedKeys
 from ..accounts.keys import KeyRing
 from ..accounts.limiter import AccountLimiter
+from ..decisions.outliers import Members, OutlierDetector
+from ..decisions.retry_budget import WindowedRetryBudget
 from ..directory.ownership import needs_owner, usable_connections
 from ..directory.records import DirectoryView, RoutingTable, TargetEntry
 from ..internal.clock import Clock
@@ -30,6 +32,10 @@
 LEAVING_GRACE_S = 5.0
 # Typical time from a promotion order until the target is the primary, in seconds.
 EXPECTED_PROMOTION_S = 0.6
+# Retries after failed answers, as a share of a service's statements, and how many are
+# allowed a second however few the statements are.
+FAILED_RETRY_SHARE = 0.2
+MIN_FAILED_RETRIES = 3
 
 # Random bytes of the id that tells a run of the process from earlier ones.
 RUN_ID_BYTES = 4
@@ -120,6 +126,8 @@
     :ivar account_limiter: limits the operations of client accounts on this process.
     :ivar limiters: concurrency limiters by target id.
     :ivar pool_counts: counters of all connection pools.
+    :ivar outlier_detectors: by service.
+    :ivar retry_budgets: budgets of retries after failed answers, by service.
     :ivar view: newest view from control; version 0 before the first.
     :ivar has_targets: whether the view includes targets, primaries and fences.
     :ivar proxies: how many proxies share the targets' connections.
@@ -139,6 +147,8 @@
         "held_key_ring",
         "account_limiter",
         "limiters",
+        "outlier_detectors",
+        "retry_budgets",
         "clock",
         "connector",
         "data_centre",
@@ -171,6 +181,8 @@
         self.held_key_ring: KeyRing | None = None
         self.account_limiter = AccountLimiter(secrets.token_hex(RUN_ID_BYTES))
         self.limiters: dict[str, ConcurrencyLimiter] = {}
+        self.outlier_detectors: dict[str, OutlierDetector] = {}
+        self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.clock = clock
         self.connector = connector
         self.data_centre = data_centre
@@ -205,6 +217,26 @@
             status = self.statuses[target_id] = TargetStatus()
         return status
 
+    def members_of(self, service: str) -> Members:
+        """Returns the known targets of a service and which is its primary."""
+        target_ids = [target.target_id for target in self.targets_of(service)]
+        return Members(target_ids, self.known_primary(service).target_id)
+
+    def outliers(self, service: str) -> OutlierDetector:
+        """Returns the detector of outliers among a service's targets."""
+        detector = self.outlier_detectors.get(service)
+        if detector is None:
+            detector = self.outlier_detectors[service] = OutlierDetector()
+        return detector
+
+    def retry_budget(self, service: str) -> WindowedRetryBudget:
+        """Returns the budget of retries after failed answers of a service."""
+        budget = self.retry_budgets.get(service)
+        if budget is None:
+            budget = WindowedRetryBudget(FAILED_RETRY_SHARE, MIN_FAILED_RETRIES)
+            self.retry_budgets[service] = budget
+        return budget
+
     def history(self, service: str) -> PositionHistory:
         """Returns the samples of the log position of a service's primary."""
         history = self.histories.get(service)
--- a/src/godwitwheel/sessions/metrics.py
+++ b/src/godwitwheel/sessions/metrics.py
@@ -61,6 +61,9 @@
         "opened_connections",
         "evicted_connections",
         "connection_waits",
+        "ejections",
+        "restorations",
+        "retries_withheld",
     )
 
     def __init__(self, process_id: str):
@@ -98,6 +101,16 @@
             "session_connection_waits_total",
             "Requests for a connection that had to wait.",
         )
+        self.ejections = self.counter(
+            "session_targets_ejected_total", "Ejections of targets, by reason."
+        )
+        self.restorations = self.counter(
+            "session_targets_restored_total", "Ejected targets that got reads again."
+        )
+        self.retries_withheld = self.counter(
+            "session_retries_withheld_total",
+            "Reads not retried after a failed answer, as the retry budget was spent.",
+        )
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
