--- a/tests/common/outlier_simulation.py
+++ b/tests/common/outlier_simulation.py
@@ -9,6 +9,7 @@
 import random
 
 from godwitwheel.decisions.outliers import Outcome
+from godwitwheel.directory.records import NO_ACCOUNT
 from godwitwheel.internal.sentinel import Refusal
 from godwitwheel.observe.events import EventName
 from godwitwheel.sessions.context import SessionContext
@@ -171,7 +172,9 @@
         primary = self.board.view.targets[self.group.primary.target_id]
         if statement.kind.is_write:
             return primary
-        target = choose_reader(self.board, SERVICE, statement.excluded, FLOOR, now)
+        target = choose_reader(
+            self.board, SERVICE, NO_ACCOUNT, statement.excluded, FLOOR, now
+        )
         if isinstance(target, Refusal):
             statement.excluded.clear()
             return primary
