Probe unresponsive owners instead of trying callers' statements on them

Each 0.1 s a statement was let through to an owner that answered nothing. Probes, which are sent anyway, now show when an owner answers again. What waits when an owner is given up, and keeps nothing without its answer, is given up too. A slow statement alone no longer opens the breaker: a probe must be unanswered.

--- a/src/godwitwheel/sessions/owning/owner_silence.py
+++ b/src/godwitwheel/sessions/owning/owner_silence.py
@@ -11,8 +11,9 @@
 # Time without any answer after which calls fail fast, in seconds. An owner answers some
 # call within it even while statements are queued for a turn, unless all of them are.
 UNRESPONSIVE_AFTER_S = 0.35
-# Interval of the trial calls to an unresponsive owner, in seconds.
-TRIAL_INTERVAL_S = 0.1
+# Time that an owner has to answer a probe, which it does at once even if every
+# statement is slow. In seconds.
+PROBE_ANSWER_S = 0.1
 
 
 class CallRecord:
@@ -20,14 +21,15 @@
 
     :ivar unanswered_since: when the first call after its last answer was sent, or
         ``None`` if there is none.
-    :ivar last_trial_at: when a call was last let through to it while unresponsive.
+    :ivar probed_at: when the first probe after its last answer was sent; infinite if
+        there is none.
     """
 
-    __slots__ = ("unanswered_since", "last_trial_at")
+    __slots__ = ("unanswered_since", "probed_at")
 
     def __init__(self):
         self.unanswered_since: float | None = None
-        self.last_trial_at = -math.inf
+        self.probed_at = math.inf
 
 
 class OwnerBreakers:
@@ -47,9 +49,17 @@
         if record.unanswered_since is None:
             record.unanswered_since = now
 
+    def record_probe(self, owner: OwnerEntry, now: float) -> None:
+        """Records that a probe was sent."""
+        self.record_call(owner, now)
+        record = self.records[owner.address]
+        record.probed_at = min(record.probed_at, now)
+
     def record_answer(self, owner: OwnerEntry, now: float) -> None:
         """Records an answer to any call."""
-        self.records.setdefault(owner.address, CallRecord()).unanswered_since = None
+        record = self.records.setdefault(owner.address, CallRecord())
+        record.unanswered_since = None
+        record.probed_at = math.inf
 
     def unanswered_s(self, owner: OwnerEntry, now: float) -> float:
         """Returns for how long an owner has answered no call, in seconds.
@@ -66,12 +76,12 @@
         return self.unanswered_s(owner, now) >= UNRESPONSIVE_AFTER_S
 
     def should_fail_fast(self, owner: OwnerEntry, now: float) -> bool:
-        """Whether to fail a call at once; lets a trial call through at intervals."""
+        """Whether to fail a call at once.
+
+        Only if a probe is unanswered too, since the only unanswered call may be for a
+        slow statement. Probes show when the owner answers again: most statements of a
+        proxy with few callers would be needed for trials, and wait in vain.
+        """
         if not self.is_unresponsive(owner, now):
             return False
-        record = self.records[owner.address]
-        if now - record.last_trial_at >= TRIAL_INTERVAL_S:
-            # The only unanswered call may be for a slow statement.
-            record.last_trial_at = now
-            return False
-        return True
+        return now - self.records[owner.address].probed_at >= PROBE_ANSWER_S
--- a/src/godwitwheel/sessions/owning/owner_watch.py
+++ b/src/godwitwheel/sessions/owning/owner_watch.py
@@ -42,6 +42,9 @@
         ]
         for owner in owners if reporter.is_control_unreachable else suspects:
             self._probe(owner, now)
+        for owner in suspects:
+            if breakers.should_fail_fast(owner, now):
+                self.calls.abort_waiting(owner)
         if suspects and not self.has_suspects:
             # Sends a report at once: whether control answers shows if only the owner is
             # unreachable, or this proxy is isolated.
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -1,11 +1,14 @@
 """The proxy's side: sends statements to the owner of the connections."""
 
+import contextlib
+from collections.abc import Iterator
+
 from ...directory.records import OwnerEntry, Route
-from ...internal.loop import spawn
+from ...internal.loop import current_task, interrupt, spawn
 from ...observe.events import EventName
 from ...wire.client import Client
 from ...wire.codec import decode, encode
-from ...wire.errors import BadMessage, NotSent, WireError
+from ...wire.errors import BadMessage, NoReply, NotSent, WireError
 from ...wire.service import Access
 from ..context import SessionContext, SessionState
 from ..queueing.waiting import Deadlines, refusal_text
@@ -60,9 +63,11 @@
 
     :ivar breakers: fail calls to unresponsive owners at once.
     :ivar limits: refuses operations that an owner would refuse for a rate limit.
+    :ivar abortable: tasks that wait for an owner's reply and keep nothing if they get
+        none, by address of the owner.
     """
 
-    __slots__ = ("context", "client", "proxy_id", "breakers", "limits")
+    __slots__ = ("context", "client", "proxy_id", "breakers", "limits", "abortable")
 
     def __init__(self, context: SessionContext, client: Client, proxy_id: str):
         self.context = context
@@ -70,17 +75,24 @@
         self.proxy_id = proxy_id
         self.breakers = OwnerBreakers()
         self.limits = OwnerLimits(context)
+        self.abortable: dict[str, set[object]] = {}
 
     def owner_of(self, service: str) -> OwnerEntry | None:
         """Returns the owner of a service's connections."""
         return self.context.board.view.owners.get(service)
 
     def run(
-        self, owner: OwnerEntry | None, request: RunRequest, timeout_s: float
+        self,
+        owner: OwnerEntry | None,
+        request: RunRequest,
+        timeout_s: float,
+        may_abort: bool = False,
     ) -> RunReply:
         """Runs a statement at an owner.
 
         :param owner: ``None`` if control has assigned none.
+        :param may_abort: whether to give up as soon as the owner is found to be
+            unresponsive, since nothing is kept if the statement has run.
         :raises OwnerLost: if it gives no valid reply.
         """
         if owner is None:
@@ -90,9 +102,10 @@
             raise OwnerLost(f"{owner.proxy_id} does not answer", False)
         self.breakers.record_call(owner, now)
         try:
-            status, body = self.client.exchange(
-                owner.address, "POST", RUN_PATH, encode(request), timeout_s
-            )
+            with self._waiting(owner, may_abort):
+                status, body = self.client.exchange(
+                    owner.address, "POST", RUN_PATH, encode(request), timeout_s
+                )
             self.breakers.record_answer(owner, self.context.now())
             if status != 200:
                 raise OwnerLost(f"{owner.proxy_id} answered {status}", True)
@@ -104,9 +117,33 @@
                 raise
             raise self._owner_lost(owner, request, error, True) from error
 
+    @contextlib.contextmanager
+    def _waiting(self, owner: OwnerEntry, may_abort: bool) -> Iterator[None]:
+        """Lets :meth:`abort_waiting` end the block."""
+        if not may_abort:
+            yield
+            return
+        task = current_task()
+        tasks = self.abortable.setdefault(owner.address, set())
+        tasks.add(task)
+        try:
+            yield
+        finally:
+            tasks.discard(task)
+
+    def abort_waiting(self, owner: OwnerEntry) -> None:
+        """Fails the calls that wait for an unresponsive owner and may be aborted.
+
+        Their callers are answered while there is time to try another proxy or owner.
+        """
+        tasks = self.abortable.get(owner.address, set())
+        for task in list(tasks):
+            error = NoReply(f"{owner.proxy_id} does not answer")
+            interrupt(task, error, lambda task=task: task in tasks)
+
     def probe(self, owner: OwnerEntry) -> None:
         """Probes an owner with a request that has no effect."""
-        self.breakers.record_call(owner, self.context.now())
+        self.breakers.record_probe(owner, self.context.now())
         try:
             body = encode(EndRequest(""))
             self.client.exchange(owner.address, "POST", END_PATH, body, PROBE_TIMEOUT_S)
@@ -139,6 +176,7 @@
         owner: OwnerEntry | None,
         request: RunRequest,
         timeout_s: float,
+        may_abort: bool,
     ) -> RunReply:
         """Runs a session's statement, and withdraws it if the caller leaves meanwhile.
 
@@ -150,7 +188,7 @@
                 spawn(self.withdraw, owner, request.proxy_id)
 
         with state.presence.queued(withdraw):
-            return self.run(owner, request, timeout_s)
+            return self.run(owner, request, timeout_s, may_abort)
 
     def _owner_lost(
         self,
@@ -218,7 +256,9 @@
             owner = self.calls.owner_of(route.service)
             try:
                 timeout_s = deadlines.left_s(now) + CALL_SLACK_S
-                reply = self.calls.run_for(state, owner, request, timeout_s)
+                reply = self.calls.run_for(
+                    state, owner, request, timeout_s, may_abort=not is_write
+                )
             except OwnerLost as error:
                 if error.was_sent and is_write:
                     return error_answer(ErrorCode.in_doubt, str(error))
@@ -325,8 +365,10 @@
             handle=self.handle,
         )
         timeout_s = deadlines.left_s(context.now()) + CALL_SLACK_S
-        reply = self.calls.run_for(self.state, self.owner, request, timeout_s)
         is_commit = statement.kind is StatementKind.commit
+        reply = self.calls.run_for(
+            self.state, self.owner, request, timeout_s, may_abort=not is_commit
+        )
         self.handle = "" if is_commit else reply.handle
         self.state.record_commit(self.route.service, position_of(reply.own_position))
         self.calls.limits.record(self.state, self.route, reply.account_retry_ms)
--- a/tests/cover/test_owner_watch.py
+++ b/tests/cover/test_owner_watch.py
@@ -4,14 +4,16 @@
 import pytest
 
 from godwitwheel.directory.records import OwnerEntry
-from godwitwheel.internal.loop import sleep
+from godwitwheel.internal.loop import sleep, spawn
+from godwitwheel.sessions.owning.owner_messages import RunRequest
 from godwitwheel.sessions.owning.owner_silence import UNRESPONSIVE_AFTER_S
 from godwitwheel.sessions.owning.owner_watch import (
     PROBE_INTERVAL_S,
     SUSPECT_AFTER_S,
     OwnerWatch,
 )
-from godwitwheel.sessions.owning.remote import OwnerCalls
+from godwitwheel.sessions.owning.remote import OwnerCalls, OwnerLost
+from godwitwheel.sessions.statements import StatementKind
 from godwitwheel.wire.errors import NoReply
 from tests.common.fake_sessions import SERVICE, FakeGroup
 
@@ -88,6 +90,41 @@
     assert proxy.check()
 
 
+class SilentLink(Link):
+    """An owner that reads statements and probes, and answers none."""
+
+    def exchange(self, address, method, path, body, timeout_s):
+        self.asked += 1
+        sleep(timeout_s)
+        raise NoReply("no answer in time")
+
+
+def request_of(kind):
+    return RunRequest("front-1/s1", None, kind, "q1", "text", "")
+
+
+@pytest.mark.parametrize("may_abort", [True, False])
+def test_only_calls_that_keep_nothing_end_with_an_unresponsive_owner(proxy, may_abort):
+    """They waited for their statement's timeout, long after the owner was given up."""
+    proxy.calls.client = SilentLink(proxy.clock)
+    errors = []
+
+    def call():
+        try:
+            proxy.calls.run(OWNER, request_of(StatementKind.read), 0.5, may_abort)
+        except OwnerLost as error:
+            errors.append(error)
+
+    task = spawn(call)
+    sleep()
+    proxy.check(SUSPECT_AFTER_S)
+    proxy.check(UNRESPONSIVE_AFTER_S)
+    sleep()
+    assert bool(errors) is may_abort
+    task.wait()
+    assert [error.was_sent for error in errors] == [True]
+
+
 def test_owners_are_probed_without_calls_when_control_is_unreachable(proxy):
     proxy.link.is_partitioned = True
     proxy.reporter.is_control_unreachable = True
