--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -193,6 +193,17 @@
     assert second.query("c", "READ 1a4")[0] == "DATAROW "
 
 
+def test_a_statement_that_arrives_while_its_session_is_ended_does_not_run(served):
+    """It ran, and its answer could not be sent: the caller lost it in a planned stop."""
+    caller = served()
+    caller.line()
+    (record,) = served.server.open_sessions
+    record.is_ended = True
+    caller.send("QUERY a WRITE 1a4 x")
+    assert caller.is_closed()
+    assert served.group.runs() == []
+
+
 def test_at_shutdown_idle_sessions_end_and_busy_ones_after_their_transaction(served):
     idle, busy = served(), served()
     idle.line()
