--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -194,7 +194,7 @@
 
 
 def test_a_statement_that_arrives_while_its_session_is_ended_does_not_run(served):
-    """It ran, and its answer could not be sent: the caller lost it in a planned stop."""
+    """It ran, and its answer could not be sent, although the stop was planned."""
     caller = served()
     caller.line()
     (record,) = served.server.open_sessions
