Mend what a first reader of the change found

Faults: an empty key or name of an account, a name that is no word and a negative limit were accepted; an account that an owner's table lacks ran without a limit; a statement was repeated for a caller that left while another owner was awaited.

tests/adapter and the tests of the changed modules pass; the new ones failed before.

--- a/src/godwitwheel/accounts/limiter.py
+++ b/src/godwitwheel/accounts/limiter.py
@@ -24,8 +24,8 @@
     most_operations,
 )
 
-# Retry delay that callers are given while this process has no share, and the longest
-# one while its share may still grow, in seconds.
+# Retry delay that callers are given while this process has no share; also the least
+# upper limit of the delay while its share may still grow. In seconds.
 RETRY_NO_SHARE_S = 0.3
 # Time constant of the average of the operations requested per second: operations of
 # the last second determine nine tenths of it.
@@ -38,7 +38,7 @@
 ACKNOWLEDGED_CHANGE = 0.8
 # Shortest time between two reports for a lack of operations, in seconds.
 EARLY_REPORT_SPACING_S = 0.05
-# Lowest rate for which a waiting time is computed, in operations per second.
+# Lower rates are treated as this one, in operations per second.
 MIN_RATE_PER_S = 0.001
 
 
@@ -187,8 +187,9 @@
     ) -> float:
         """Returns the time until the share allows an operation, in seconds.
 
-        The share may grow within :data:`RETRY_NO_SHARE_S`, if the account has not used
-        up its limit elsewhere.
+        The share may grow sooner if the account has not used up its limit elsewhere, so
+        that the time is at most :data:`RETRY_NO_SHARE_S`, or that of one operation at
+        the account's rate if that is longer.
         """
         wait_s = use.window.wait_s(share, now)
         token_s = 1.0 / max(policy.rate_per_s, MIN_RATE_PER_S)
--- a/src/godwitwheel/accounts/rate_shares.py
+++ b/src/godwitwheel/accounts/rate_shares.py
@@ -29,10 +29,10 @@
 # of a small burst would otherwise be less than one operation.
 SLACK_OPERATIONS = 10.0
 # Least share of the unused operations, as a part of an even share.
-FLOOR = 0.4
+MIN_SHARE_OF_EVEN = 0.4
 # Least share of the unused operations, if there are enough of them, so that the next
 # operation of an account can be admitted at any runner.
-FLOOR_OPERATIONS = 3.0
+MIN_SHARE_OPERATIONS = 3.0
 # Change of a share that is sent, as a part of the limit; and the same while another
 # runner lacks a part of its share.
 SENT_CHANGE = 0.05
@@ -432,7 +432,7 @@
     if unused <= 0.0:
         return max(whole, 0.0) * used[index] / max(sum(used), 1)
     even = unused / len(used)
-    floor = max(FLOOR * even, min(FLOOR_OPERATIONS, even))
+    floor = max(MIN_SHARE_OF_EVEN * even, min(MIN_SHARE_OPERATIONS, even))
     rest = unused - floor * len(used)
     total = sum(demands)
     weight = demands[index] / total if total > 0.0 else 1.0 / len(demands)
--- a/src/godwitwheel/decisions/outliers.py
+++ b/src/godwitwheel/decisions/outliers.py
@@ -35,8 +35,8 @@
 MAX_QUEUED_TIMEOUT = 1.0
 # Multiple of the others' failure rate, or duration, above which a target is an outlier.
 OUTLIER_FACTOR = 3.0
-# Fewest exchanges whose durations are compared. About one in twenty at a healthy
-# target takes 3 times as long as is usual, so that a median of five is not enough.
+# Fewest exchanges whose durations are compared; of fewer, a few slow ones at a healthy
+# target would decide the median.
 MIN_DURATIONS = 12
 # Fewest exchanges of one kind at the other targets that give its usual duration.
 MIN_REFERENCE_DURATIONS = 8
--- a/src/godwitwheel/directory/assembly.py
+++ b/src/godwitwheel/directory/assembly.py
@@ -1,7 +1,7 @@
 """Bounds how often a member puts together complete views and tables."""
 
-# Complete views and tables that a member puts together a second; those that it has
-# ready don't count. More would delay the other requests when all processes join.
+# Complete views and tables that a member builds per second; cached ones don't count.
+# More would delay the other requests when all processes join.
 MAX_ASSEMBLIES_PER_S = 32
 
 
--- a/src/godwitwheel/directory/commands.py
+++ b/src/godwitwheel/directory/commands.py
@@ -8,7 +8,7 @@
 class PutTable(msgspec.Struct, frozen=True, tag="put_table"):
     """Replaces the routing table, if its version is higher.
 
-    :ivar document: the table as published, returned when it is read back; see
+    :ivar document: the published table, compressed; see
         :func:`.documents.pack_document`.
     """
 
--- a/src/godwitwheel/directory/documents.py
+++ b/src/godwitwheel/directory/documents.py
@@ -1,6 +1,6 @@
 """Compressed documents of routing tables, as the log and its snapshots hold them.
 
-A table of 3,000 routes has 700 KB, more than an entry of the log; compressed, a tenth.
+Uncompressed, a table of thousands of routes does not fit into an entry of the log.
 """
 
 import zlib
--- a/src/godwitwheel/directory/tables.py
+++ b/src/godwitwheel/directory/tables.py
@@ -53,18 +53,37 @@
                 f"route {name!r}: got timeout {route.statement_timeout_ms} ms, "
                 "expected at least 1"
             )
+    check_accounts(table)
     check_keys(table)
 
 
+def check_accounts(table: RoutingTable) -> None:
+    """Checks names, keys and limits of the client accounts.
+
+    :raises InvalidTable: naming the invalid account.
+    """
+    for name, account in table.accounts.items():
+        if name != account.name:
+            raise InvalidTable(f"account {name!r}: its name is {account.name!r}")
+        if not name or any(each.isspace() or not each.isprintable() for each in name):
+            # Targets are told the name as one word.
+            raise InvalidTable(f"account {name!r}: expected a name of one word")
+        if "" in account.key_digests:
+            raise InvalidTable(f"account {name!r}: got an empty key")
+        if (account.rate_per_s or 0.0) < 0.0 or account.burst < 0.0:
+            raise InvalidTable(
+                f"account {name!r}: got rate {account.rate_per_s} and burst "
+                f"{account.burst}, expected none below 0"
+            )
+
+
 def check_keys(table: RoutingTable) -> None:
-    """Checks that each key names one client account.
+    """Checks that each key identifies one client account.
 
     :raises InvalidTable: naming both accounts, and the key by its digest.
     """
     holders: dict[str, str] = {}
     for name, account in table.accounts.items():
-        if name != account.name:
-            raise InvalidTable(f"account {name!r}: its name is {account.name!r}")
         for digest in account.key_digests:
             holder = holders.setdefault(digest, name)
             if holder != name:
--- a/src/godwitwheel/sessions/access.py
+++ b/src/godwitwheel/sessions/access.py
@@ -30,7 +30,7 @@
         return error_answer(ErrorCode.overloaded, text)
     account = board.key_ring().account_of(state.key_digest)
     if account is None:
-        return error_answer(ErrorCode.unauthorized, "the key names no account")
+        return error_answer(ErrorCode.unauthorized, "unknown key")
     state.account = account
     return None
 
--- a/src/godwitwheel/sessions/connections/pool.py
+++ b/src/godwitwheel/sessions/connections/pool.py
@@ -277,7 +277,7 @@
         """
         needed = self.shares.surplus(account, self.open_count, self.limit) + 1
         if needed > self.shares.count_evictable(self.idle, account, self.limit):
-            return needed <= 0
+            return False
         for _ in range(needed):
             self._evict(account, now)
         return True
--- a/src/godwitwheel/sessions/owning/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -61,7 +61,8 @@
 class RunRequest(msgspec.Struct, frozen=True, array_like=True):
     """Request to run one statement.
 
-    :ivar proxy_id: ids of the requesting process and session, for the owner's log.
+    :ivar proxy_id: ids of the requesting process and session; a
+        :class:`WithdrawRequest` names the statement by them.
     :ivar account: client account that the statement runs for, or ``NO_ACCOUNT``.
     :ivar handle: transaction that the statement belongs to; empty to open one with
         this statement.
--- a/src/godwitwheel/sessions/owning/owner_silence.py
+++ b/src/godwitwheel/sessions/owning/owner_silence.py
@@ -78,9 +78,8 @@
     def should_fail_fast(self, owner: OwnerEntry, now: float) -> bool:
         """Whether to fail a call at once.
 
-        Only if a probe is unanswered too, since the only unanswered call may be for a
-        slow statement. Probes show when the owner answers again: most statements of a
-        proxy with few callers would be needed for trials, and wait in vain.
+        Only if a probe is unanswered as well, since the one unanswered call may be for
+        a slow statement. Probes, not statements, detect that the owner answers again.
         """
         if not self.is_unresponsive(owner, now):
             return False
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -262,9 +262,9 @@
             except OwnerLost as error:
                 if error.was_sent and is_write:
                     return error_answer(ErrorCode.in_doubt, str(error))
-                if state.presence.has_left or not self._wait_for_new_owner(
-                    owner, route, deadlines
-                ):
+                if not self._wait_for_new_owner(owner, route, deadlines):
+                    return _refused(error)
+                if state.presence.has_left:
                     return _refused(error)
                 continue
             state.record_commit(route.service, position_of(reply.own_position))
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -24,8 +24,8 @@
 
 REPORT_PATH = "/v1/directory/report"
 REPORT_INTERVAL_S = 0.2
-# Reports a second that the leader receives from all proxies that use no targets and
-# have no change to report.
+# Reports per second that the leader is to receive from all proxies that use no targets
+# and have no change to report; MAX_IDLE_INTERVAL_S goes before it.
 IDLE_REPORTS_PER_S = 200
 # Longest interval of these, so that a new routing table is in force everywhere within
 # 4 s although a report may fail. In seconds.
@@ -36,7 +36,7 @@
 REPORT_SPACING_S = 0.01
 # Longest pause after failed reports of a process that uses targets, in seconds: it has
 # to find the next leader before its lease on the primaries ends.
-MAX_USER_RETRY_S = 0.1
+MAX_RUNNER_RETRY_S = 0.1
 # Report interval while a primary is not confirmed under leases: control then waits for
 # this process to learn that the primary is fenced. In seconds.
 UNCONFIRMED_REPORT_INTERVAL_S = 0.05
@@ -113,7 +113,7 @@
             return postponed_pause_s(self.rng)
         pause_s = retry_pause_s(self.failures, self.rng)
         if self.board.uses_any_targets():
-            return min(pause_s, MAX_USER_RETRY_S)
+            return min(pause_s, MAX_RUNNER_RETRY_S)
         return pause_s
 
     def interval_s(self) -> float:
--- a/src/godwitwheel/sessions/running/admission.py
+++ b/src/godwitwheel/sessions/running/admission.py
@@ -4,7 +4,7 @@
 admitted by the process that connects to the targets, before it waits for one.
 """
 
-from ...accounts.limiter import LimitRefusal
+from ...accounts.limiter import RETRY_NO_SHARE_S, LimitRefusal
 from ...directory.records import NO_ACCOUNT
 from ...observe.events import EventName
 from ..context import SessionContext, SessionState
@@ -46,20 +46,27 @@
     """
     board = context.board
     now = context.now()
+    if state.account == NO_ACCOUNT:
+        return Admission(context, NO_ACCOUNT, now)
     policy = board.view.table.accounts.get(state.account)
-    if state.account == NO_ACCOUNT or policy is None or policy.rate_per_s is None:
+    if policy is None:
+        # The account is known to the proxy that sent the statement, which holds a newer
+        # or an older table.
+        refusal = LimitRefusal(RETRY_NO_SHARE_S, 0.0, 0)
+        return _refuse(context, state, statement, refusal, "unknown account")
+    if policy.rate_per_s is None:
         return Admission(context, NO_ACCOUNT, now)
     refusal = board.account_limiter.take(policy, now)
     if board.account_limiter.is_report_due:
         board.changed.notify()
     if refusal is None:
         return Admission(context, policy.name, now)
-    return _refuse(context, state, statement, refusal)
+    return _refuse(context, state, statement, refusal, "rate limit")
 
 
-def limit_answer(retry_ms: int) -> Answer:
-    """Returns the answer to an operation above its account's limit."""
-    text = refusal_text("the account is over its rate limit", retry_ms)
+def limit_answer(retry_ms: int, reason: str = "rate limit") -> Answer:
+    """Returns the answer to an operation that its account's limit does not admit."""
+    text = refusal_text(f"not admitted: {reason}", retry_ms)
     answer = error_answer(ErrorCode.overloaded, text)
     answer.account_retry_ms = retry_ms
     return answer
@@ -70,6 +77,7 @@
     state: SessionState,
     statement: Statement,
     refusal: LimitRefusal,
+    reason: str,
 ) -> Answer:
     retry_ms = max(round(1000 * refusal.retry_s), 1)
     context.metrics.limit_refusals.record(state.account)
@@ -79,10 +87,10 @@
         request_id=statement.request_id,
         database=state.database,
         account=state.account,
-        reason="rate limit",
+        reason=reason,
         retry_ms=retry_ms,
         share=round(refusal.share, 1),
         used=refusal.used,
         table_version=context.board.view.table.version,
     )
-    return limit_answer(retry_ms)
+    return limit_answer(retry_ms, reason)
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -71,7 +71,10 @@
 
     @abstractmethod
     def has_ended(self) -> bool:
-        """Whether the caller has disconnected and no input of it is left unread."""
+        """Whether the caller will send nothing more, and all it sent has been read.
+
+        A caller that closes only its sending side counts as disconnected.
+        """
 
     @abstractmethod
     def end(self) -> None:
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -153,9 +153,14 @@
             return Answer()
         finally:
             self.transaction = None
+            self.transaction_route = None
 
     def _refuse_in_transaction(self, statement: Statement) -> Answer | None:
-        """Rolls back the open transaction if its caller's key allows it no more."""
+        """Rolls back the open transaction if its caller's key allows it no more.
+
+        The route is that of the transaction's begin: changes of a route apply from the
+        next transaction on, but a key may be withdrawn at any time.
+        """
         if self.transaction.has_failed:
             return None
         refusal = authorize_in_transaction(
--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -154,7 +154,7 @@
         return True
 
     def has_ended(self) -> bool:
-        """Whether the peer has closed the stream, and all it has sent has been read."""
+        """Whether the peer has closed its sending side, and all of it has been read."""
         if self.buffer:
             return False
         try:
--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -141,6 +141,11 @@
     [
         {"tenants": [*ACCOUNTS, {"name": "t3", "api_keys": ["ta828m82thhk"]}]},
         {"tenants": [*ACCOUNTS, {**ACCOUNTS[1]}]},
+        {"tenants": [*ACCOUNTS, {"name": "", "api_keys": ["k"]}]},
+        {"tenants": [*ACCOUNTS, {"name": "t 3", "api_keys": ["k"]}]},
+        {"tenants": [*ACCOUNTS, {"name": "t3\r\n", "api_keys": ["k"]}]},
+        {"tenants": [*ACCOUNTS, {"name": "t3", "api_keys": [""]}]},
+        {"tenants": [*ACCOUNTS, {"name": "t3", "rate_per_s": -1}]},
         {"routes": [{**CONFIG["routes"][0], "service": "none"}]},
         {"routes": [{**CONFIG["routes"][0], "timeout_ms": 0}]},
         {"routes": [CONFIG["routes"][0], {**CONFIG["routes"][0], "name": "r-2"}]},
--- a/tests/cover/test_access.py
+++ b/tests/cover/test_access.py
@@ -8,6 +8,8 @@
 from godwitwheel.directory.errors import InvalidTable
 from godwitwheel.directory.records import AccountPolicy
 from godwitwheel.directory.tables import check_keys
+from godwitwheel.sessions.context import SessionState
+from godwitwheel.sessions.running.admission import admit
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
 from tests.common.fake_sessions import (
     WITHDRAWAL_BOUND_S,
@@ -112,6 +114,15 @@
     assert group.primary.log == []
 
 
+def test_an_account_that_the_table_lacks_is_not_admitted(group):
+    """An owner with an older table than the proxy's would not limit it."""
+    state = SessionState("s1", "primary")
+    state.account = "newcomer"
+    answer = admit(group.context, state, write("w1"))
+    assert answer.error is ErrorCode.overloaded
+    assert "retry after" in answer.detail
+
+
 def test_a_public_route_needs_no_key_and_no_lease(group):
     view = group.view(9)
     group.board.apply_view(view)
