--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -11,6 +11,7 @@
 # Every seed that has ever failed, with its cause.
 SEEDS = {
     1: "the first seed; it has not failed",
+    2: "with client accounts: QUOTA, before their limits were enforced",
 }
 
 
