Give a connection no values that are not sent to it

Cause: a write that acquired its connection while the lease on the primary ended was refused without sending the commands that set the session's values, but the pool had already recorded them. Change: the lease is checked before the commands are built. Measured: the new test fails before the change and passes after it.

--- a/src/godwitwheel/sessions/connections/carrying.py
+++ b/src/godwitwheel/sessions/connections/carrying.py
@@ -63,7 +63,7 @@
     """Returns the commands that give a connection the values of a session.
 
     ``connection_state`` is updated before the commands are sent, since the connection
-    is closed if one of them fails.
+    is closed if one of them fails. So the caller must send them, or close it.
     """
     commands: list[Command] = []
     if (
--- a/src/godwitwheel/sessions/running/single.py
+++ b/src/godwitwheel/sessions/running/single.py
@@ -55,12 +55,12 @@
             return self._write(target, pooled) if pooled is not None else None
 
     def _write(self, target: TargetEntry, pooled: PooledConnection) -> Answer | None:
-        commands = commands_to_run(pooled, self.state, self.statement)
         sent_at = self.context.now()
         authority = self.context.board.authority
         if not authority.may_use(target.service, target.target_id, sent_at):
             self.attempts.reason = f"no lease on {target.target_id}"
             return None
+        commands = commands_to_run(pooled, self.state, self.statement)
         try:
             timeout_s = self.deadlines.left_s(sent_at)
             with authority.in_flight(target.service):
--- a/tests/cover/test_leased_sessions.py
+++ b/tests/cover/test_leased_sessions.py
@@ -3,6 +3,7 @@
 import pytest
 
 from godwitwheel.directory.records import DirectoryView
+from godwitwheel.sessions.connections.pool import TargetPool
 from godwitwheel.sessions.reporting.authority import LEASE_S, LeasedAuthority
 from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.running import opening, single_run, transaction
@@ -14,6 +15,7 @@
     begin,
     commit,
     read,
+    set_value,
     write,
 )
 
@@ -153,3 +155,26 @@
     leased.fence()
     leased.probe("t1")
     assert leased.board.known_primary(SERVICE).confirmed_at is None
+
+
+def test_connection_keeps_its_values_if_the_lease_ends_while_it_is_acquired(
+    leased, monkeypatch
+):
+    # A connection that is believed to carry values which were never sent to it runs
+    # the next statement of the session without them.
+    session = leased.group.session("primary")
+    session.execute(set_value("region", "west"))
+    acquire = TargetPool.acquire
+
+    def acquire_after_lease(pool, *args):
+        leased.group.clock.advance(LEASE_S)
+        return acquire(pool, *args)
+
+    with monkeypatch.context() as patched:
+        patched.setattr(TargetPool, "acquire", acquire_after_lease)
+        assert session.execute(write("w1")).error is ErrorCode.overloaded
+    leased.renew()
+    assert session.execute(write("w2")).error is None
+    assert [run.values for run in leased.group.targets["t1"].ran] == [
+        {"region": "west"}
+    ]
