--- /dev/null
+++ b/bench/days/__init__.py
@@ -0,0 +1,1 @@
+"""Plays days of a deployment with the users' bench and reads its reports."""
