--- a/tests/cover/test_consensus_files.py
+++ b/tests/cover/test_consensus_files.py
@@ -78,7 +78,7 @@
         snapshot = Snapshot(2, 1, Membership(), b"state")
         storage.save_snapshot(snapshot, HardState("cell", 1), 2, 1, [])
     content = (tmp_path / name).read_bytes()
-    (tmp_path / name).write_bytes(content[:-1] + b"?")
+    (tmp_path / name).write_bytes(content[:-1] + bytes([content[-1] ^ 0x41]))
     if name != "log":
         with pytest.raises(CorruptLog):
             load(tmp_path)
