--- a/bench/demo.py
+++ b/bench/demo.py
@@ -6,7 +6,7 @@
 
 from godwitwheel.internal.loop import patch_standard_library
 
-patch_standard_library()
+patch_standard_library(with_subprocesses=True)
 
 import shutil  # noqa: E402
 import sys  # noqa: E402
--- a/bench/echo.py
+++ b/bench/echo.py
@@ -5,7 +5,7 @@
 
 from godwitwheel.internal.loop import patch_standard_library
 
-patch_standard_library()
+patch_standard_library(with_subprocesses=True)
 
 import argparse  # noqa: E402
 import sys  # noqa: E402
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -6,7 +6,7 @@
 
 from godwitwheel.internal.loop import patch_standard_library
 
-patch_standard_library()
+patch_standard_library(with_subprocesses=True)
 
 import argparse  # noqa: E402
 import os  # noqa: E402
--- a/bench/load.py
+++ b/bench/load.py
@@ -7,7 +7,7 @@
 from godwitwheel.internal.loop import patch_standard_library
 
 if __name__ == "__main__":
-    patch_standard_library()
+    patch_standard_library(with_subprocesses=True)
 
 import argparse  # noqa: E402
 import contextlib  # noqa: E402
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -8,7 +8,7 @@
 
 from godwitwheel.internal.loop import patch_standard_library
 
-patch_standard_library()
+patch_standard_library(with_subprocesses=True)
 
 import argparse  # noqa: E402
 import contextlib  # noqa: E402
--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -2,7 +2,7 @@
 
 from godwitwheel.internal.loop import patch_standard_library
 
-patch_standard_library()
+patch_standard_library(with_subprocesses=True)
 
 from .fit import Line  # noqa: E402
 from .leader_slopes import LeaderLoad, leader_bytes  # noqa: E402
--- a/bench/target.py
+++ b/bench/target.py
@@ -2,7 +2,7 @@
 
 from godwitwheel.internal.loop import patch_standard_library
 
-patch_standard_library()
+patch_standard_library(with_subprocesses=True)
 
 import argparse  # noqa: E402
 import contextlib  # noqa: E402
--- a/src/godwitwheel/internal/loop.py
+++ b/src/godwitwheel/internal/loop.py
@@ -9,7 +9,10 @@
 import warnings
 from collections.abc import Callable, Iterator
 
-with warnings.catch_warnings():
+from .imports import without_module
+
+# eventlet imports asyncio for a hub that isn't used here.
+with warnings.catch_warnings(), without_module("asyncio"):
     warnings.simplefilter("ignore")
     import eventlet
     import eventlet.event
@@ -24,12 +27,20 @@
 RESTART_DELAY_S = 0.2
 
 
-def patch_standard_library() -> None:
+def patch_standard_library(with_subprocesses: bool = False) -> None:
     """Makes blocking calls of the standard library yield to the loop.
 
     Each process calls this first, before it imports modules that open sockets.
+    Only ``time`` is patched: ``wire`` uses the loop's own sockets, a process has one
+    thread, and patching locks takes as long as half of the imports.
+
+    :param with_subprocesses: whether to patch everything, for tools that start and
+        await other processes.
     """
-    eventlet.monkey_patch()
+    if with_subprocesses:
+        eventlet.monkey_patch()
+    else:
+        eventlet.monkey_patch(time=True)
 
 
 def spawn(function: Callable, *args, **kwargs) -> Task:
--- a/src/godwitwheel/observe/metrics.py
+++ b/src/godwitwheel/observe/metrics.py
@@ -5,7 +5,11 @@
 import resource
 from abc import abstractmethod
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from ..internal.imports import without_module
+
+# aioprometheus imports asyncio for its decorators and its server.
+with without_module("asyncio"):
+    from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 NAME_PREFIX = "godwitwheel_"
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
--- a/src/godwitwheel/sessions/metrics.py
+++ b/src/godwitwheel/sessions/metrics.py
@@ -1,8 +1,6 @@
 """Metrics of a proxy's interactive sessions."""
 
-from aioprometheus import Counter
-
-from ..observe.metrics import ProcessMetrics
+from ..observe.metrics import Counter, ProcessMetrics
 from .connections.counts import PoolCounts
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]
