Elect the first leader after a start within some heartbeats

Cause: after a loss of power or a kill of all members, each waited for a whole election timeout (0.4 to 0.56 s) although a leader that still runs would have sent a heartbeat within 0.08 s; a failed first attempt cost 0.4 to 0.8 s more. Change: until a member has known a leader, its election timeouts are two to four heartbeat intervals, and it refuses votes for two. Pre-votes keep a leader that is in contact with a quorum.

--- a/src/godwitwheel/consensus/election.py
+++ b/src/godwitwheel/consensus/election.py
@@ -76,6 +76,7 @@
     """Becomes leader of the current term and appends a no-op entry in it."""
     state.role = Role.leader
     state.leader_id = state.options.member_id
+    state.awaits_first_leader = False
     state.votes = set()
     state.round = 0
     state.progress = {}
--- a/src/godwitwheel/consensus/following.py
+++ b/src/godwitwheel/consensus/following.py
@@ -19,7 +19,7 @@
 def _follow_leader(state: MemberState, leader_id: str, now: float) -> None:
     if state.role is not Role.follower or state.leader_id != leader_id:
         become_follower(state, now, state.term, leader_id)
-    state.last_leader_contact = now
+    state.record_leader(now)
     state.reset_election_timeout(now)
 
 
--- a/src/godwitwheel/consensus/state.py
+++ b/src/godwitwheel/consensus/state.py
@@ -9,9 +9,9 @@
 from .work import ReadRequest, SavedState, Work
 
 MAX_VOTERS = 9
-# Fraction of the election timeout over which the first elections of members that
-# started together are spread. The heartbeat of an existing leader arrives long before.
-FIRST_ELECTION_SPREAD = 0.4
+# Heartbeat intervals within which a leader that is still running reaches a member that
+# has just started.
+FIRST_CONTACT_HEARTBEATS = 2
 
 
 class Role(enum.Enum):
@@ -68,8 +68,9 @@
     """The complete protocol state of a member.
 
     :ivar leader_id: the known leader of ``term``, or empty.
-    :ivar last_leader_contact: when a leader's message was last received, or the
-        member started.
+    :ivar last_leader_contact: when a leader's message was last received; for a member
+        that has just started, a time that allows for one that is on its way.
+    :ivar awaits_first_leader: whether this member has known no leader since it started.
     :ivar synced_index: last index that is synced here.
     :ivar term_start_index: index of the leader's first entry in its term.
     :ivar progress: on a leader, the replication state of its peers.
@@ -93,6 +94,7 @@
         "applied_index",
         "synced_index",
         "last_leader_contact",
+        "awaits_first_leader",
         "election_deadline",
         "votes",
         "term_start_index",
@@ -126,7 +128,9 @@
         self.commit_index = self.applied_index
         self.synced_index = self.log.last_index
         # A restarted member can't know when a leader last contacted it.
-        self.last_leader_contact = now
+        first_contact_s = FIRST_CONTACT_HEARTBEATS * options.append_interval_s
+        self.last_leader_contact = now + first_contact_s - options.election_timeout_s
+        self.awaits_first_leader = True
         self.election_deadline = now
         self.votes: set[str] = set()
         self.term_start_index = 0
@@ -136,7 +140,7 @@
         self.reads: list[ReadRequest] = []
         self.incoming = None
         self.work = Work()
-        self.set_first_election_timeout(now)
+        self.reset_election_timeout(now)
 
     @property
     def membership(self) -> Membership:
@@ -169,14 +173,20 @@
         )
 
     def reset_election_timeout(self, now: float) -> None:
-        """Draws a new election timeout, from 1 to 2 times the shortest one."""
-        factor = 1.0 + self.random.random()
-        self.election_deadline = now + self.options.election_timeout_s * factor
-
-    def set_first_election_timeout(self, now: float) -> None:
-        """Draws a short timeout, since there is no leader after all members stopped."""
-        factor = 1.0 + FIRST_ELECTION_SPREAD * self.random.random()
-        self.election_deadline = now + self.options.election_timeout_s * factor
+        """Draws a new election timeout, from 1 to 2 times the shortest one.
+
+        A member that awaits its first leader waits only as long as a heartbeat takes,
+        since no caller is served after all members have stopped.
+        """
+        shortest_s = self.options.election_timeout_s
+        if self.awaits_first_leader:
+            shortest_s = FIRST_CONTACT_HEARTBEATS * self.options.append_interval_s
+        self.election_deadline = now + shortest_s * (1.0 + self.random.random())
+
+    def record_leader(self, now: float) -> None:
+        """Records a message of the leader."""
+        self.last_leader_contact = now
+        self.awaits_first_leader = False
 
     def has_recent_leader_contact(self, now: float) -> bool:
         """Whether a leader may still rely on this member not granting a vote."""
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -7,7 +7,14 @@
 from godwitwheel.consensus import core, driver, log, transfer
 from godwitwheel.consensus.errors import NotLeader
 from godwitwheel.consensus.messages import Append, Hello, SnapshotPart, VoteRequest
-from tests.common.cell import ELECTION_TIMEOUT_S, Cell, Member, ReadProbe
+from godwitwheel.consensus.state import FIRST_CONTACT_HEARTBEATS
+from tests.common.cell import (
+    ELECTION_TIMEOUT_S,
+    STEP_S,
+    Cell,
+    Member,
+    ReadProbe,
+)
 
 
 def test_commits_on_every_member():
@@ -75,6 +82,34 @@
     assert leader.state.term == candidate.state.term == voter.state.term
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_elects_a_leader_within_some_heartbeats_after_all_members_restarted(seed):
+    # Waiting for a whole election timeout would leave all callers unserved meanwhile.
+    cell = Cell(size=5, seed=seed)
+    cell.commit("before")
+    for member in cell.members.values():
+        member.crash()
+    for member in cell.members.values():
+        member.start()
+    started_at = cell.clock.now()
+    cell.serving_leader()
+    assert cell.clock.now() - started_at <= 3 * FIRST_CONTACT_HEARTBEATS * STEP_S
+    assert list(cell.committed.values())[0] == "before"
+
+
+def test_restarted_member_does_not_depose_the_leader():
+    cell = Cell()
+    leader = cell.serving_leader()
+    term = leader.state.term
+    restarted = next(member for member in cell.running() if member is not leader)
+    restarted.crash()
+    cell.step(100)
+    restarted.start()
+    cell.step(100)
+    assert cell.leader() is leader
+    assert leader.state.term == term
+
+
 def test_bootstraps_no_second_cell_after_a_majority_lost_its_disks():
     cell = Cell()
     cell.commit("before")
