--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -32,6 +32,9 @@
 LEAVING_GRACE_S = 5.0
 # Typical time from a promotion order until the target is the primary, in seconds.
 EXPECTED_PROMOTION_S = 0.6
+# Typical time until a primary that is already running answers the first probe of this
+# process, which opens a connection for it. In seconds.
+EXPECTED_FIRST_ANSWER_S = 0.05
 # Retries after failed answers, as a share of a service's statements, and how many are
 # allowed a second however few the statements are.
 FAILED_RETRY_SHARE = 0.2
@@ -406,6 +409,8 @@
     def _expect_primary(self, service: str, target_id: str) -> None:
         known_primary = self.known_primary(service)
         if known_primary.target_id != target_id:
+            is_first = not known_primary.target_id
+            expected_s = EXPECTED_FIRST_ANSWER_S if is_first else EXPECTED_PROMOTION_S
             known_primary.target_id = target_id
             known_primary.confirmed_at = None
-            known_primary.expected_at = self.clock.now() + EXPECTED_PROMOTION_S
+            known_primary.expected_at = self.clock.now() + expected_s
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -6,8 +6,11 @@
 import pytest
 
 from fleet.callers import LineCallerLink
+from godwitwheel.directory.records import DirectoryView
+from godwitwheel.internal.clock import BootClock
+from godwitwheel.internal.loop import sleep
 from godwitwheel.sessions.running.runner import RunnerSelector
-from godwitwheel.sessions.serving import SessionServer
+from godwitwheel.sessions.serving import FIRST_TABLE_WAIT_S, SessionServer
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
 from tests.common.fake_sessions import FakeGroup, KeyedGroup
 
@@ -66,6 +69,27 @@
     assert errors == []
 
 
+def test_a_session_of_a_starting_process_waits_for_the_first_routing_table():
+    # Callers that are refused at once use up their retries before there is a leader.
+    group = FakeGroup()
+    view = group.board.view
+    group.board.view = DirectoryView()
+    server = SessionServer(group.context, RunnerSelector(group.context))
+    server.context.board.clock = BootClock()
+    listener = StreamServer(lambda s: server.serve(LineCallerLink(s)), raise_error)
+    with listener.listening("127.0.0.1:0") as listening:
+        caller = Caller(listening.address)
+        caller.send("START primary u3f1")
+        sleep(FIRST_TABLE_WAIT_S / 5)
+        assert not caller.stream.has_input()
+        group.board.apply_view(view)
+        assert caller.line() == "READY I -"
+        late = Caller(listening.address)
+        group.board.view = DirectoryView()
+        late.send("START primary u3f1")
+        assert late.line().startswith("ERROR")
+
+
 def test_a_session_runs_every_kind_of_statement(served):
     caller = served()
     assert caller.line() == "READY I -"
