Count no proxy without a lease when a primary is assessed

Change: under leases a proxy that control has not heard from for a lease neither counts among those that must report, nor as one that reports.

--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -1,5 +1,7 @@
 """Controllers that change the directory at short intervals on the leader."""
 
+import math
+
 from ..control.errors import ControlError, NotLeading
 from ..internal.loop import sleep, spawn
 from ..observe.events import EventName, record_event, record_failure
@@ -79,7 +81,10 @@
         for proxy_id in leadership.expire_proxies(now):
             record_event(EventName.proxy_lost, proxy_id=proxy_id)
         view = self.member.state.directory.view
-        observed = observations_by_service(leadership.reports, now)
+        lease_s = (
+            leadership.leases.max_lease_s if self.member.grants_leases else math.inf
+        )
+        observed = observations_by_service(leadership.reports, now, lease_s)
         nothing = ServiceObservations()
         for service in view.table.services:
             if service not in leadership.in_progress:
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -1,6 +1,7 @@
 """Decides when a service's primary is replaced, and by which target."""
 
 import enum
+import math
 
 from ..sessions.statements import Position
 from .records import DirectoryView, ProxyReport, TargetEntry
@@ -101,8 +102,8 @@
     """What the proxies have observed of one service's primary.
 
     :ivar recent: observations from recent reports.
-    :ivar reporters: number of proxies that report on the service, also if their last
-        report is old.
+    :ivar reporters: number of proxies that may use the service's primary, also if their
+        last report is old.
     """
 
     __slots__ = ("recent", "reporters")
@@ -113,12 +114,23 @@
 
 
 def observations_by_service(
-    reports: dict[str, ReceivedReport], now: float
+    reports: dict[str, ReceivedReport],
+    now: float,
+    lease_s: float = math.inf,
 ) -> dict[str, ServiceObservations]:
-    """Returns the observations of each service that a report names."""
+    """Returns the observations of each service that a report names.
+
+    :param lease_s: how long a proxy may use a primary after its last report, in
+        seconds; infinite if it needs no lease for that.
+    """
     found: dict[str, ServiceObservations] = {}
     for proxy_id, received in reports.items():
-        is_recent = now - received.received_at <= MAX_REPORT_AGE_S
+        age_s = now - received.received_at
+        if age_s > lease_s:
+            # It uses no primary until control has heard from it again, so that a
+            # promotion takes nothing from its callers.
+            continue
+        is_recent = age_s <= MAX_REPORT_AGE_S
         # A proxy whose services have owners names no primary.
         for service in {primary.service for primary in received.report.primaries}:
             found.setdefault(service, ServiceObservations()).reporters += 1
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -116,6 +116,26 @@
     assert found["other"].recent == []
 
 
+def test_proxies_whose_lease_has_ended_do_not_keep_a_primary():
+    # Most proxies are partitioned from control with the primary. Without a lease they
+    # can't use it, and the callers of the others would be refused until the end of the
+    # partition.
+    primaries = [PrimaryReport(SERVICE, "t1", False, 2000)]
+    reports = {
+        f"p{number}": ReceivedReport(
+            ProxyReport(f"p{number}", "dc-1", 1, primaries), received_at
+        )
+        for number, received_at in enumerate([103.0, 103.0, 101.5, 101.5, 101.5, 101.5])
+    }
+
+    def verdict_under(lease_s):
+        found = observations_by_service(reports, 103.0, lease_s)[SERVICE]
+        return verdict(found.recent, proxies=found.reporters)
+
+    assert verdict_under(2.0) is Verdict.keep
+    assert verdict_under(1.2) is Verdict.replace
+
+
 def test_the_candidate_with_the_highest_position_is_chosen():
     behind = Candidate(target("t2"), Position(1, 8), 1, 0)
     ahead = Candidate(target("t3"), Position(1, 9), 1, 0)
