Open half of the connections at first after a start

Cause: targets count the connections of VMs without power for 3 s. Change: for 4 s after its start a proxy holds half of its usual share, at least one.

--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -24,6 +24,11 @@
 
 # Connections that a pool may hold even if the proxies outnumber the connection cap.
 MIN_POOL_SIZE = 1
+# How long targets may keep the connections that this process had before it lost power,
+# in seconds. If all VMs lost power, there is no room for the usual number of new ones.
+STALE_CONNECTIONS_S = 4.0
+# Share of the usual number that is opened meanwhile, so that each process gets some.
+STARTING_POOL_SHARE = 0.5
 # Share of a target's connections that its owner may hold. A paused owner keeps its
 # connections open, and its successor needs some meanwhile.
 OWNER_POOL_SHARE = 0.6
@@ -153,6 +158,7 @@
         "outlier_detectors",
         "retry_budgets",
         "clock",
+        "started_at",
         "connector",
         "data_centre",
         "view",
@@ -187,6 +193,7 @@
         self.outlier_detectors: dict[str, OutlierDetector] = {}
         self.retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.clock = clock
+        self.started_at = clock.now()
         self.connector = connector
         self.data_centre = data_centre
         self.view = DirectoryView()
@@ -327,6 +334,8 @@
             share = int(OWNER_POOL_SHARE * usable_connections(policy))
         else:
             share = usable_connections(policy) // max(self.proxies, 1)
+            if self.clock.now() - self.started_at < STALE_CONNECTIONS_S:
+                share = int(STARTING_POOL_SHARE * share)
         return max(share, MIN_POOL_SIZE)
 
     def apply_view(self, view: DirectoryView, has_targets: bool = True) -> bool:
@@ -404,7 +413,11 @@
     def apply_limits(self) -> None:
         """Sets the limit of every pool to its current share."""
         for pool in self.pools.values():
-            pool.limit = self.pool_limit(pool.target.service)
+            limit = self.pool_limit(pool.target.service)
+            is_raised = limit > pool.limit
+            pool.limit = limit
+            if is_raised:
+                pool.wake()
 
     def _expect_primary(self, service: str, target_id: str) -> None:
         known_primary = self.known_primary(service)
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -233,10 +233,9 @@
         if self.is_control_unreachable:
             self.is_control_unreachable = False
             record_event(EventName.control_reachable, address=address)
-        if reply.proxies != board.proxies or reply.owners != board.owners:
-            board.proxies = reply.proxies
-            board.owners = reply.owners
-            board.apply_limits()
+        board.proxies = reply.proxies
+        board.owners = reply.owners
+        board.apply_limits()
         self.tables.advertise(reply.table_version)
         if reply.view_change is not None:
             self._apply_change(reply.view_change)
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -5,6 +5,7 @@
 
 from godwitwheel.directory.records import NO_ACCOUNT
 from godwitwheel.internal.loop import sleep, spawn
+from godwitwheel.sessions.board import STALE_CONNECTIONS_S
 from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
 from godwitwheel.wire.service import Access
@@ -325,3 +326,13 @@
 def test_a_statement_without_a_route_is_refused(group):
     answer = group.session("nowhere").execute(read("r1"))
     assert answer.error is ErrorCode.unknown_database
+
+
+def test_a_process_that_has_just_started_leaves_connections_to_others():
+    # Targets still count the connections that all processes had before a loss of power.
+    # Those that connect first would otherwise take all that are left.
+    group = FakeGroup(max_connections=16)
+    group.board.proxies = 6
+    assert group.board.pool_limit(SERVICE) == 1
+    group.clock.advance(STALE_CONNECTIONS_S)
+    assert group.board.pool_limit(SERVICE) == 2
