Confirm at once what a proxy's callers wait for

Cause: with rounds 40 ms apart, a proxy that has just started got its view and its targets up to 80 ms later. Change: the report of a proxy that lacks the active view, and the confirmation before a promotion, end the pause between rounds after 10 ms.

--- a/src/godwitwheel/control/committer.py
+++ b/src/godwitwheel/control/committer.py
@@ -14,10 +14,11 @@
 MAX_BATCH_BYTES = 500 * 1024
 MAX_BATCHES_IN_FLIGHT = 2
 PROPOSE_TIMEOUT_S = 5.0
-# Pause after a confirmation round, so that calls of many proxies share the next one.
-# Rounds are most of the bytes between data centres; a longer pause delays the news of a
-# promotion.
+# Pause after a confirmation round, so that calls of many proxies share the next one:
+# rounds are most of the bytes between data centres.
 ROUND_PAUSE_S = 0.04
+# The same if an urgent call waits.
+URGENT_ROUND_PAUSE_S = 0.01
 
 
 class PendingCommand:
@@ -116,25 +117,30 @@
 
     :ivar next_round: sent the result of the next round; ``None`` if no call waits for
         one.
+    :ivar became_urgent: sent when an urgent call waits for the next round.
     :ivar rounds: number of rounds run.
     """
 
-    __slots__ = ("log", "running", "next_round", "rounds")
+    __slots__ = ("log", "running", "next_round", "became_urgent", "rounds")
 
     def __init__(self, log: ReplicatedLog):
         self.log = log
         self.running = False
         self.next_round: Event | None = None
+        self.became_urgent = Event()
         self.rounds = 0
 
-    def confirm(self, timeout_s: float) -> None:
+    def confirm(self, timeout_s: float, is_urgent: bool = False) -> None:
         """Returns once a quorum has confirmed, after the call, that this member leads.
 
+        :param is_urgent: whether callers of a proxy wait for the result.
         :raises NotLeading: if no quorum did.
         """
         if self.next_round is None:
             self.next_round = Event()
         awaited = self.next_round
+        if is_urgent and not self.became_urgent.ready():
+            self.became_urgent.send()
         if not self.running:
             self.running = True
             spawn(self._run_rounds, timeout_s)
@@ -146,9 +152,11 @@
             while self.next_round is not None:
                 awaited = self.next_round
                 self.next_round = None
+                self.became_urgent = Event()
                 self.rounds += 1
                 awaited.send(self._is_confirmed(timeout_s))
-                sleep(ROUND_PAUSE_S)
+                sleep(URGENT_ROUND_PAUSE_S)
+                wait_for(self.became_urgent, ROUND_PAUSE_S - URGENT_ROUND_PAUSE_S)
         finally:
             # However this task ends, the next call must be able to start another.
             self.running = False
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -1,6 +1,7 @@
 """Controllers that change the directory at short intervals on the leader."""
 
 import math
+from functools import partial
 
 from ..control.errors import ControlError, NotLeading
 from ..internal.loop import sleep, spawn
@@ -63,7 +64,7 @@
             promotion_client,
             member.clock,
             member.commit_entry,
-            member.confirm,
+            partial(member.confirm, is_urgent=True),
             fence_for(member),
         )
 
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -90,7 +90,9 @@
         if is_new:
             record_event(EventName.proxy_seen, proxy_id=report.proxy_id)
         leadership.leases.acknowledge(holder_name(report), report.drained_version)
-        self.confirm()
+        # Its callers may be waiting for a primary.
+        lacks_view = report.view_version < self.state.directory.view.version
+        self.confirm(is_urgent=lacks_view)
         view = self.state.directory.view
         now = self.clock.now()
         proxies = max(leadership.count_caller_facing_proxies(), 1)
@@ -237,12 +239,13 @@
             self.leadership = known
         return known
 
-    def confirm(self) -> None:
+    def confirm(self, is_urgent: bool = False) -> None:
         """Returns once a quorum has confirmed, after the call, that this member leads.
 
+        :param is_urgent: whether callers of a proxy wait for the result.
         :raises NotLeading: if no quorum did.
         """
-        self.confirmer.confirm(CONFIRM_TIMEOUT_S)
+        self.confirmer.confirm(CONFIRM_TIMEOUT_S, is_urgent)
 
     def drop(self, command: DropEntry, reason: str) -> None:
         """Removes a target.
--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -19,10 +19,10 @@
 PRESENCE_POLL_S = 0.05
 # Longest wait for a statement, in seconds; the start of one ends it sooner.
 IDLE_WAIT_S = 60.0
-# How long the start of a session waits for the first routing table of a process that
-# has just started, in seconds. Members of control that start with it need about as long
-# to elect a leader.
-FIRST_TABLE_WAIT_S = 0.5
+# How long the start of a session waits for the first routing table and targets of a
+# process that has just started, in seconds. Members of control that start with it need
+# about as long to elect a leader.
+FIRST_VIEW_WAIT_S = 0.5
 
 
 class StartRequest:
@@ -201,7 +201,7 @@
                 record.end()
 
     def _may_open(self, link: CallerLink, state: SessionState) -> bool:
-        self._await_first_table()
+        self._await_first_view()
         refusal = self._refusal_to_open(state)
         if refusal is None:
             return True
@@ -216,10 +216,10 @@
         link.refuse(refusal)
         return False
 
-    def _await_first_table(self) -> None:
+    def _await_first_view(self) -> None:
         board = self.context.board
-        deadline = self.context.now() + FIRST_TABLE_WAIT_S
-        while board.view.table.version == 0:
+        deadline = self.context.now() + FIRST_VIEW_WAIT_S
+        while board.view.table.version == 0 or board.lacks_targets():
             left_s = deadline - self.context.now()
             if left_s <= 0 or self.is_draining:
                 return
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -10,7 +10,7 @@
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.internal.loop import sleep
 from godwitwheel.sessions.running.runner import RunnerSelector
-from godwitwheel.sessions.serving import FIRST_TABLE_WAIT_S, SessionServer
+from godwitwheel.sessions.serving import FIRST_VIEW_WAIT_S, SessionServer
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
 from tests.common.fake_sessions import FakeGroup, KeyedGroup
 
@@ -80,7 +80,7 @@
     with listener.listening("127.0.0.1:0") as listening:
         caller = Caller(listening.address)
         caller.send("START primary u3f1")
-        sleep(FIRST_TABLE_WAIT_S / 5)
+        sleep(FIRST_VIEW_WAIT_S / 5)
         assert not caller.stream.has_input()
         group.board.apply_view(view)
         assert caller.line() == "READY I -"
--- a/tests/cover/test_committer.py
+++ b/tests/cover/test_committer.py
@@ -10,6 +10,7 @@
 from godwitwheel.control.committer import (
     MAX_BATCH_BYTES,
     ROUND_PAUSE_S,
+    URGENT_ROUND_PAUSE_S,
     LeadershipConfirmer,
 )
 from godwitwheel.control.errors import TooLarge
@@ -86,5 +87,19 @@
     confirmer.confirm(1.0)
     assert log.rounds == 1
     sleep(0)
-    assert pauses == [ROUND_PAUSE_S]
+    assert pauses == [URGENT_ROUND_PAUSE_S]
     end_of_pause.send()
+
+
+def test_an_urgent_call_shortens_the_pause_before_the_next_round():
+    # Otherwise the news of a promotion would wait as long as reports without any.
+    log = CountingLog()
+    confirmer = LeadershipConfirmer(log)
+    confirmer.confirm(1.0)
+    started_at = time.monotonic()
+    waiting = spawn(confirmer.confirm, 1.0)
+    sleep(0)
+    confirmer.confirm(1.0, is_urgent=True)
+    waiting.wait()
+    assert log.rounds == 2
+    assert time.monotonic() - started_at < ROUND_PAUSE_S
--- a/tests/cover/test_view_growth.py
+++ b/tests/cover/test_view_growth.py
@@ -41,7 +41,7 @@
 class DirectConfirmer:
     """Confirms the leadership without the pause in which requests are gathered."""
 
-    def confirm(self, timeout_s):
+    def confirm(self, timeout_s, is_urgent=False):
         pass
 
 
