Leave owners that are isolated themselves

Its proxies reached the owners of two of four services, so that none counted as isolated, and their callers stayed: in the last 2 s of the cut 598 of 1,965 requests were refused, 'no lease' at those owners. Change: an owner answers a probe with whether it is isolated, by the same rule as a proxy, and such an owner counts as unreachable for the isolation of proxies.

--- a/src/godwitwheel/sessions/owning/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -6,7 +6,7 @@
 
 import contextlib
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from ...internal.loop import sleep
 from ...observe.events import EventName
@@ -63,13 +63,20 @@
     :ivar open: open transactions by handle.
     :ivar callers: presence of the caller of each statement that is running or queued,
         by the ids of its process and session.
+    :ivar is_isolated: whether proxies should use other owners; asked at each probe.
     """
 
-    __slots__ = ("context", "prefix", "open", "callers", "numbers")
+    __slots__ = ("context", "prefix", "is_isolated", "open", "callers", "numbers")
 
-    def __init__(self, context: SessionContext, prefix: str):
+    def __init__(
+        self,
+        context: SessionContext,
+        prefix: str,
+        is_isolated: Callable[[], bool] = lambda: False,
+    ):
         self.context = context
         self.prefix = prefix
+        self.is_isolated = is_isolated
         self.open: dict[str, OwnedTransaction] = {}
         self.callers: dict[str, CallerPresence] = {}
         self.numbers = itertools.count(1)
@@ -82,7 +89,7 @@
 
         def end(request: Request) -> Response:
             self.end(decode(request.body, EndRequest).handle)
-            return Response(Ended())
+            return Response(Ended(self.is_isolated()))
 
         def withdraw(request: Request) -> Response:
             self.withdraw(decode(request.body, WithdrawRequest).proxy_id)
--- a/src/godwitwheel/sessions/owning/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -127,8 +127,14 @@
     proxy_id: str
 
 
-class Ended(msgspec.Struct, frozen=True):
-    """Reply to :class:`EndRequest` and :class:`WithdrawRequest`."""
+class Ended(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Reply to :class:`EndRequest` and :class:`WithdrawRequest`.
+
+    :ivar is_isolated: whether the owner reaches neither control nor most of the
+        primaries of its services.
+    """
+
+    is_isolated: bool = False
 
 
 def route_part(route: Route) -> RoutePart:
--- a/src/godwitwheel/sessions/owning/owner_process.py
+++ b/src/godwitwheel/sessions/owning/owner_process.py
@@ -15,6 +15,7 @@
 from ..context import SessionContext, new_run_id
 from ..events import StatementLog
 from ..metrics import SessionMetrics
+from ..reporting.isolation import is_isolated, primary_usable_at
 from ..reporting.members import ControlMembers
 from ..reporting.reporting import Reporter
 from ..reporting.sampler import Sampler
@@ -55,9 +56,18 @@
     """One running owner process.
 
     :ivar members: addresses of control; the seeds may be replaced while it runs.
+    :ivar reporter: ``None`` until the process runs.
     """
 
-    __slots__ = ("settings", "clock", "board", "context", "members", "owner")
+    __slots__ = (
+        "settings",
+        "clock",
+        "board",
+        "context",
+        "members",
+        "owner",
+        "reporter",
+    )
 
     def __init__(self, settings: OwnerSettings, connector: Connector):
         self.settings = settings
@@ -72,7 +82,25 @@
         metrics = SessionMetrics(settings.process_id)
         self.context = SessionContext(self.board, StatementLog(), metrics)
         self.members = ControlMembers(settings.seeds, random.Random())
-        self.owner = Owner(self.context, new_run_id())
+        self.reporter: Reporter | None = None
+        self.owner = Owner(self.context, new_run_id(), self.is_isolated)
+
+    def is_isolated(self) -> bool:
+        """Whether this owner reaches neither control nor most of its primaries."""
+        if self.reporter is None:
+            return False
+        answered_at = self.reporter.answered_at
+        confirmations = [
+            primary_usable_at(self.board, service, answered_at)
+            for service in self.board.view.table.services
+            if self.board.owns(service)
+        ]
+        return is_isolated(
+            answered_at,
+            self.reporter.is_control_unreachable,
+            confirmations,
+            self.clock.now(),
+        )
 
     def run(self, stop: StopRequest) -> None:
         """Serves until the process is asked to stop."""
@@ -83,7 +111,7 @@
         }
         with contextlib.ExitStack() as stack:
             client = stack.enter_context(Client())
-            reporter = Reporter(
+            reporter = self.reporter = Reporter(
                 self.board,
                 self.members,
                 client,
--- a/src/godwitwheel/sessions/owning/owner_silence.py
+++ b/src/godwitwheel/sessions/owning/owner_silence.py
@@ -14,6 +14,9 @@
 # Time that an owner has to answer a probe, which it does at once even if every
 # statement is slow. In seconds.
 PROBE_ANSWER_S = 0.1
+# How long an owner's answer that it is isolated holds, in seconds. Proxies that don't
+# reach control either probe it several times within this span.
+ISOLATION_REPORT_S = 0.8
 
 
 class CallRecord:
@@ -23,13 +26,15 @@
         ``None`` if there is none.
     :ivar probed_at: when the first probe after its last answer was sent; infinite if
         there is none.
+    :ivar isolated_at: when it last answered that it is isolated.
     """
 
-    __slots__ = ("unanswered_since", "probed_at")
+    __slots__ = ("unanswered_since", "probed_at", "isolated_at")
 
     def __init__(self):
         self.unanswered_since: float | None = None
         self.probed_at = math.inf
+        self.isolated_at = -math.inf
 
 
 class OwnerBreakers:
@@ -61,6 +66,18 @@
         record.unanswered_since = None
         record.probed_at = math.inf
 
+    def record_isolation(
+        self, owner: OwnerEntry, is_isolated: bool, now: float
+    ) -> None:
+        """Records an owner's answer whether it is isolated."""
+        record = self.records.setdefault(owner.address, CallRecord())
+        record.isolated_at = now if is_isolated else -math.inf
+
+    def is_isolated(self, owner: OwnerEntry, now: float) -> bool:
+        """Whether an owner has recently answered that it is isolated."""
+        record = self.records.get(owner.address)
+        return record is not None and now - record.isolated_at < ISOLATION_REPORT_S
+
     def unanswered_s(self, owner: OwnerEntry, now: float) -> float:
         """Returns for how long an owner has answered no call, in seconds.
 
--- a/src/godwitwheel/sessions/owning/owner_watch.py
+++ b/src/godwitwheel/sessions/owning/owner_watch.py
@@ -52,9 +52,11 @@
         self.has_suspects = bool(suspects)
 
     def is_reachable(self, service: str, now: float) -> bool:
-        """Whether a service has an owner that is not known to be unresponsive."""
+        """Whether a service has an owner that answers and is not isolated itself."""
         owner = self.calls.owner_of(service)
-        return owner is not None and not self.calls.breakers.is_unresponsive(owner, now)
+        if owner is None or self.calls.breakers.is_unresponsive(owner, now):
+            return False
+        return not self.calls.breakers.is_isolated(owner, now)
 
     def _owners(self) -> list[OwnerEntry]:
         found = self.calls.context.board.view.owners.values()
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -26,6 +26,7 @@
     END_PATH,
     RUN_PATH,
     WITHDRAW_PATH,
+    Ended,
     EndRequest,
     RunReply,
     RunRequest,
@@ -146,11 +147,16 @@
         self.breakers.record_probe(owner, self.context.now())
         try:
             body = encode(EndRequest(""))
-            self.client.exchange(owner.address, "POST", END_PATH, body, PROBE_TIMEOUT_S)
-        except WireError as error:
+            status, reply = self.client.exchange(
+                owner.address, "POST", END_PATH, body, PROBE_TIMEOUT_S
+            )
+            ended = decode(reply, Ended) if status == 200 else Ended()
+        except (WireError, BadMessage) as error:
             self._log_unreachable(owner, error)
             return
-        self.breakers.record_answer(owner, self.context.now())
+        now = self.context.now()
+        self.breakers.record_answer(owner, now)
+        self.breakers.record_isolation(owner, ended.is_isolated, now)
 
     def end(self, owner: OwnerEntry, handle: str) -> None:
         """Rolls back a transaction. If the request is lost, the owner expires it."""
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -21,7 +21,7 @@
 from .metrics import SessionMetrics
 from .owning.owner_watch import OwnerWatch
 from .owning.remote import OwnerCalls, RemoteRunner
-from .reporting.isolation import Isolation
+from .reporting.isolation import Isolation, primary_usable_at
 from .reporting.members import ControlMembers
 from .reporting.reporting import Reporter
 from .reporting.sampler import Sampler
@@ -158,14 +158,7 @@
         """Returns when a service was last known to be reachable."""
         if service in self.board.view.owners:
             return now if owners.is_reachable(service, now) else -math.inf
-        confirmed_at = self.board.known_primary(service).last_confirmed_at
-        if not self.board.authority.needs_lease:
-            return confirmed_at
-        # Without control no lease is renewed, so that the primary is soon of no use.
-        answered_at = -math.inf
-        if reporter.answered_at is not None:
-            answered_at = reporter.answered_at
-        return min(confirmed_at, answered_at)
+        return primary_usable_at(self.board, service, reporter.answered_at)
 
     def run(self, stop: StopRequest, make_link: Callable[[Stream], CallerLink]) -> None:
         """Serves until the process is asked to stop.
--- a/src/godwitwheel/sessions/reporting/isolation.py
+++ b/src/godwitwheel/sessions/reporting/isolation.py
@@ -1,4 +1,8 @@
-"""Detects that a proxy is isolated, so that callers should use other proxies."""
+"""Detects that a process is isolated, so that its callers should use others."""
+
+import math
+
+from ..board import SessionBoard
 
 # How old the last answer of control or of a primary may be, in seconds. Usually each
 # answers several times within this span.
@@ -10,8 +14,47 @@
 SESSION_END_INTERVAL_S = 0.5
 
 
+def primary_usable_at(
+    board: SessionBoard, service: str, answered_at: float | None
+) -> float:
+    """Returns when a service's primary was last known to be of use to this process.
+
+    :param answered_at: when control last answered, ``None`` if it never did.
+    :returns: seconds of the clock.
+    """
+    confirmed_at = board.known_primary(service).last_confirmed_at
+    if not board.authority.needs_lease:
+        return confirmed_at
+    # Without control no lease is renewed, so that the primary is soon of no use.
+    return min(confirmed_at, -math.inf if answered_at is None else answered_at)
+
+
+def is_isolated(
+    answered_at: float | None,
+    is_control_unreachable: bool,
+    confirmations: list[float],
+    now: float,
+) -> bool:
+    """Whether a process reaches neither control nor most primaries.
+
+    Times are in seconds of the clock.
+
+    :param answered_at: when control last answered, ``None`` if it never did.
+    :param is_control_unreachable: whether control left the last report unanswered.
+    :param confirmations: for each service, when its primary was last confirmed, or its
+        owner last reachable.
+    """
+    lacks_control = answered_at is None or (
+        is_control_unreachable and now - answered_at > UNREACHABLE_AFTER_S
+    )
+    missing = sum(
+        1 for confirmed_at in confirmations if now - confirmed_at > UNREACHABLE_AFTER_S
+    )
+    return lacks_control and 2 * missing > len(confirmations)
+
+
 class Isolation:
-    """Whether this proxy can reach neither control nor most primaries.
+    """Whether this process can reach neither control nor most primaries.
 
     One of the two is not enough: if control has no leader, or a primary is down, other
     proxies can't reach it either.
@@ -33,23 +76,11 @@
         confirmations: list[float],
         now: float,
     ) -> bool:
-        """Updates the state from the latest answers. Times are in seconds of the clock.
+        """Updates the state from the latest answers; see :func:`is_isolated`.
 
-        :param answered_at: when control last answered, ``None`` if it never did.
-        :param is_control_unreachable: whether control left the last report unanswered.
-        :param confirmations: for each service, when its primary was last confirmed, or
-            its owner last reachable.
         :returns: whether ``is_isolated`` changed.
         """
-        lacks_control = answered_at is None or (
-            is_control_unreachable and now - answered_at > UNREACHABLE_AFTER_S
-        )
-        missing = sum(
-            1
-            for confirmed_at in confirmations
-            if now - confirmed_at > UNREACHABLE_AFTER_S
-        )
-        isolated = lacks_control and 2 * missing > len(confirmations)
+        isolated = is_isolated(answered_at, is_control_unreachable, confirmations, now)
         changed = isolated is not self.is_isolated
         if changed:
             self.is_isolated = isolated
--- a/tests/cover/test_isolation.py
+++ b/tests/cover/test_isolation.py
@@ -1,11 +1,16 @@
 """When a proxy counts as isolated and ends its idle sessions."""
 
+import math
+
+from godwitwheel.sessions.reporting.authority import LeasedAuthority
 from godwitwheel.sessions.reporting.isolation import (
     BALANCER_DELAY_S,
     SESSION_END_INTERVAL_S,
     UNREACHABLE_AFTER_S,
     Isolation,
+    primary_usable_at,
 )
+from tests.common.fake_sessions import SERVICE, FakeGroup
 
 NOW = 100.0
 LATE = NOW - UNREACHABLE_AFTER_S - 0.1
@@ -46,3 +51,14 @@
     isolation.update(LATE, True, [LATE], NOW)
     assert isolation.update(NOW + 1.0, False, [LATE], NOW + 1.0)
     assert not isolation.is_isolated
+
+
+def test_a_primary_without_a_lease_is_of_no_use_once_control_is_silent():
+    # An owner that is cut off from control together with a primary confirms it for as
+    # long as they are, but may run nothing there.
+    board = FakeGroup().board
+    board.known_primary(SERVICE).confirm(NOW)
+    assert primary_usable_at(board, SERVICE, NOW - 5.0) == NOW
+    board.authority = LeasedAuthority()
+    assert primary_usable_at(board, SERVICE, NOW - 5.0) == NOW - 5.0
+    assert primary_usable_at(board, SERVICE, None) == -math.inf
--- a/tests/cover/test_owner_watch.py
+++ b/tests/cover/test_owner_watch.py
@@ -5,8 +5,11 @@
 
 from godwitwheel.directory.records import OwnerEntry
 from godwitwheel.internal.loop import sleep, spawn
-from godwitwheel.sessions.owning.owner_messages import RunRequest
-from godwitwheel.sessions.owning.owner_silence import UNRESPONSIVE_AFTER_S
+from godwitwheel.sessions.owning.owner_messages import Ended, RunRequest
+from godwitwheel.sessions.owning.owner_silence import (
+    ISOLATION_REPORT_S,
+    UNRESPONSIVE_AFTER_S,
+)
 from godwitwheel.sessions.owning.owner_watch import (
     PROBE_INTERVAL_S,
     SUSPECT_AFTER_S,
@@ -14,6 +17,7 @@
 )
 from godwitwheel.sessions.owning.remote import OwnerCalls, OwnerLost
 from godwitwheel.sessions.statements import StatementKind
+from godwitwheel.wire.codec import encode
 from godwitwheel.wire.errors import NoReply
 from tests.common.fake_sessions import SERVICE, FakeGroup
 
@@ -23,19 +27,21 @@
 class Link:
     """A client that answers for the owner, or fails while partitioned from it.
 
+    :ivar reply: what the owner answers.
     :ivar asked: number of requests sent.
     """
 
     def __init__(self, clock):
         self.clock = clock
         self.is_partitioned = False
+        self.reply = b"{}"
         self.asked = 0
 
     def exchange(self, address, method, path, body, timeout_s):
         self.asked += 1
         if self.is_partitioned:
             raise NoReply("partitioned")
-        return 200, b"{}"
+        return 200, self.reply
 
 
 class FakeReporter:
@@ -90,6 +96,25 @@
     assert proxy.check()
 
 
+def test_an_owner_that_is_isolated_itself_is_unreachable_until_it_is_not(proxy):
+    # Both are cut off from control: the owner answers, but without a lease it can run
+    # nothing at a primary, and callers should go to another data centre.
+    proxy.reporter.is_control_unreachable = True
+    proxy.link.reply = encode(Ended(is_isolated=True))
+    proxy.check()
+    assert not proxy.check(PROBE_INTERVAL_S)
+    proxy.link.reply = encode(Ended())
+    proxy.check(PROBE_INTERVAL_S)
+    assert proxy.check()
+
+
+def test_an_owner_counts_as_isolated_only_for_a_while(proxy):
+    # Once control answers this proxy again, the owner is not probed any more.
+    proxy.calls.breakers.record_isolation(OWNER, True, proxy.clock.now())
+    assert not proxy.check()
+    assert proxy.check(2 * ISOLATION_REPORT_S)
+
+
 class SilentLink(Link):
     """An owner that reads statements and probes, and answers none."""
 
