Split the detection of outliers by job

Change: exchanges, the evidence against a target, and ejection are modules of their own; nothing else moved. Measured: behaviour is unchanged; its tests pass with the new imports.

--- a/src/godwitwheel/sessions/running/health.py
+++ b/src/godwitwheel/sessions/running/health.py
@@ -1,6 +1,7 @@
 """Records exchanges for the detection of outliers, and logs its decisions."""
 
-from ...decisions.outliers import Ejection, Exchange, Outcome
+from ...decisions.exchanges import Exchange, Outcome
+from ...decisions.outlier_evidence import Ejection
 from ...directory.records import Route, TargetEntry
 from ...observe.events import EventName
 from ...wire.service import Access
--- a/tests/common/outlier_simulation.py
+++ b/tests/common/outlier_simulation.py
@@ -8,7 +8,7 @@
 import itertools
 import random
 
-from godwitwheel.decisions.outliers import Outcome
+from godwitwheel.decisions.exchanges import Outcome
 from godwitwheel.directory.records import NO_ACCOUNT
 from godwitwheel.internal.sentinel import Refusal
 from godwitwheel.observe.events import EventName
--- a/tests/cover/test_outliers.py
+++ b/tests/cover/test_outliers.py
@@ -7,17 +7,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from godwitwheel.decisions.exchanges import Outcome
+from godwitwheel.decisions.outlier_evidence import Ejection, Reason
 from godwitwheel.decisions.outliers import (
     FIRST_EJECTION_S,
     MAX_EJECTION_S,
     QUIET_S,
     TRIAL_STATEMENT_S,
     TRIAL_SUCCESSES,
-    Ejection,
     Members,
-    Outcome,
     OutlierDetector,
-    Reason,
     Restoration,
     Stage,
 )
