Print what eventlet warns of at the start again

Cause: the command line hid a warning about locks that eventlet can't replace; since only time is patched, eventlet looks for no locks and gives no such warning. Change: the redirection of standard error is gone. Measured: the tests of the command line pass.

--- a/src/godwitwheel/cli/main.py
+++ b/src/godwitwheel/cli/main.py
@@ -1,8 +1,6 @@
 """The entry point of the command line."""
 
 import argparse
-import contextlib
-import io
 import os
 import sys
 from collections.abc import Mapping
@@ -11,9 +9,6 @@
 from ..internal.loop import patch_standard_library
 from .exit_status import EXIT_FAILED, EXIT_INVALID
 
-# Part of a warning that eventlet prints.
-UNPATCHED_LOCKS = "RLock(s) were not greened"
-
 
 def _parse(commands: list, argv: list[str]) -> tuple[argparse.Namespace, list[str]]:
     parser = argparse.ArgumentParser(
@@ -58,24 +53,10 @@
     return command.run(values, paths)
 
 
-def _patch_standard_library() -> None:
-    """Patches the standard library and hides a warning that operators can't act on.
-
-    The archive from which a built binary starts holds locks that eventlet can't
-    replace, which is harmless with one thread.
-    """
-    output = io.StringIO()
-    with contextlib.redirect_stderr(output):
-        patch_standard_library()
-    for line in output.getvalue().splitlines():
-        if UNPATCHED_LOCKS not in line:
-            print(line, file=sys.stderr)
-
-
 def main(argv: list[str] | None = None) -> int:
     """Runs the command line and returns the exit status."""
     # This must precede the import of the commands, whose modules open sockets.
-    _patch_standard_library()
+    patch_standard_library()
     arguments = sys.argv[1:] if argv is None else argv
     try:
         return run_command(arguments, os.environ)
