Split what a process observed, and pool limits, out of the blackboard

Change: observed.py holds ObservedTarget and KnownPrimary, connections/limits.py decides pool limits from the connection cap, the number of proxies and the age of the process, internal/run_id.py makes run ids. Measured: behaviour is unchanged; the limits have tests without a board.

--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -1,8 +1,5 @@
 """The shared mutable state of a process for interactive sessions."""
 
-import math
-import secrets
-
 import msgspec
 
 from ..accounts.authority import KeyAuthority, UnleasedKeys
@@ -10,28 +7,24 @@
 from ..accounts.limiter import AccountLimiter
 from ..decisions.outliers import Members, OutlierDetector
 from ..decisions.retry_budget import WindowedRetryBudget
-from ..directory.ownership import needs_owner, usable_connections
+from ..directory.ownership import needs_owner
 from ..directory.records import DirectoryView, RoutingTable, TargetEntry
 from ..internal.clock import Clock
+from ..internal.run_id import new_run_id
 from ..internal.signals import ChangeSignal
 from .connections.connection import Connector
 from .connections.counts import PoolCounts
+from .connections.limits import (
+    MIN_POOL_SIZE,
+    owner_pool_limit,
+    proxy_pool_limit,
+)
 from .connections.pool import TargetPool
+from .observed import KnownPrimary, ObservedTarget
 from .queueing.gate import ConcurrencyLimiter
 from .reporting.authority import PlatformFencing, PrimaryAuthority
 from .running.floors import PositionHistory
-from .statements import Position
-
-# Connections that a pool may hold even if the proxies outnumber the connection cap.
-MIN_POOL_SIZE = 1
-# How long targets may keep the connections that this process had before it lost power,
-# in seconds. If all VMs lost power, there is no room for the usual number of new ones.
-STALE_CONNECTIONS_S = 4.0
-# Share of the usual number that is opened meanwhile, so that each process gets some.
-STARTING_POOL_SHARE = 0.5
-# Share of a target's connections that its owner may hold. A paused owner keeps its
-# connections open, and its successor needs some meanwhile.
-OWNER_POOL_SHARE = 0.6
+
 # How long a primary that has announced that it is leaving still gets new work, in
 # seconds. Targets keep running for longer than this after the announcement.
 LEAVING_GRACE_S = 5.0
@@ -45,84 +38,6 @@
 FAILED_RETRY_SHARE = 0.2
 MIN_FAILED_RETRIES = 3
 
-# Random bytes of the id that tells a run of the process from earlier ones.
-RUN_ID_BYTES = 4
-
-
-class TargetStatus:
-    """What this process has observed of a target.
-
-    :ivar failing_since: time of the first failure after the last answer, or
-        ``None`` while it answers.
-    :ivar failures: failures since the last answer.
-    :ivar retry_at: end of the backoff; the target gets no new work before that.
-    :ivar latency_s: moving average of the time of an exchange, in seconds; 0 before
-        the first.
-    :ivar in_flight: statements queued for a turn, or sent and not answered.
-    :ivar position: last reported log position, or ``None``.
-    :ivar position_at: when it was reported, in seconds of the clock.
-    """
-
-    __slots__ = (
-        "failing_since",
-        "failures",
-        "retry_at",
-        "latency_s",
-        "in_flight",
-        "position",
-        "position_at",
-    )
-
-    def __init__(self):
-        self.failing_since: float | None = None
-        self.failures = 0
-        self.retry_at = 0.0
-        self.latency_s = 0.0
-        self.in_flight = 0
-        self.position: Position | None = None
-        self.position_at = 0.0
-
-
-class KnownPrimary:
-    """Which target this process takes for a service's primary.
-
-    :ivar target_id: the target, or empty while none is known.
-    :ivar term: highest term in which a target was confirmed as primary.
-    :ivar confirmed_at: when the last request was sent that confirmed it as primary, in
-        seconds of the clock; ``None`` while it is not confirmed.
-    :ivar last_confirmed_at: the same for the latest confirmation of any target; kept
-        when ``confirmed_at`` becomes ``None``.
-    :ivar expected_at: when a target with a promotion order should be the primary, in
-        seconds of the clock.
-    :ivar search_started_at: when this process began to search for the primary, in
-        seconds of the clock, or ``None``.
-    """
-
-    __slots__ = (
-        "target_id",
-        "term",
-        "confirmed_at",
-        "last_confirmed_at",
-        "expected_at",
-        "search_started_at",
-    )
-
-    def __init__(self, target_id: str = "", term: int = 0):
-        self.target_id = target_id
-        self.term = term
-        self.confirmed_at: float | None = None
-        self.last_confirmed_at = -math.inf
-        self.expected_at = -math.inf
-        self.search_started_at: float | None = None
-
-    def confirm(self, sent_at: float) -> None:
-        """Records a confirmation of the target as primary.
-
-        :param sent_at: when the confirming request was sent, in seconds of the clock.
-        """
-        self.confirmed_at = sent_at
-        self.last_confirmed_at = max(self.last_confirmed_at, sent_at)
-
 
 class SessionBoard:
     """The blackboard for interactive sessions: shared state of all controllers.
@@ -188,7 +103,7 @@
         self.authority: PrimaryAuthority = PlatformFencing()
         self.key_authority: KeyAuthority = UnleasedKeys()
         self.held_key_ring: KeyRing | None = None
-        self.account_limiter = AccountLimiter(secrets.token_hex(RUN_ID_BYTES))
+        self.account_limiter = AccountLimiter(new_run_id())
         self.limiters: dict[str, ConcurrencyLimiter] = {}
         self.outlier_detectors: dict[str, OutlierDetector] = {}
         self.retry_budgets: dict[str, WindowedRetryBudget] = {}
@@ -202,7 +117,7 @@
         self.owners = 0
         self.pools: dict[str, TargetPool] = {}
         self.pool_counts = PoolCounts()
-        self.statuses: dict[str, TargetStatus] = {}
+        self.statuses: dict[str, ObservedTarget] = {}
         self.known_primaries: dict[str, KnownPrimary] = {}
         self.histories: dict[str, PositionHistory] = {}
         self.leaving_grace_s = LEAVING_GRACE_S
@@ -220,11 +135,11 @@
             self.held_key_ring = KeyRing(table)
         return self.held_key_ring
 
-    def status(self, target_id: str) -> TargetStatus:
+    def status(self, target_id: str) -> ObservedTarget:
         """Returns the observed status of a target."""
         status = self.statuses.get(target_id)
         if status is None:
-            status = self.statuses[target_id] = TargetStatus()
+            status = self.statuses[target_id] = ObservedTarget()
         return status
 
     def members_of(self, service: str) -> Members:
@@ -331,12 +246,9 @@
         if policy is None:
             return MIN_POOL_SIZE
         if self.owns(service):
-            share = int(OWNER_POOL_SHARE * usable_connections(policy))
-        else:
-            share = usable_connections(policy) // max(self.proxies, 1)
-            if self.clock.now() - self.started_at < STALE_CONNECTIONS_S:
-                share = int(STARTING_POOL_SHARE * share)
-        return max(share, MIN_POOL_SIZE)
+            return owner_pool_limit(policy)
+        age_s = self.clock.now() - self.started_at
+        return proxy_pool_limit(policy, self.proxies, age_s)
 
     def apply_view(self, view: DirectoryView, has_targets: bool = True) -> bool:
         """Installs a view from control unless it is outdated.
--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -1,7 +1,5 @@
 """The state of one session, and the context shared by all sessions of a proxy."""
 
-import secrets
-
 from ..directory.records import NO_ACCOUNT, Route
 from ..wire.service import Access
 from .board import SessionBoard
@@ -11,17 +9,6 @@
 from .queueing.presence import CallerPresence
 from .statements import Position, Statement, StatementKind, later_of
 
-RUN_ID_BYTES = 4
-
-
-def new_run_id() -> str:
-    """Returns a random id of this run of the process.
-
-    It is the prefix of the ids that the process issues, so that an id of an earlier run
-    is never taken for one of this run.
-    """
-    return secrets.token_hex(RUN_ID_BYTES)
-
 
 class SessionState:
     """State that is kept until the session ends.
--- a/src/godwitwheel/sessions/owning/owner_process.py
+++ b/src/godwitwheel/sessions/owning/owner_process.py
@@ -6,13 +6,14 @@
 from ...internal.clock import BootClock
 from ...internal.loop import running_task, sleep
 from ...internal.requests import StopRequest
+from ...internal.run_id import new_run_id
 from ...observe.events import EventName, record_event, record_failure
 from ...observe.health import observe_routes
 from ...wire.client import Client
 from ...wire.server import Server
 from ..board import SessionBoard
 from ..connections.connection import Connector
-from ..context import SessionContext, new_run_id
+from ..context import SessionContext
 from ..events import StatementLog
 from ..metrics import SessionMetrics
 from ..reporting.isolation import is_isolated, primary_usable_at
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -8,6 +8,7 @@
 from ..internal.clock import BootClock
 from ..internal.loop import running_task, sleep
 from ..internal.requests import StopRequest
+from ..internal.run_id import new_run_id
 from ..observe.events import EventName, record_event, record_failure
 from ..observe.health import observe_routes
 from ..wire.client import Client
@@ -15,7 +16,7 @@
 from ..wire.streams import Stream, StreamServer
 from .board import SessionBoard
 from .connections.connection import Connector
-from .context import SessionContext, new_run_id
+from .context import SessionContext
 from .events import StatementLog
 from .http_api import HttpSessions
 from .metrics import SessionMetrics
--- a/src/godwitwheel/sessions/queueing/choosing.py
+++ b/src/godwitwheel/sessions/queueing/choosing.py
@@ -4,7 +4,8 @@
 
 from ...directory.records import NO_ACCOUNT, TargetEntry
 from ...internal.sentinel import Refusal
-from ..board import SessionBoard, TargetStatus
+from ..board import SessionBoard
+from ..observed import ObservedTarget
 from ..statements import Position
 
 # Added to the expected time of a read at a target in another data centre, in seconds.
@@ -103,7 +104,7 @@
     return [target for target in candidates if target.target_id in admitted]
 
 
-def is_behind(status: TargetStatus, floor: Position, now: float) -> bool:
+def is_behind(status: ObservedTarget, floor: Position, now: float) -> bool:
     """Whether a target's last reported position is recent and below ``floor``."""
     if status.position is None or now - status.position_at > LAG_MAX_AGE_S:
         return False
@@ -137,7 +138,7 @@
     return wait_s
 
 
-def record_answered(status: TargetStatus, latency_s: float) -> None:
+def record_answered(status: ObservedTarget, latency_s: float) -> None:
     """Records that a target answered, and resets its backoff."""
     status.failing_since = None
     status.failures = 0
@@ -147,7 +148,7 @@
     status.latency_s += LATENCY_WEIGHT * (latency_s - status.latency_s)
 
 
-def record_unanswered(status: TargetStatus, now: float) -> bool:
+def record_unanswered(status: ObservedTarget, now: float) -> bool:
     """Records that a target couldn't be reached or didn't answer, and backs off.
 
     :returns: whether it is the first failure since the target's last answer.
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -235,6 +235,7 @@
             record_event(EventName.control_reachable, address=address)
         board.proxies = reply.proxies
         board.owners = reply.owners
+        # They also change with the age of this process.
         board.apply_limits()
         self.tables.advertise(reply.table_version)
         if reply.view_change is not None:
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -3,9 +3,12 @@
 import msgspec
 import pytest
 
-from godwitwheel.directory.records import NO_ACCOUNT
+from godwitwheel.directory.records import NO_ACCOUNT, ServicePolicy
 from godwitwheel.internal.loop import sleep, spawn
-from godwitwheel.sessions.board import STALE_CONNECTIONS_S
+from godwitwheel.sessions.connections.limits import (
+    STALE_CONNECTIONS_S,
+    proxy_pool_limit,
+)
 from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.statements import ErrorCode, TransactionState
 from godwitwheel.wire.service import Access
@@ -328,11 +331,25 @@
     assert answer.error is ErrorCode.unknown_database
 
 
-def test_a_process_that_has_just_started_leaves_connections_to_others():
-    # Targets still count the connections that all processes had before a loss of power.
-    # Those that connect first would otherwise take all that are left.
+@pytest.mark.parametrize(
+    ("cap", "proxies", "at_start", "usual"),
+    [(16, 6, 1, 2), (41, 7, 2, 5), (16, 3, 2, 4)],
+)
+def test_a_proxy_that_has_just_started_leaves_connections_to_others(
+    cap, proxies, at_start, usual
+):
+    # After a loss of power targets still count the connections of before. Proxies that
+    # connect first would otherwise take all that are left.
+    policy = ServicePolicy(SERVICE, cap)
+    assert proxy_pool_limit(policy, proxies, 0.0) == at_start
+    assert proxy_pool_limit(policy, proxies, STALE_CONNECTIONS_S) == usual
+
+
+def test_a_pool_may_open_its_usual_number_once_lost_connections_are_dropped():
     group = FakeGroup(max_connections=16)
     group.board.proxies = 6
-    assert group.board.pool_limit(SERVICE) == 1
+    pool = group.board.pool(group.board.view.targets["t1"])
+    assert pool.limit == 1
     group.clock.advance(STALE_CONNECTIONS_S)
-    assert group.board.pool_limit(SERVICE) == 2
+    group.board.apply_limits()
+    assert pool.limit == 2
