Hold statements at an owner that has just started

Change: an owner without its first view holds a statement for as long as it holds one for a busy target.

--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -28,6 +28,8 @@
 # How long a primary that has announced that it is leaving still gets new work, in
 # seconds. Targets keep running for longer than this after the announcement.
 LEAVING_GRACE_S = 5.0
+# Longest time after the start in which statements wait for the first view, in seconds.
+FIRST_VIEW_S = 3.0
 # Typical time from a promotion order until the target is the primary, in seconds.
 EXPECTED_PROMOTION_S = 0.6
 # Typical time until a primary that is already running answers the first probe of this
@@ -223,6 +225,11 @@
         """Whether the view does not include the targets that this process uses."""
         return not self.has_targets and self.wants_targets()
 
+    def awaits_first_view(self) -> bool:
+        """Whether this process has just started and knows no target yet."""
+        is_new = self.clock.now() - self.started_at < FIRST_VIEW_S
+        return is_new and self.view.version == 0
+
     def lacks_a_primary(self) -> bool:
         """Whether a service whose targets this process uses has no known primary."""
         return any(
--- a/src/godwitwheel/sessions/running/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -93,6 +93,9 @@
     board = context.board
     known_primary = board.known_primary(route.service)
     may_use = board.authority.may_use(route.service, known_primary.target_id, now)
+    if board.awaits_first_view():
+        # Proxies found this owner before control has answered it.
+        return now >= deadlines.start_deadline
     if known_primary.confirmed_at is None or not may_use:
         return not deadlines.waits_for_primary(known_primary.expected_at, now)
     return now >= deadlines.start_deadline
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitwheel.directory.records import NO_ACCOUNT, OwnerEntry
+from godwitwheel.directory.records import NO_ACCOUNT, DirectoryView, OwnerEntry
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
@@ -20,6 +20,7 @@
 from godwitwheel.sessions.owning.remote import OwnerCalls, RemoteRunner
 from godwitwheel.sessions.queueing.turns import TurnRequest
 from godwitwheel.sessions.reporting.reporting import Reporter
+from godwitwheel.sessions.running import single_run
 from godwitwheel.sessions.running.attempts import acquire_connection
 from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.session import Session
@@ -163,6 +164,35 @@
     assert [run.request_id for run in deployment.targets.runs()] == ["w1"]
 
 
+@pytest.mark.parametrize("make", [write, read])
+def test_a_statement_waits_for_the_first_view_of_an_owner_that_has_just_started(
+    deployment, make, monkeypatch
+):
+    # Callers that are refused meanwhile use up their retries.
+    board = deployment.targets.board
+    view = board.view
+    board.view = DirectoryView()
+    board.known_primaries.clear()
+    started_at = board.clock.now()
+
+    def receive_view_after_a_while(seconds):
+        board.clock.advance(seconds)
+        if board.clock.now() - started_at > 0.05:
+            board.apply_view(view)
+
+    monkeypatch.setattr(single_run, "sleep", receive_view_after_a_while)
+    assert deployment.session().execute(make("s1")).error is None
+
+
+def test_a_statement_is_refused_in_time_if_an_owner_gets_no_view(deployment):
+    board = deployment.targets.board
+    board.view = DirectoryView()
+    board.known_primaries.clear()
+    started_at = board.clock.now()
+    assert deployment.session().execute(write("w1")).error is ErrorCode.overloaded
+    assert board.clock.now() - started_at <= 0.2
+
+
 def test_a_write_to_an_unreachable_owner_is_refused(deployment):
     deployment.client.fail_before = True
     answer = deployment.session().execute(write("w1"))
