Log why there is no connection, and how long replaced owners were silent

Callers of large fleets were refused with 'no connection to i-...', which had one text for a service that has another owner, a full pool, a target that takes no more connections and one that can't be reached. owners_changed named the new owners alone, so that the logs could not tell late owners from a leader that takes no reports. Both now say so: acquire_connection returns a NoConnection with its detail, and owners_changed has the silence of each owner that lost a service and the least silence of any process. The test of a statement whose service was taken over expects the reason in place of None, which is stricter.

--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -21,7 +21,7 @@
 from .fencing import LeaseFence, PlatformFence, PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
 from .member import DirectoryMember
-from .ownership import assign_owners
+from .ownership import assign_owners, replaced_owners
 from .promotion import Promoter, PromotionClient, retry_delay_after
 from .records import DirectoryView, OwnerEntry
 
@@ -111,11 +111,17 @@
     def _set_owners(
         self, leadership: DirectoryLeadership, assigned: dict[str, OwnerEntry]
     ) -> None:
+        now = self.member.clock.now()
+        replaced = replaced_owners(self.member.state.directory.view.owners, assigned)
+        silence_ms = {owner: leadership.silence_ms(owner, now) for owner in replaced}
         try:
             self.member.commit_entry(SetOwners(assigned))
             record_event(
                 EventName.owners_changed,
                 owners={name: entry.proxy_id for name, entry in assigned.items()},
+                silence_ms=silence_ms,
+                least_silence_ms=leadership.least_silence_ms(now),
+                proxies=leadership.count_caller_facing_proxies(),
             )
         except ControlError as error:
             record_failure(error)
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -170,6 +170,24 @@
             and now - received.received_at <= OWNER_TIMEOUT_S
         }
 
+    def silence_ms(self, proxy_id: str, now: float) -> int | None:
+        """Returns the time since a process's last report, in milliseconds.
+
+        :returns: ``None`` if it is leaving, or has not reported to this leader.
+        """
+        received = self.reports.get(proxy_id)
+        return None if received is None else round(1000 * (now - received.received_at))
+
+    def least_silence_ms(self, now: float) -> int | None:
+        """Returns the time since the last report of any process, in milliseconds.
+
+        A long one points to this member, not to the processes.
+        """
+        latest = max(
+            (received.received_at for received in self.reports.values()), default=None
+        )
+        return None if latest is None else round(1000 * (now - latest))
+
     def is_unreachable_from_all(self, target_id: str, now: float) -> bool:
         """Whether there are recent reports and all list a target as unreachable."""
         fresh = [
--- a/src/godwitwheel/directory/ownership.py
+++ b/src/godwitwheel/directory/ownership.py
@@ -62,5 +62,18 @@
     return assigned
 
 
+def replaced_owners(
+    before: dict[str, OwnerEntry], after: dict[str, OwnerEntry]
+) -> list[str]:
+    """Returns the ids of the owners that have lost a service, in order."""
+    return sorted(
+        {
+            entry.proxy_id
+            for service, entry in before.items()
+            if after.get(service) != entry
+        }
+    )
+
+
 def _rank(service: str, owner: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{service}/{owner}".encode())
--- a/src/godwitwheel/sessions/reporting/sampler.py
+++ b/src/godwitwheel/sessions/reporting/sampler.py
@@ -2,6 +2,7 @@
 
 from ...directory.records import TargetEntry
 from ...internal.loop import Task, sleep, spawn
+from ...internal.sentinel import Refusal
 from ..connections.connection import Begin, Rollback
 from ..context import SessionContext, SessionState
 from ..errors import ConnectionLost
@@ -106,7 +107,7 @@
         pooled = acquire_connection(
             context, target, state, LOWEST_PRIORITY, PROBE_TIMEOUT_S
         )
-        if pooled is None:
+        if isinstance(pooled, Refusal):
             return False
         sent_at = context.now()
         try:
--- a/src/godwitwheel/sessions/running/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at a target: acquire a connection, exchange commands, record results."""
 
 import contextlib
+import enum
 from collections.abc import Iterator
 
 from ...directory.records import Route, TargetEntry
@@ -21,33 +22,51 @@
 SETUP_COMMANDS = (SetValue, Prepare, Discard)
 
 
+class NoConnection(enum.Enum):
+    """Why no connection to a target is available."""
+
+    not_owner = "not_owner"
+    too_many_connections = "too_many_connections"
+    pool_exhausted = "pool_exhausted"
+    connect_failed = "connect_failed"
+
+
 def acquire_connection(
     context: SessionContext,
     target: TargetEntry,
     state: SessionState,
     priority: int,
     timeout_s: float,
-) -> PooledConnection | None:
+) -> PooledConnection | Refusal:
     """Acquires a connection to a target from its pool.
 
-    :returns: ``None`` if none is available in time; nothing ran.
+    :returns: a :class:`NoConnection` if none is available in time; nothing ran.
     """
     board = context.board
     if not board.uses_targets(target.service):
-        # An owner has taken the service over since the target was chosen.
-        return None
+        # Another process has taken the service over since the target was chosen.
+        owner = board.view.owners.get(target.service)
+        holder = "none" if owner is None else owner.proxy_id
+        return _no_connection(context, NoConnection.not_owner, f"the owner is {holder}")
+    pool = board.pool(target)
     try:
-        return board.pool(target).acquire(
-            state.account, state.values, priority, timeout_s
-        )
+        return pool.acquire(state.account, state.values, priority, timeout_s)
     except TooManyConnections:
-        context.metrics.attempts.inc({"outcome": "too_many_connections"})
+        reason, detail = NoConnection.too_many_connections, "the target refused it"
     except PoolExhausted:
-        context.metrics.attempts.inc({"outcome": "pool_exhausted"})
+        reason, detail = NoConnection.pool_exhausted, "none became free"
     except ConnectFailed as error:
-        context.metrics.attempts.inc({"outcome": "connect_failed"})
         mark_unanswered(context, target, str(error))
-    return None
+        reason, detail = NoConnection.connect_failed, str(error)
+    detail = f"{detail}, {pool.open_count} of {pool.limit} open"
+    return _no_connection(context, reason, detail)
+
+
+def _no_connection(
+    context: SessionContext, reason: NoConnection, detail: str
+) -> Refusal:
+    context.metrics.attempts.inc({"outcome": reason.value})
+    return Refusal(reason, detail)
 
 
 def commands_to_run(
@@ -221,10 +240,10 @@
     target: TargetEntry,
     state: SessionState,
     request: TurnRequest,
-) -> Iterator[PooledConnection | None]:
+) -> Iterator[PooledConnection | Refusal]:
     """Acquires a connection for one statement once its turn is granted.
 
-    :returns: ``None`` if none is available in time; nothing ran.
+    :returns: a :class:`NoConnection` if none is available in time; nothing ran.
     :raises TurnRefused: if no turn is granted in time; nothing ran.
     """
     with turn(context, target, request):
@@ -233,7 +252,7 @@
         try:
             yield pooled
         finally:
-            if pooled is not None:
+            if not isinstance(pooled, Refusal):
                 release_connection(pooled)
 
 
--- a/src/godwitwheel/sessions/running/opening.py
+++ b/src/godwitwheel/sessions/running/opening.py
@@ -123,8 +123,8 @@
         pooled = acquire_connection(
             self.context, target, self.state, self.route.priority, timeout_s
         )
-        if pooled is None:
-            self.attempts.reason = f"no connection to {target.target_id}"
+        if isinstance(pooled, Refusal):
+            self.attempts.record_no_connection(target, pooled)
             self.excluded.add(target.target_id)
             return None
         self.attempts.target_id = target.target_id
--- a/src/godwitwheel/sessions/running/outcomes.py
+++ b/src/godwitwheel/sessions/running/outcomes.py
@@ -1,6 +1,7 @@
 """Records the outcome of a statement in metrics and the log."""
 
-from ...directory.records import Route
+from ...directory.records import Route, TargetEntry
+from ...internal.sentinel import Refusal
 from ...observe.events import EventName
 from ..context import SessionContext, SessionState
 from ..queueing.waiting import Deadlines
@@ -24,6 +25,13 @@
         self.reason = ""
         self.has_reached_target = False
 
+    def record_no_connection(self, target: TargetEntry, refusal: Refusal) -> None:
+        """Records why an attempt got no connection to its target."""
+        self.reason = (
+            f"no connection to {target.target_id}: "
+            f"{refusal.reason.value}, {refusal.detail}"
+        )
+
 
 def record_outcome(
     context: SessionContext,
--- a/src/godwitwheel/sessions/running/single_run.py
+++ b/src/godwitwheel/sessions/running/single_run.py
@@ -137,10 +137,11 @@
             presence=self.state.presence,
         )
         with acquired_connection(self.context, target, self.state, request) as pooled:
-            if pooled is None:
-                self.attempts.reason = f"no connection to {target.target_id}"
-            else:
-                self.attempts.has_reached_target = True
+            if isinstance(pooled, Refusal):
+                self.attempts.record_no_connection(target, pooled)
+                yield None
+                return
+            self.attempts.has_reached_target = True
             yield pooled
 
     def record_refusal(self, target: TargetEntry, answer: Answer) -> None:
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -9,6 +9,7 @@
 
 from godwitwheel.directory.records import NO_ACCOUNT, DirectoryView, OwnerEntry
 from godwitwheel.internal.loop import sleep, spawn
+from godwitwheel.internal.sentinel import Refusal
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
 from godwitwheel.sessions.owning.owner import EXPIRY_SLACK_S, Owner
@@ -21,7 +22,7 @@
 from godwitwheel.sessions.queueing.turns import TurnRequest
 from godwitwheel.sessions.reporting.reporting import Reporter
 from godwitwheel.sessions.running import single_run
-from godwitwheel.sessions.running.attempts import acquire_connection
+from godwitwheel.sessions.running.attempts import NoConnection, acquire_connection
 from godwitwheel.sessions.running.runner import RunnerSelector
 from godwitwheel.sessions.session import Session
 from godwitwheel.sessions.statements import Answer, ErrorCode, TransactionState
@@ -386,7 +387,9 @@
     view = msgspec.structs.replace(group.board.view, version=9, owners=OWNERS)
     group.board.apply_view(view)
     state = SessionState("s1", "primary")
-    assert acquire_connection(group.context, entry, state, 0, 1.0) is None
+    pooled = acquire_connection(group.context, entry, state, 0, 1.0)
+    assert pooled == Refusal(NoConnection.not_owner)
+    assert pooled.detail == "the owner is owner-1"
     assert group.targets["t1"].opened == 0
     assert group.board.pools == {}
 
