Let all processes that may own connections report at a fixed interval

Cause: a process that uses no targets reported every proxies / 200 s, 0.98 s with 195 proxies, while control takes an owner's services after 0.8 s without a report. An owner without services, or one that didn't know yet that it had been given some, was late in each interval, so that the services went round. Statements then met processes that were not, or not yet, the owner.

Change: processes that want targets, which includes every process that may own connections, report each 0.2 s in a fleet of any size. Intervals and the limits that depend on them stand in directory/report_timing.py, the limits as multiples of the intervals with the values that they had. The interval of the others is also bounded by the lease on client keys, which reports renew: with a bound on withdrawals of 2 s, proxies of a fleet of 400 would have refused all keyed callers part of the time.

--- a/src/godwitwheel/accounts/authority.py
+++ b/src/godwitwheel/accounts/authority.py
@@ -16,9 +16,16 @@
 
 
 class KeyAuthority(ABC):
-    """Whether the keys of the held routing table may be relied on."""
+    """Whether the keys of the held routing table may be relied on.
 
-    __slots__ = ()
+    :ivar lease_s: duration of a lease from when the report was sent, in seconds;
+        infinite if the keys need none.
+    """
+
+    __slots__ = ("lease_s",)
+
+    def __init__(self, lease_s: float):
+        self.lease_s = lease_s
 
     @abstractmethod
     def may_serve(self, now: float) -> bool:
@@ -37,6 +44,9 @@
 
     __slots__ = ()
 
+    def __init__(self):
+        super().__init__(math.inf)
+
     def may_serve(self, now: float) -> bool:
         return True
 
@@ -47,14 +57,13 @@
 class LeasedKeys(KeyAuthority):
     """For deployments in which a withdrawn key must stop working within a bound.
 
-    :ivar lease_s: duration of a lease from when the report was sent, in seconds.
     :ivar expires_at: end of the lease, in seconds of the clock.
     """
 
-    __slots__ = ("lease_s", "expires_at")
+    __slots__ = ("expires_at",)
 
     def __init__(self, withdrawal_bound_s: float):
-        self.lease_s = LEASE_SHARE * withdrawal_bound_s
+        super().__init__(LEASE_SHARE * withdrawal_bound_s)
         self.expires_at = -math.inf
 
     def may_serve(self, now: float) -> bool:
--- a/src/godwitwheel/accounts/rate_shares.py
+++ b/src/godwitwheel/accounts/rate_shares.py
@@ -13,6 +13,7 @@
 import math
 
 from ..directory.records import AccountPolicy, RateReply, RateReport, RateShare
+from ..directory.report_timing import DEMAND_MAX_AGE_S
 
 # Duration of the lease on a runner's shares, counted there from when it sent its
 # report, in seconds.
@@ -40,8 +41,6 @@
 # A share is also sent if a runner has less than this part of the unused operations that
 # it should have.
 SENT_UNUSED = 0.7
-# A runner that has not reported for this long has no demand, in seconds.
-DEMAND_MAX_AGE_S = 1.0
 
 
 def most_operations(policy: AccountPolicy) -> float:
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -10,7 +10,6 @@
 from .commands import DropEntry, SetOwners, SetPrimary
 from .errors import PromotionFailed
 from .failover import (
-    NEW_LEADER_GRACE_S,
     Assessment,
     Observation,
     ServiceObservations,
@@ -24,6 +23,7 @@
 from .ownership import assign_owners, replaced_owners
 from .promotion import Promoter, PromotionClient, retry_delay_after
 from .records import DirectoryView, OwnerEntry
+from .report_timing import NEW_LEADER_GRACE_S
 
 DECISION_INTERVAL_S = 0.05
 # Delay before a replacement is retried that failed for an unexpected error, in seconds.
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -5,9 +5,8 @@
 
 from ..sessions.statements import Position
 from .records import DirectoryView, ProxyReport, TargetEntry
+from .report_timing import MAX_REPORT_AGE_S, NEW_LEADER_GRACE_S
 
-# Reports older than this are ignored, in seconds.
-MAX_REPORT_AGE_S = 0.6
 # A proxy's last confirmation of its primary is valid for this long.
 CONFIRMATION_TIMEOUT_MS = 600
 # While some proxies still confirm the primary, the others count against it only after
@@ -24,8 +23,6 @@
 # Time after an order until the service is assessed again: a promotion takes several
 # hundred ms, and earlier observations don't show its result.
 PROMOTION_GRACE_S = 2.0
-# Within this time, every proxy has abandoned the old leader and reports to the new one.
-NEW_LEADER_GRACE_S = 0.8
 
 
 class Verdict(enum.Enum):
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -2,18 +2,18 @@
 
 from ..accounts.rate_shares import RateShares, RunnersInUse
 from ..decisions.leases import HolderName, LeaseTable
-from ..sessions.reporting.authority import LEASE_S
-from .failover import MAX_REPORT_AGE_S, ReceivedReport
+from .failover import ReceivedReport
 from .ownership import OWNER_MIN_PROXIES, needs_owner
 from .records import DirectoryView, ProxyReport, TargetEntry
+from .report_timing import (
+    MAX_REPORT_AGE_S,
+    OWNER_TIMEOUT_S,
+    PRIMARY_LEASE_S,
+    PROXY_EXPIRY_S,
+)
 
-# A proxy that has not reported for this long no longer counts when connections are
-# divided; until then it may still have its share open.
-PROXY_EXPIRY_S = 6.0
 # Largest relative difference between the rates of two VMs' clocks.
 CLOCK_DRIFT = 0.01
-# An owner that has not reported for this long loses its services.
-OWNER_TIMEOUT_S = 0.8
 # All proxies of a fleet that starts have reported once there was no new one for this
 # long, in seconds.
 FLEET_SETTLE_S = 0.8
@@ -87,7 +87,7 @@
         self.orders: dict[str, PromotionOrder] = {}
         self.in_progress: set[str] = set()
         self.orders_issued = 0
-        self.leases = LeaseTable(since, LEASE_S, CLOCK_DRIFT)
+        self.leases = LeaseTable(since, PRIMARY_LEASE_S, CLOCK_DRIFT)
         self.rate_shares = RateShares(since, term, CLOCK_DRIFT)
 
     def receive_report(self, report: ProxyReport, now: float) -> bool:
--- a/src/godwitwheel/sessions/reporting/authority.py
+++ b/src/godwitwheel/sessions/reporting/authority.py
@@ -13,10 +13,8 @@
 from collections.abc import Callable, Iterator
 
 from ...directory.records import DirectoryView
+from ...directory.report_timing import PRIMARY_LEASE_S
 
-# Duration of a lease, from when the process sent the report that control answered.
-# Processes keep their leases over an election among the control members.
-LEASE_S = 1.2
 # How long statements that were sent to a primary before it was fenced may still be
 # acknowledged; control waits for them before it orders a promotion. In seconds.
 DRAIN_TIMEOUT_S = 0.1
@@ -224,7 +222,7 @@
             return
         if now >= self.expires_at:
             self.continuous_since = now
-        self.expires_at = max(self.expires_at, sent_at + LEASE_S)
+        self.expires_at = max(self.expires_at, sent_at + PRIMARY_LEASE_S)
 
     def drained_version(self, now: float) -> int:
         draining = [each for each in self.tenures.values() if each.is_draining(now)]
--- a/src/godwitwheel/sessions/reporting/members.py
+++ b/src/godwitwheel/sessions/reporting/members.py
@@ -2,8 +2,8 @@
 
 import random
 
-# Timeout of a report, in seconds.
-REPORT_TIMEOUT_S = 0.4
+from ...directory.report_timing import REPORT_TIMEOUT_S
+
 # Time for which other members are tried before one that did not respond, and before
 # one that refused the connection at once, in seconds.
 UNRESPONSIVE_PAUSE_S = 1.5
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -9,6 +9,13 @@
     Redirect,
     ViewChange,
 )
+from ...directory.report_timing import (
+    MAX_RETRY_PAUSE_S,
+    REPORT_INTERVAL_S,
+    REPORT_SPACING_S,
+    REPORT_TIMEOUT_S,
+    idle_interval_s,
+)
 from ...directory.view_changes import apply_view_change
 from ...internal.loop import sleep
 from ...observe.events import EventName, record_event
@@ -18,25 +25,13 @@
 from ...wire.status import MISDIRECTED
 from ..board import SessionBoard
 from .backoff import postponed_pause_s, retry_pause_s
-from .members import REPORT_TIMEOUT_S, ControlMembers
+from .members import ControlMembers
 from .rates import apply_rate_reply, build_rate_report
 from .table_fetch import TableFetcher
 
 REPORT_PATH = "/v1/directory/report"
-REPORT_INTERVAL_S = 0.2
-# Reports per second that the leader is to receive from all proxies that use no targets
-# and have no change to report; MAX_IDLE_INTERVAL_S goes before it.
-IDLE_REPORTS_PER_S = 200
-# Longest interval of these, so that a new routing table is in force everywhere within
-# 4 s although a report may fail. In seconds.
-MAX_IDLE_INTERVAL_S = 2.0
 # Time that a process needs to find a primary, from its first probe on, in seconds.
 INITIAL_SEARCH_S = 0.5
-# Delay before a report, so that changes in quick succession are reported together.
-REPORT_SPACING_S = 0.01
-# Longest pause after failed reports of a process that uses targets, in seconds: it has
-# to find the next leader before its lease on the primaries ends.
-MAX_RUNNER_RETRY_S = 0.1
 # Report interval while a primary is not confirmed under leases: control then waits for
 # this process to learn that the primary is fenced. In seconds.
 UNCONFIRMED_REPORT_INTERVAL_S = 0.05
@@ -112,8 +107,10 @@
         if self.is_postponed:
             return postponed_pause_s(self.rng)
         pause_s = retry_pause_s(self.failures, self.rng)
-        if self.board.uses_any_targets():
-            return min(pause_s, MAX_RUNNER_RETRY_S)
+        if self.board.wants_targets():
+            # It has to find the next leader before its lease on the primaries ends, and
+            # before its services get another owner.
+            return min(pause_s, MAX_RETRY_PAUSE_S)
         return pause_s
 
     def interval_s(self) -> float:
@@ -121,9 +118,8 @@
         board = self.board
         if board.wants_targets() != self.asked_targets:
             return 0.0
-        if not board.uses_any_targets() or board.lacks_targets():
-            idle_s = min(board.proxies / IDLE_REPORTS_PER_S, MAX_IDLE_INTERVAL_S)
-            return max(REPORT_INTERVAL_S, idle_s)
+        if not board.wants_targets() or board.lacks_targets():
+            return idle_interval_s(board.proxies, board.key_authority.lease_s)
         if board.authority.needs_lease and board.lacks_a_primary():
             return UNCONFIRMED_REPORT_INTERVAL_S
         return REPORT_INTERVAL_S
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -12,10 +12,11 @@
 from godwitwheel.directory.controllers import DECISION_INTERVAL_S
 from godwitwheel.directory.ownership import assign_owners, replaced_owners
 from godwitwheel.directory.records import TargetEntry
+from godwitwheel.directory.report_timing import REPORT_SPACING_S
 from godwitwheel.internal.clock import ManualClock
 from godwitwheel.sessions.board import SessionBoard
 from godwitwheel.sessions.reporting.members import ControlMembers
-from godwitwheel.sessions.reporting.reporting import REPORT_SPACING_S, Reporter
+from godwitwheel.sessions.reporting.reporting import Reporter
 from godwitwheel.wire.codec import encode
 
 from .fake_members import FakeClient, FakeMember, large_table
--- a/tests/cover/test_authority.py
+++ b/tests/cover/test_authority.py
@@ -5,9 +5,9 @@
 import pytest
 
 from godwitwheel.directory.records import DirectoryView
+from godwitwheel.directory.report_timing import PRIMARY_LEASE_S
 from godwitwheel.sessions.reporting.authority import (
     DRAIN_TIMEOUT_S,
-    LEASE_S,
     LeasedAuthority,
     PlatformFencing,
 )
@@ -31,8 +31,8 @@
 
 def test_the_primary_of_the_view_is_used_until_the_lease_ends(authority):
     assert authority.may_use(SERVICE, "t1", 10.0)
-    assert authority.may_use(SERVICE, "t1", 10.0 + LEASE_S - 0.01)
-    assert not authority.may_use(SERVICE, "t1", 10.0 + LEASE_S)
+    assert authority.may_use(SERVICE, "t1", 10.0 + PRIMARY_LEASE_S - 0.01)
+    assert not authority.may_use(SERVICE, "t1", 10.0 + PRIMARY_LEASE_S)
 
 
 def test_no_other_target_is_used(authority):
@@ -42,21 +42,21 @@
 
 def test_a_lease_counts_from_when_the_report_was_sent(authority):
     authority.renew(1, 10.5, 11.0)
-    assert authority.expires_at == 10.5 + LEASE_S
+    assert authority.expires_at == 10.5 + PRIMARY_LEASE_S
 
 
 def test_a_lease_for_a_view_that_was_not_applied_is_ignored(authority):
     authority.renew(2, 11.0, 11.0)
-    assert authority.expires_at == 10.0 + LEASE_S
+    assert authority.expires_at == 10.0 + PRIMARY_LEASE_S
 
 
 def test_an_answer_after_the_end_of_the_lease_is_not_covered(authority):
     assert authority.covers(SERVICE, "t1", 10.1, 10.2)
-    assert not authority.covers(SERVICE, "t1", 10.1, 10.0 + LEASE_S)
+    assert not authority.covers(SERVICE, "t1", 10.1, 10.0 + PRIMARY_LEASE_S)
 
 
 def test_a_statement_sent_before_a_gap_between_leases_is_not_covered(authority):
-    late = 10.0 + LEASE_S + 1.0
+    late = 10.0 + PRIMARY_LEASE_S + 1.0
     authority.renew(1, late, late)
     assert authority.covers(SERVICE, "t1", late, late + 0.1)
     assert not authority.covers(SERVICE, "t1", 10.1, late + 0.1)
@@ -88,7 +88,7 @@
     with authority.in_flight(SERVICE):
         authority.apply_view(view(2, fenced=True), 10.2)
         authority.renew(2, 11.0, 11.0)
-        assert not authority.covers(SERVICE, "t1", 10.1, 10.0 + LEASE_S)
+        assert not authority.covers(SERVICE, "t1", 10.1, 10.0 + PRIMARY_LEASE_S)
 
 
 def test_the_end_of_the_last_statement_in_flight_is_reported_at_once():
--- a/tests/cover/test_lease_fence.py
+++ b/tests/cover/test_lease_fence.py
@@ -10,9 +10,9 @@
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.promotion import Promoter
 from godwitwheel.directory.records import ProxyReport
+from godwitwheel.directory.report_timing import PRIMARY_LEASE_S
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
-from godwitwheel.sessions.reporting.authority import LEASE_S
 from tests.common.fake_sessions import SERVICE, FakeGroup
 from tests.cover.test_promoter import ScriptedPromotionClient
 
@@ -73,7 +73,7 @@
     started_at = leased.clock.now()
     leased.replace()
     assert len(leased.client.orders) == 1
-    assert leased.clock.now() - started_at >= LEASE_S
+    assert leased.clock.now() - started_at >= PRIMARY_LEASE_S
 
 
 def test_the_order_does_not_wait_for_a_proxy_that_has_drained(leased):
@@ -88,7 +88,7 @@
     leased.restart_leadership(leased.clock.now())
     started_at = leased.clock.now()
     leased.replace()
-    assert leased.clock.now() - started_at >= LEASE_S
+    assert leased.clock.now() - started_at >= PRIMARY_LEASE_S
 
 
 def test_the_fence_and_the_candidate_are_committed_before_the_order(leased):
--- a/tests/cover/test_leased_sessions.py
+++ b/tests/cover/test_leased_sessions.py
@@ -3,8 +3,9 @@
 import pytest
 
 from godwitwheel.directory.records import DirectoryView
+from godwitwheel.directory.report_timing import PRIMARY_LEASE_S
 from godwitwheel.sessions.connections.pool import TargetPool
-from godwitwheel.sessions.reporting.authority import LEASE_S, LeasedAuthority
+from godwitwheel.sessions.reporting.authority import LeasedAuthority
 from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.sessions.running import opening, single_run, transaction
 from godwitwheel.sessions.statements import ErrorCode
@@ -77,13 +78,13 @@
 
 
 def test_a_write_whose_answer_comes_after_the_lease_is_in_doubt(leased):
-    leased.delay_answers(LEASE_S)
+    leased.delay_answers(PRIMARY_LEASE_S)
     answer = leased.group.session("primary").execute(write("w1"))
     assert answer.error is ErrorCode.in_doubt
 
 
 def test_a_write_without_a_lease_is_refused_and_not_sent(leased):
-    leased.group.clock.advance(LEASE_S)
+    leased.group.clock.advance(PRIMARY_LEASE_S)
     started_at = leased.group.clock.now()
     answer = leased.group.session("primary").execute(write("w1"))
     assert answer.error is ErrorCode.overloaded
@@ -92,7 +93,7 @@
 
 
 def test_a_read_of_a_primary_route_is_refused_without_a_lease(leased):
-    leased.group.clock.advance(LEASE_S)
+    leased.group.clock.advance(PRIMARY_LEASE_S)
     answer = leased.group.session("primary").execute(read("r1"))
     assert answer.error is ErrorCode.overloaded
 
@@ -101,7 +102,7 @@
     session = leased.group.session("primary")
     session.execute(begin("b1"))
     session.execute(write("w1"))
-    leased.delay_answers(LEASE_S)
+    leased.delay_answers(PRIMARY_LEASE_S)
     assert session.execute(commit("c1")).error is ErrorCode.in_doubt
 
 
@@ -128,18 +129,18 @@
     session = leased.group.session("bounded_staleness")
     session.execute(begin("b1", read_only=True))
     assert session.execute(read("r1")).error is None
-    leased.group.clock.advance(LEASE_S)
+    leased.group.clock.advance(PRIMARY_LEASE_S)
     assert session.execute(read("r2")).error is None
 
 
 def test_reads_go_on_at_replicas_while_the_last_sample_is_recent(leased):
     session = leased.group.session("bounded_staleness")
-    leased.group.clock.advance(LEASE_S)
+    leased.group.clock.advance(PRIMARY_LEASE_S)
     assert session.execute(read("r1")).error is None
 
 
 def test_no_floor_is_taken_without_a_lease(leased):
-    leased.group.clock.advance(LEASE_S)
+    leased.group.clock.advance(PRIMARY_LEASE_S)
     count = len(leased.board.history(SERVICE).samples)
     assert leased.probe("t1")
     assert len(leased.board.history(SERVICE).samples) == count
@@ -167,7 +168,7 @@
     acquire = TargetPool.acquire
 
     def acquire_after_lease(pool, *args):
-        leased.group.clock.advance(LEASE_S)
+        leased.group.clock.advance(PRIMARY_LEASE_S)
         return acquire(pool, *args)
 
     with monkeypatch.context() as patched:
--- a/tests/cover/test_report_timing.py
+++ b/tests/cover/test_report_timing.py
@@ -1,8 +1,22 @@
 """Reports arrive in time for what control decides by them, in fleets of any size."""
 
+import math
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from godwitwheel.directory.failover import NEW_LEADER_GRACE_S
+from godwitwheel.directory.report_timing import (
+    DEMAND_MAX_AGE_S,
+    MAX_REPORT_AGE_S,
+    NEW_LEADER_GRACE_S,
+    OWNER_TIMEOUT_S,
+    PRIMARY_LEASE_S,
+    PROXY_EXPIRY_S,
+    REPORT_INTERVAL_S,
+    idle_interval_s,
+    longest_gap_s,
+)
 from tests.common.fleet import Fleet
 
 SIZES = [7, 80, 160, 200, 300, 660]
@@ -41,3 +55,24 @@
     leadership = fleet.leader.member.current_leadership()
     assert leadership.leader_since == elected_at
     assert leadership.live_owners(fleet.clock.now()).keys() == ids(fleet.owners)
+
+
+@pytest.mark.parametrize(
+    "limit_s", [OWNER_TIMEOUT_S, NEW_LEADER_GRACE_S, DEMAND_MAX_AGE_S, PRIMARY_LEASE_S]
+)
+def test_one_failed_report_of_a_process_that_wants_targets_has_no_effect(limit_s):
+    assert longest_gap_s(REPORT_INTERVAL_S) < limit_s
+
+
+def test_a_primary_is_assessed_by_two_reports_of_a_process_or_more():
+    assert 2 * REPORT_INTERVAL_S < MAX_REPORT_AGE_S
+
+
+@given(st.integers(1, 100_000))
+def test_one_failed_report_of_any_process_does_not_make_it_count_as_lost(proxies):
+    assert longest_gap_s(idle_interval_s(proxies, math.inf)) < PROXY_EXPIRY_S
+
+
+@given(st.integers(1, 100_000), st.floats(0.9, 60.0))
+def test_one_failed_report_does_not_end_a_lease_on_keys(proxies, lease_s):
+    assert longest_gap_s(idle_interval_s(proxies, lease_s)) < lease_s
--- a/tests/cover/test_two_primaries.py
+++ b/tests/cover/test_two_primaries.py
@@ -17,15 +17,15 @@
 from godwitwheel.decisions.leases import LeaseTable
 from godwitwheel.directory.commands import FencePrimary, SetPrimary
 from godwitwheel.directory.leadership import CLOCK_DRIFT
+from godwitwheel.directory.report_timing import PRIMARY_LEASE_S, REPORT_INTERVAL_S
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
-from godwitwheel.sessions.reporting.authority import LEASE_S, LeasedAuthority
+from godwitwheel.sessions.reporting.authority import LeasedAuthority
 
 SERVICE = "bookings"
 PROCESSES = st.integers(0, 2)
 TARGETS = st.sampled_from(["t1", "t2", "t3"])
 NO_TARGET = ""
-REPORT_INTERVAL_S = 0.2
 
 
 class PendingWrite:
@@ -69,7 +69,7 @@
         super().__init__()
         self.now = 100.0
         self.directory = Directory(JsonTableCodec())
-        self.leases = LeaseTable(self.now - 10.0, LEASE_S, CLOCK_DRIFT)
+        self.leases = LeaseTable(self.now - 10.0, PRIMARY_LEASE_S, CLOCK_DRIFT)
         self.index = 1
         self.processes = [Process(number) for number in range(3)]
         self.replies = []
@@ -134,7 +134,7 @@
     @rule()
     def change_the_leader(self):
         """The next leader knows none of the leases that were granted."""
-        self.leases = LeaseTable(self.now, LEASE_S, CLOCK_DRIFT)
+        self.leases = LeaseTable(self.now, PRIMARY_LEASE_S, CLOCK_DRIFT)
 
     # Replacement of the primary.
 
