--- a/src/godwitwheel/sessions/owning/owner_watch.py
+++ b/src/godwitwheel/sessions/owning/owner_watch.py
@@ -8,7 +8,7 @@
 from ...directory.records import OwnerEntry
 from ...internal.loop import spawn
 from ..reporting.reporting import Reporter
-from .remote import OwnerCalls
+from .owner_calls import OwnerCalls
 
 # Time without any answer after which an owner is suspected, in seconds: it is probed,
 # and a report is sent to control.
--- a/src/godwitwheel/sessions/process.py
+++ b/src/godwitwheel/sessions/process.py
@@ -20,8 +20,9 @@
 from .events import StatementLog
 from .http_api import HttpSessions
 from .metrics import SessionMetrics
+from .owning.owner_calls import OwnerCalls
 from .owning.owner_watch import OwnerWatch
-from .owning.remote import OwnerCalls, RemoteRunner
+from .owning.remote import RemoteRunner
 from .reporting.isolation import Isolation, primary_usable_at
 from .reporting.members import ControlMembers
 from .reporting.reporting import Reporter
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -13,12 +13,13 @@
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
 from godwitwheel.sessions.owning.owner import EXPIRY_SLACK_S, Owner
+from godwitwheel.sessions.owning.owner_calls import OwnerCalls
 from godwitwheel.sessions.owning.owner_messages import RunReply, answer_of, reply_with
 from godwitwheel.sessions.owning.owner_silence import (
     PROBE_ANSWER_S,
     UNRESPONSIVE_AFTER_S,
 )
-from godwitwheel.sessions.owning.remote import OwnerCalls, RemoteRunner
+from godwitwheel.sessions.owning.remote import RemoteRunner
 from godwitwheel.sessions.queueing.turns import TurnRequest
 from godwitwheel.sessions.reporting.reporting import Reporter
 from godwitwheel.sessions.running import single_run
@@ -87,10 +88,11 @@
                 f"godwitwheel.sessions.running.{module}.sleep",
                 self.targets.clock.advance,
             )
-        monkeypatch.setattr(
-            "godwitwheel.sessions.owning.remote.spawn",
-            lambda function, *args: function(*args),
-        )
+        for module in ("owner_calls", "remote"):
+            monkeypatch.setattr(
+                f"godwitwheel.sessions.owning.{module}.spawn",
+                lambda function, *args: function(*args),
+            )
         monkeypatch.setattr(
             ChangeSignal, "wait", lambda signal, seconds: self.wait(seconds)
         )
--- a/tests/cover/test_owner_watch.py
+++ b/tests/cover/test_owner_watch.py
@@ -5,6 +5,7 @@
 
 from godwitwheel.directory.records import OwnerEntry
 from godwitwheel.internal.loop import sleep, spawn
+from godwitwheel.sessions.owning.owner_calls import OwnerCalls, OwnerLost
 from godwitwheel.sessions.owning.owner_messages import Ended, RunRequest
 from godwitwheel.sessions.owning.owner_silence import (
     ISOLATION_REPORT_S,
@@ -15,7 +16,6 @@
     SUSPECT_AFTER_S,
     OwnerWatch,
 )
-from godwitwheel.sessions.owning.remote import OwnerCalls, OwnerLost
 from godwitwheel.sessions.statements import StatementKind
 from godwitwheel.wire.codec import encode
 from godwitwheel.wire.errors import NoReply
