--- a/tests/common/cell.py
+++ b/tests/common/cell.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -189,7 +190,7 @@
         )
         self.log = ConsensusLog(
             options,
-            Register(self.cell),
+            self.cell.make_state_machine(self.cell),
             self.storage,
             FakeTransport(self.cell, self.member_id, self.storage),
             self.cell.clock,
@@ -221,9 +222,17 @@
     :ivar paused: members that do not run, as on a suspended VM.
     :ivar drops: function that returns whether the network loses a message.
     :ivar voter_limit: maximum number of voters, for members that start later.
+    :ivar make_state_machine: makes the state machine of a member that starts.
     """
 
-    def __init__(self, size: int = 3, seed: int = 1, snapshot_entries: int = 4096):
+    def __init__(
+        self,
+        size: int = 3,
+        seed: int = 1,
+        snapshot_entries: int = 4096,
+        make_state_machine: Callable[["Cell"], StateMachine] = Register,
+    ):
+        self.make_state_machine = make_state_machine
         self.random = random.Random(seed)
         self.clock = ManualClock()
         self.snapshot_entries = snapshot_entries
