Answer at once for services that a process doesn't own

Cause: a proxy learns of a new owner with its next report, up to 1 s later at 200 proxies and 2 s at 660; a former owner, and a new one that didn't know it yet, held a statement as if the primary were missing and then refused it. Neither side asked control.

Change: a process that gets a statement for a service that it doesn't own answers 421, nothing ran. The proxy asks control at once and sends the statement, or the first one of a transaction, to the owner that it learns of within 0.1 s. Requests name the version of the view by which the proxy chose, so that an owner with an older one asks control first. Transactions that are open at the former owner end there.

Tests: six new ones of test_owner.py failed before. The wait for another owner no longer ends with the first change of any kind.

Cover and adapter tests pass (1008).

--- a/src/godwitwheel/sessions/owning/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -12,6 +12,7 @@
 from ...observe.events import EventName
 from ...wire.codec import decode
 from ...wire.server import Handler, Request, Response
+from ...wire.status import MISDIRECTED
 from ..context import SessionContext, SessionState
 from ..queueing.presence import CallerPresence
 from ..running.single import run_single
@@ -23,6 +24,7 @@
     WITHDRAW_PATH,
     Ended,
     EndRequest,
+    NotOwner,
     RunRequest,
     StatementReply,
     WithdrawRequest,
@@ -36,6 +38,9 @@
 # Added to the idle limit of transactions, which proxies enforce as well, before the
 # owner ends one whose proxy may have crashed. In seconds.
 EXPIRY_SLACK_S = 1.0
+# How long a statement waits until this process holds the view by which it was sent
+# here, in seconds.
+VIEW_WAIT_S = 0.1
 
 
 class OwnedTransaction:
@@ -85,7 +90,10 @@
         """Returns the routes that proxies call."""
 
         def run(request: Request) -> Response:
-            return Response(self.run(decode(request.body, RunRequest)))
+            message = decode(request.body, RunRequest)
+            if not self.accepts(message):
+                return Response(NotOwner(), MISDIRECTED)
+            return Response(self.run(message))
 
         def end(request: Request) -> Response:
             self.end(decode(request.body, EndRequest).handle)
@@ -101,6 +109,33 @@
             ("POST", WITHDRAW_PATH): withdraw,
         }
 
+    def accepts(self, request: RunRequest) -> bool:
+        """Whether to run a statement, rather than leave it to the service's owner.
+
+        A transaction that is open here also ends here. A process that is given a
+        service may learn of it later than the proxies.
+        """
+        board = self.context.board
+        if request.handle or board.awaits_first_view():
+            return True
+        service = request.route.service
+        if not board.uses_targets(service):
+            self._await_view(request.view_version)
+        return board.uses_targets(service)
+
+    def _await_view(self, version: int) -> None:
+        """Asks control for a view if this process has none of that version."""
+        board = self.context.board
+        until = self.context.now() + VIEW_WAIT_S
+        if board.view.version < version:
+            # Wakes the reporter.
+            board.changed.notify()
+        while board.view.version < version:
+            left_s = until - self.context.now()
+            if left_s <= 0.0:
+                return
+            board.changed.wait(left_s)
+
     def run(self, request: RunRequest) -> StatementReply:
         """Runs one statement."""
         if not request.in_transaction:
--- a/src/godwitwheel/sessions/owning/owner_calls.py
+++ b/src/godwitwheel/sessions/owning/owner_calls.py
@@ -9,6 +9,7 @@
 from ...wire.client import Client
 from ...wire.codec import decode, encode
 from ...wire.errors import BadMessage, NoReply, NotSent, WireError
+from ...wire.status import MISDIRECTED
 from ..context import SessionContext, SessionState
 from ..statements import Statement
 from .owner_limits import OwnerLimits
@@ -28,6 +29,9 @@
 
 END_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.4
+# How long to wait for a new owner when the current one can't be reached, or is none any
+# more, in seconds.
+NEW_OWNER_WAIT_S = 0.1
 
 
 class OwnerLost(WireError):
@@ -90,15 +94,18 @@
                     owner.address, "POST", RUN_PATH, encode(request), timeout_s
                 )
             self.breakers.record_answer(owner, self.context.now())
+            if status == MISDIRECTED:
+                reason = f"it does not own {request.route.service}"
+                raise self._owner_lost(owner, request, reason, False)
             if status != 200:
                 raise OwnerLost(f"{owner.proxy_id} answered {status}", True)
             return decode(body, RunReply)
         except NotSent as error:
-            raise self._owner_lost(owner, request, error, False) from error
+            raise self._owner_lost(owner, request, str(error), False) from error
         except (WireError, BadMessage) as error:
             if isinstance(error, OwnerLost):
                 raise
-            raise self._owner_lost(owner, request, error, True) from error
+            raise self._owner_lost(owner, request, str(error), True) from error
 
     @contextlib.contextmanager
     def _waiting(self, owner: OwnerEntry, may_abort: bool) -> Iterator[None]:
@@ -134,7 +141,7 @@
             )
             ended = decode(reply, Ended) if status == 200 else Ended()
         except (WireError, BadMessage) as error:
-            self._log_unreachable(owner, error)
+            self._log_unreachable(owner, str(error))
             return
         now = self.context.now()
         self.breakers.record_answer(owner, now)
@@ -146,7 +153,7 @@
             body = encode(EndRequest(handle))
             self.client.exchange(owner.address, "POST", END_PATH, body, END_TIMEOUT_S)
         except WireError as error:
-            self._log_unreachable(owner, error)
+            self._log_unreachable(owner, str(error))
 
     def withdraw(self, owner: OwnerEntry, proxy_id: str) -> None:
         """Withdraws a statement if it is queued. If the request is lost, it may run."""
@@ -156,7 +163,7 @@
                 owner.address, "POST", WITHDRAW_PATH, body, END_TIMEOUT_S
             )
         except WireError as error:
-            self._log_unreachable(owner, error)
+            self._log_unreachable(owner, str(error))
 
     def run_for(
         self,
@@ -182,24 +189,45 @@
         self,
         owner: OwnerEntry,
         request: RunRequest,
-        error: Exception,
+        reason: str,
         was_sent: bool,
     ) -> OwnerLost:
         self._log_unreachable(
-            owner, error, request_id=request.request_id, was_sent=was_sent
+            owner, reason, request_id=request.request_id, was_sent=was_sent
         )
         # Wakes the reporter, since control may have assigned another owner meanwhile.
         self.context.board.changed.notify()
-        return OwnerLost(str(error), was_sent)
+        return OwnerLost(f"{owner.proxy_id}: {reason}", was_sent)
+
+    def await_other_owner(
+        self, lost: OwnerEntry | None, service: str, start_deadline: float
+    ) -> OwnerEntry | None:
+        """Waits up to :data:`NEW_OWNER_WAIT_S` for another owner of a service.
+
+        :param start_deadline: when a statement is no longer started, in seconds of the
+            clock.
+        :returns: the other owner, or ``None`` if there is none in time.
+        """
+        board = self.context.board
+        until = self.context.now() + NEW_OWNER_WAIT_S
+        while self.context.now() < start_deadline:
+            owner = self.owner_of(service)
+            if owner is not None and owner != lost:
+                return owner
+            left_s = until - self.context.now()
+            if left_s <= 0.0:
+                return None
+            board.changed.wait(left_s)
+        return None
 
     def _log_unreachable(
-        self, owner: OwnerEntry, error: Exception, **fields: object
+        self, owner: OwnerEntry, reason: str, **fields: object
     ) -> None:
         self.context.log.record(
             EventName.owner_unreachable,
             self.context.now(),
             owner=owner.proxy_id,
-            reason=str(error),
+            reason=reason,
             **fields,
         )
 
@@ -217,5 +245,6 @@
             session_part(state, route, statement),
             statement.name,
             statement.arguments,
+            view_version=self.context.board.view.version,
             **fields,
         )
--- a/src/godwitwheel/sessions/owning/owner_messages.py
+++ b/src/godwitwheel/sessions/owning/owner_messages.py
@@ -67,6 +67,7 @@
     :ivar handle: transaction that the statement belongs to; empty to open one with
         this statement.
     :ivar in_transaction: whether the statement belongs to a transaction.
+    :ivar view_version: version of the view by which the proxy chose the owner.
     """
 
     proxy_id: str
@@ -81,6 +82,14 @@
     in_transaction: bool = False
     read_only: bool = False
     handle: str = ""
+    view_version: Count = 0
+
+
+class NotOwner(msgspec.Struct, frozen=True):
+    """Reply to a :class:`RunRequest` for a service that the process doesn't own.
+
+    Nothing ran.
+    """
 
 
 class StatementReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/godwitwheel/sessions/owning/remote.py
+++ b/src/godwitwheel/sessions/owning/remote.py
@@ -15,14 +15,12 @@
     error_answer,
 )
 from .owner_calls import OwnerCalls, OwnerLost
-from .owner_messages import answer_of, position_of
+from .owner_messages import RunReply, answer_of, position_of
 
 # Added to a statement's remaining time for the timeout of its call, in seconds.
 CALL_SLACK_S = 0.05
 # Retry delay that callers are given when the owner can't be reached.
 RETRY_OWNER_MS = 300
-# How long to wait for a new owner when the current one can't be reached, in seconds.
-NEW_OWNER_WAIT_S = 0.1
 
 
 class RemoteRunner(StatementRunner):
@@ -42,21 +40,21 @@
         refusal = self.calls.limits.refusal(state, route, statement)
         if refusal is not None:
             return refusal
-        request = self.calls.request(state, route, statement)
+        owner = self.calls.owner_of(route.service)
         while True:
-            now = context.now()
-            owner = self.calls.owner_of(route.service)
+            request = self.calls.request(state, route, statement)
             try:
-                timeout_s = deadlines.left_s(now) + CALL_SLACK_S
+                timeout_s = deadlines.left_s(context.now()) + CALL_SLACK_S
                 reply = self.calls.run_for(
                     state, owner, request, timeout_s, may_abort=not is_write
                 )
             except OwnerLost as error:
                 if error.was_sent and is_write:
                     return error_answer(ErrorCode.in_doubt, str(error))
-                if not self._wait_for_new_owner(owner, route, deadlines):
-                    return _refused(error)
-                if state.presence.has_left:
+                owner = self.calls.await_other_owner(
+                    owner, route.service, deadlines.start_deadline
+                )
+                if owner is None or state.presence.has_left:
                     return _refused(error)
                 continue
             state.record_commit(route.service, position_of(reply.own_position))
@@ -68,21 +66,6 @@
     ) -> OpenTransaction:
         return RemoteTransaction(self.calls, state, route, read_only)
 
-    def _wait_for_new_owner(
-        self, lost: OwnerEntry | None, route: Route, deadlines: Deadlines
-    ) -> bool:
-        """Waits up to :data:`NEW_OWNER_WAIT_S` for another owner of the service.
-
-        :returns: whether it has one and the statement may still be retried.
-        """
-        board = self.calls.context.board
-        if board.clock.now() >= deadlines.start_deadline:
-            return False
-        if self.calls.owner_of(route.service) != lost:
-            return True
-        board.changed.wait(NEW_OWNER_WAIT_S)
-        return self.calls.owner_of(route.service) != lost
-
 
 def _refused(error: OwnerLost) -> Answer:
     if error.was_sent:
@@ -148,6 +131,24 @@
             if refusal is not None:
                 return refusal
             self.owner = self.calls.owner_of(self.route.service)
+        is_commit = statement.kind is StatementKind.commit
+        while True:
+            try:
+                reply = self._call(statement, deadlines, may_abort=not is_commit)
+                break
+            except OwnerLost as error:
+                # Nothing has begun yet, so that another owner may begin it.
+                is_open = bool(self.handle) or is_commit
+                if is_open or error.was_sent or not self._move(deadlines):
+                    raise
+        self.handle = "" if is_commit else reply.handle
+        self.state.record_commit(self.route.service, position_of(reply.own_position))
+        self.calls.limits.record(self.state, self.route, reply.account_retry_ms)
+        return answer_of(reply)
+
+    def _call(
+        self, statement: Statement, deadlines: Deadlines, may_abort: bool
+    ) -> RunReply:
         request = self.calls.request(
             self.state,
             self.route,
@@ -156,12 +157,15 @@
             read_only=self.read_only,
             handle=self.handle,
         )
-        timeout_s = deadlines.left_s(context.now()) + CALL_SLACK_S
-        is_commit = statement.kind is StatementKind.commit
-        reply = self.calls.run_for(
-            self.state, self.owner, request, timeout_s, may_abort=not is_commit
+        timeout_s = deadlines.left_s(self.calls.context.now()) + CALL_SLACK_S
+        return self.calls.run_for(self.state, self.owner, request, timeout_s, may_abort)
+
+    def _move(self, deadlines: Deadlines) -> bool:
+        """Turns to another owner of the service, if there is one in time."""
+        other = self.calls.await_other_owner(
+            self.owner, self.route.service, deadlines.start_deadline
         )
-        self.handle = "" if is_commit else reply.handle
-        self.state.record_commit(self.route.service, position_of(reply.own_position))
-        self.calls.limits.record(self.state, self.route, reply.account_retry_ms)
-        return answer_of(reply)
+        if other is None or self.state.presence.has_left:
+            return False
+        self.owner = other
+        return True
--- a/tests/cover/test_owner.py
+++ b/tests/cover/test_owner.py
@@ -13,7 +13,7 @@
 from godwitwheel.internal.signals import ChangeSignal
 from godwitwheel.sessions.context import SessionState
 from godwitwheel.sessions.owning.owner import EXPIRY_SLACK_S, Owner
-from godwitwheel.sessions.owning.owner_calls import OwnerCalls
+from godwitwheel.sessions.owning.owner_calls import NEW_OWNER_WAIT_S, OwnerCalls
 from godwitwheel.sessions.owning.owner_messages import RunReply, answer_of, reply_with
 from godwitwheel.sessions.owning.owner_silence import (
     PROBE_ANSWER_S,
@@ -187,6 +187,88 @@
     assert deployment.session().execute(make("s1")).error is None
 
 
+OTHER_OWNERS = {SERVICE: OwnerEntry("owner-2", "10.0.0.10:7441")}
+
+
+def apply_owners(group, version, owners):
+    view = msgspec.structs.replace(group.board.view, version=version, owners=owners)
+    group.board.apply_view(view)
+
+
+def move_service_away(deployment):
+    """Another process owns the service, and the proxy doesn't know it yet.
+
+    The other process is the same one here under another id.
+    """
+    apply_owners(deployment.targets, 10, OTHER_OWNERS)
+
+
+def learn_the_new_owner(deployment):
+    """The proxy learns the new owner, as soon as it waits for one."""
+
+    def wait(seconds):
+        deployment.targets.clock.advance(seconds / 10)
+        deployment.targets.board.process_id = "owner-2"
+        apply_owners(deployment.front, 10, OTHER_OWNERS)
+
+    deployment.wait = wait
+
+
+@pytest.mark.parametrize("make", [write, read])
+def test_a_statement_at_a_former_owner_runs_at_the_new_one(deployment, make):
+    move_service_away(deployment)
+    learn_the_new_owner(deployment)
+    assert deployment.session().execute(make("s1")).signature == "sig-s1"
+    assert [run.request_id for run in deployment.targets.runs()] == ["s1"]
+
+
+def test_a_transaction_that_begins_at_a_former_owner_runs_at_the_new_one(deployment):
+    move_service_away(deployment)
+    learn_the_new_owner(deployment)
+    session = deployment.session()
+    session.execute(begin("-"))
+    assert session.execute(write("w1")).signature == "sig-w1"
+    assert session.execute(commit("c1")).signature == "sig-c1"
+
+
+def test_a_transaction_that_is_open_at_a_former_owner_ends_there(deployment):
+    session = deployment.session()
+    session.execute(begin("-"))
+    session.execute(write("w1"))
+    move_service_away(deployment)
+    assert session.execute(write("w2")).error is None
+    assert session.execute(commit("c1")).signature == "sig-c1"
+
+
+def test_a_proxy_asks_control_at_once_for_the_successor_of_a_former_owner(deployment):
+    """Its next report in a large fleet is due in up to 2 s."""
+    move_service_away(deployment)
+    woken = spawn(deployment.front.board.changed.event.wait)
+    sleep()
+    started_at = deployment.targets.clock.now()
+    answer = deployment.session().execute(write("w1"))
+    sleep()
+    assert woken.dead
+    assert answer.error is ErrorCode.overloaded
+    assert deployment.targets.runs() == []
+    assert deployment.targets.clock.now() - started_at <= 2 * NEW_OWNER_WAIT_S
+
+
+@pytest.mark.parametrize("make", [write, read])
+def test_a_statement_waits_until_a_new_owner_knows_that_it_is_one(deployment, make):
+    owners = deployment.targets.board.view.owners
+    deployment.targets.board.view = msgspec.structs.replace(
+        deployment.targets.board.view, version=8, owners=OTHER_OWNERS
+    )
+
+    def wait(seconds):
+        deployment.targets.clock.advance(seconds / 10)
+        apply_owners(deployment.targets, 9, owners)
+
+    deployment.wait = wait
+    assert deployment.session().execute(make("s1")).signature == "sig-s1"
+
+
 def test_a_statement_is_refused_in_time_if_an_owner_gets_no_view(deployment):
     board = deployment.targets.board
     board.view = DirectoryView()
