--- a/src/godwitwheel/directory/report_timing.py
+++ b/src/godwitwheel/directory/report_timing.py
@@ -55,11 +55,3 @@
     """
     longest_s = min(MAX_IDLE_INTERVAL_S, lease_s / REPORTS_PER_LEASE)
     return max(REPORT_INTERVAL_S, min(proxies / IDLE_REPORTS_PER_S, longest_s))
-
-
-def longest_gap_s(interval_s: float) -> float:
-    """Returns the longest time between two reports of which one between them failed.
-
-    :param interval_s: the process's report interval, in seconds.
-    """
-    return interval_s + REPORT_SPACING_S + REPORT_TIMEOUT_S + MAX_RETRY_PAUSE_S
--- a/tests/cover/test_report_timing.py
+++ b/tests/cover/test_report_timing.py
@@ -9,13 +9,15 @@
 from godwitwheel.directory.report_timing import (
     DEMAND_MAX_AGE_S,
     MAX_REPORT_AGE_S,
+    MAX_RETRY_PAUSE_S,
     NEW_LEADER_GRACE_S,
     OWNER_TIMEOUT_S,
     PRIMARY_LEASE_S,
     PROXY_EXPIRY_S,
     REPORT_INTERVAL_S,
+    REPORT_SPACING_S,
+    REPORT_TIMEOUT_S,
     idle_interval_s,
-    longest_gap_s,
 )
 from tests.common.fleet import Fleet
 
@@ -23,6 +25,11 @@
 STEADY_S = 10.0
 
 
+def longest_gap_s(interval_s):
+    """Returns the longest time between two reports of which one between them failed."""
+    return interval_s + REPORT_SPACING_S + REPORT_TIMEOUT_S + MAX_RETRY_PAUSE_S
+
+
 def ids(processes):
     return {process.board.process_id for process in processes}
 
