Return to a leader that others have heard since a report to it failed

After a single report that timed out a process did not report to the leader for 2.1 to 2.3 s, so that an owner lost its services after 0.8 s, its lease on the primaries after 1.2 s and its demand for rate shares after 1 s.

Cause: a member that did not answer is avoided for 1.5 s, and a redirect to it is not followed, since followers go on naming a leader that has just failed.

Change: a redirect says when the redirecting member last heard from the leader. A leader that was heard after the failure is accepted; one that has failed was not. The first redirect is followed without a pause.

--- a/bench/slopes/stand_ins.py
+++ b/bench/slopes/stand_ins.py
@@ -45,6 +45,9 @@
     def leader_id(self) -> str:
         return "c1"
 
+    def leader_silence_s(self) -> float:
+        return 0.0
+
     def leader_since(self) -> float:
         return 0.0
 
--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -123,6 +123,9 @@
     def leader_id(self) -> str:
         return self.core.state.leader_id
 
+    def leader_silence_s(self) -> float:
+        return max(self.clock.now() - self.core.state.last_leader_contact, 0.0)
+
     def term(self) -> int:
         """Returns the member's current term."""
         return self.core.state.term
--- a/src/godwitwheel/consensus/replicated.py
+++ b/src/godwitwheel/consensus/replicated.py
@@ -52,6 +52,13 @@
     def leader_id(self) -> str:
         """Returns the id of the known leader, or an empty string."""
 
+    @abstractmethod
+    def leader_silence_s(self) -> float:
+        """Returns the time since this member last heard from the leader, in seconds.
+
+        If it has just started, it counts from its start at most.
+        """
+
     @abstractmethod
     def leader_since(self) -> float | None:
         """Returns since when this member is leader with all earlier entries applied.
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..wire.numbers import Count, Rate
+from ..wire.numbers import MAX_NUMBER, Count, Rate
 
 # Account of statements and connections that belong to no client account.
 NO_ACCOUNT = ""
@@ -316,6 +316,9 @@
     """Redirects to the leader.
 
     :ivar leader: its address, empty if no leader is known.
+    :ivar silence_ms: time since the redirecting member last heard from the leader, in
+        milliseconds.
     """
 
     leader: str
+    silence_ms: Count = MAX_NUMBER
--- a/src/godwitwheel/directory/routes.py
+++ b/src/godwitwheel/directory/routes.py
@@ -84,7 +84,9 @@
         try:
             return handler(request)
         except NotLeading:
-            return Response(Redirect(member.log.leader_address()), MISDIRECTED)
+            silence_ms = min(round(1000 * member.log.leader_silence_s()), MAX_NUMBER)
+            redirect = Redirect(member.log.leader_address(), silence_ms)
+            return Response(redirect, MISDIRECTED)
         except ControlError as error:
             return Response(ControlProblem(str(error)), UNAVAILABLE)
 
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -47,6 +47,7 @@
     :ivar asked_targets: whether the last report asked for targets.
     :ivar is_postponed: whether control has put off the view that it asked for.
     :ivar failures: reports in a row that no leader answered.
+    :ivar redirects: redirects to a leader since a leader answered last.
     :ivar answered_at: when a leader answered last, or ``None``.
     :ivar is_control_unreachable: whether a report has failed since control answered
         last.
@@ -62,6 +63,7 @@
         "asked_targets",
         "is_postponed",
         "failures",
+        "redirects",
         "leaving",
         "owner_address",
         "answered_at",
@@ -86,6 +88,7 @@
         self.asked_targets = False
         self.is_postponed = False
         self.failures = 0
+        self.redirects = 0
         self.leaving = False
         self.answered_at: float | None = None
         self.is_control_unreachable = False
@@ -106,6 +109,9 @@
         """Returns the pause after a report that brought no answer, or no view."""
         if self.is_postponed:
             return postponed_pause_s(self.rng)
+        if self.members.leader and self.redirects == 1:
+            # Members that name each other are asked again after a pause.
+            return 0.0
         pause_s = retry_pause_s(self.failures, self.rng)
         if self.board.wants_targets():
             # It has to find the next leader before its lease on the primaries ends, and
@@ -130,7 +136,10 @@
         :returns: whether a leader answered.
         """
         was_answered = self._report()
-        self.failures = 0 if was_answered else self.failures + 1
+        if was_answered:
+            self.failures = self.redirects = 0
+        else:
+            self.failures += 1
         return was_answered
 
     def _report(self) -> bool:
@@ -151,7 +160,7 @@
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
-                self.members.record_leader(decode(body, Redirect).leader, now)
+                self._follow(decode(body, Redirect))
             else:
                 self._record_unreachable(address, f"status {status}")
         except (WireError, BadMessage) as error:
@@ -160,6 +169,14 @@
             self._record_unreachable(address, str(error))
         return False
 
+    def _follow(self, redirect: Redirect) -> None:
+        """Turns to the leader that another member named."""
+        now = self.board.clock.now()
+        heard_at = now - redirect.silence_ms / 1000.0
+        self.members.record_leader(redirect.leader, now, heard_at)
+        if self.members.leader:
+            self.redirects += 1
+
     def build(self) -> ProxyReport:
         """Returns the report of this proxy's observations."""
         board = self.board
@@ -222,8 +239,7 @@
 
     def _apply_reply(self, address: str, reply: ProxyReply, sent_at: float) -> None:
         board = self.board
-        self.members.leader = address
-        self.members.avoided_until.pop(address, None)
+        self.members.record_answer(address)
         self.members.members = reply.members
         self.answered_at = board.clock.now()
         if self.is_control_unreachable:
--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -45,5 +45,8 @@
     def leader_address(self):
         return self.leader or (OWN_ADDRESS if self.is_leader else "")
 
+    def leader_silence_s(self):
+        return 0.0
+
     def leader_since(self):
         return 0.0 if self.is_leader else None
--- a/tests/cover/test_control_members.py
+++ b/tests/cover/test_control_members.py
@@ -27,6 +27,16 @@
     assert members.next_address(10.1) != SEEDS[0]
 
 
+def test_a_redirect_to_an_unresponsive_leader_that_was_heard_since_is_followed():
+    # Otherwise one lost answer would keep a process from reporting for seconds.
+    members = ControlMembers(SEEDS, random.Random(1))
+    members.mark_unresponsive(SEEDS[0], 0.4, 10.0)
+    members.record_leader(SEEDS[0], 10.1, heard_at=10.0)
+    assert members.next_address(10.1) != SEEDS[0]
+    members.record_leader(SEEDS[0], 10.1, heard_at=10.05)
+    assert members.next_address(10.1) == SEEDS[0]
+
+
 def test_a_member_that_refused_the_connection_is_retried_soon():
     members = ControlMembers(SEEDS, random.Random(1))
     members.mark_unresponsive(SEEDS[0], 0.001, 10.0)
