--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -110,7 +110,7 @@
         if self.is_postponed:
             return postponed_pause_s(self.rng)
         if self.members.leader and self.redirects == 1:
-            # Members that name each other are asked again after a pause.
+            # Only the first one is followed at once: members may name each other.
             return 0.0
         pause_s = retry_pause_s(self.failures, self.rng)
         if self.board.wants_targets():
