Refuse unreadable heartbeats, and bear their entries in the log

A lost primary would not have been replaced.

Cause: a heartbeat's missing fields got defaults and any text before the port was taken for a host, so that the entry became a target in the replicated log. A connect to it raised TypeError, which open_stream did not turn into an error of the stream; it ended the session's task, the target never counted as failing, and each promotion ended at it.

An address that can't be used is an error of the stream, so that an entry already in the log counts as unreachable. An unexpected error at one candidate no longer ends a promotion, and an entry of a service that isn't configured replaces no target of one that is.

--- a/src/godwitwheel/cli/values.py
+++ b/src/godwitwheel/cli/values.py
@@ -1,6 +1,5 @@
 """Parsers of settings; an error states the given text and what was expected."""
 
-import ipaddress
 import math
 from collections.abc import Callable
 
@@ -38,14 +37,7 @@
 
 def parse_address(text: str, what: str) -> str:
     """Parses ``IP:PORT`` with a port of at least 1."""
-    host, _, port = check_address(text, what).rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        problem = f"{what}: got {text!r}, expected the host as an IP number"
-        raise InvalidValue(problem) from None
-    check_between(int(port), 1, 65535, f"{what}, port")
-    return text
+    return check_address(text, what)
 
 
 def parse_addresses(text: str, what: str) -> list[str]:
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -193,6 +193,9 @@
         directory = self.state.directory
         if self.grants_leases and entry.service in directory.view.primaries:
             # A former primary continues to claim the lead until it hears of the other.
+        if directory.would_displace_configured(entry):
+            self.confirm()
+            return
             entry = msgspec.structs.replace(entry, claims_lead=False)
         known = directory.view.targets.get(entry.target_id)
         if not is_newest or known == entry or directory.is_outdated(entry):
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -4,12 +4,13 @@
 
 from ..internal.clock import Clock
 from ..internal.loop import spawn
-from ..observe.events import EventName, record_event
+from ..observe.events import EventName, record_event, record_failure
 from ..sessions.connections.connection import (
     AskStatus,
     Command,
     Connector,
     PauseReceiving,
+    ReplicaStatus,
 )
 from ..sessions.errors import SessionsError
 from .commands import SetPrimary
@@ -218,7 +219,8 @@
     ) -> list[Candidate]:
         is_synchronous = self._is_synchronous(service, view)
         queries = [
-            spawn(self._query, entry, observations, is_synchronous) for entry in entries
+            spawn(self._query_one, entry, observations, is_synchronous)
+            for entry in entries
         ]
         return [task.wait() for task in queries]
 
@@ -226,22 +228,28 @@
         policy = view.table.services.get(service)
         return policy is not None and policy.synchronous_replicas > 0
 
-    def _query(
+    def _query_one(
         self, entry: TargetEntry, observations: list[Observation], is_synchronous: bool
     ) -> Candidate:
         unreachable_from = count_unreachable_from(entry.target_id, observations)
         try:
-            connection = self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
+            status = self._query(entry, is_synchronous)
         except SessionsError as error:
             return self._unresponsive_candidate(entry, unreachable_from, error)
+        except Exception as error:
+            # One target must not keep the others from being promoted.
+            record_failure(error)
+            return self._unresponsive_candidate(entry, unreachable_from, error)
+        return Candidate(entry, status.received, status.term, unreachable_from)
+
+    def _query(self, entry: TargetEntry, is_synchronous: bool) -> ReplicaStatus:
+        connection = self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
         try:
             status = self._status(connection, AskStatus())
             if is_synchronous:
                 # Its position must not advance between the selection and the promotion.
                 status = self._status(connection, PauseReceiving(status.term + 1))
-            return Candidate(entry, status.received, status.term, unreachable_from)
-        except SessionsError as error:
-            return self._unresponsive_candidate(entry, unreachable_from, error)
+            return status
         finally:
             connection.close()
 
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -104,6 +104,21 @@
         """Removes a target, and unless it may return, blocks its incarnation."""
         known = self.view.targets.get(command.target_id)
         if known is None or known.started_at_ms > command.started_at_ms:
+    def would_displace_configured(self, entry: TargetEntry) -> bool:
+        """Whether an entry of an unknown service would replace one of a known service.
+
+        Another writer may have announced it; a target of a new service announces itself
+        again once its service is configured.
+        """
+        services = self.view.table.services
+        if entry.service in services:
+            return False
+        return any(
+            other.service in services
+            for target_id, other in self.view.targets.items()
+            if target_id == entry.target_id or other.address == entry.address
+        )
+
             return EntryResult(False)
         if not command.may_return:
             self._record_departure(command)
--- a/src/godwitwheel/proxy/announce_api.py
+++ b/src/godwitwheel/proxy/announce_api.py
@@ -7,11 +7,11 @@
 from ..wire.codec import decode
 from ..wire.control import ControlProblem
 from ..wire.errors import BadMessage
+from ..wire.numbers import MAX_SLOTS
 from ..wire.server import Request, Response
 from ..wire.target import TargetStatus
 from .control_link import ControlLink
 
-MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 100_000
 MAX_ANNOUNCED = 2_000
 HIGHEST_POSITION = 2**62
--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -6,8 +6,9 @@
 import warnings
 from collections.abc import Callable, Iterator
 
+from ..internal.errors import InvalidValue
 from ..internal.loop import Task, spawn
-from ..internal.validation import split_address
+from ..internal.validation import check_address, split_address
 from .errors import WireError
 
 with warnings.catch_warnings():
@@ -35,6 +36,10 @@
     """The peer sent no data, or accepted none, in time."""
 
 
+class UnusableAddress(StreamClosed):
+    """An address to connect to is not an ``IP:PORT``."""
+
+
 class ProtocolError(StreamClosed):
     """The peer violated its protocol, and the stream was closed."""
 
@@ -220,7 +225,13 @@
 
     :raises StreamTimeout: if it does not answer in time.
     :raises StreamClosed: if it refuses.
+    :raises UnusableAddress: if ``address`` is anything else, such as a host name: peers
+        announce addresses, and a name lookup would block the event loop.
     """
+    try:
+        check_address(address, "address")
+    except InvalidValue as error:
+        raise UnusableAddress(str(error)) from error
     connecting = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         connecting.settimeout(max(timeout_s, 0.001))
--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -224,16 +224,75 @@
         {"state": "resting"},
         {"slots": "three"},
         {"address": "nowhere"},
+        {"address": "127.0.0.9\0:9999"},
+        {"address": "10.0.0.9\r\n:8080"},
+        {"address": "backend.example:8080"},
+        {"address": "10.0.0.\u0664:8080"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:" + "9" * 400},
+        {"address": "x" * 300 + ":8080"},
+        {"service": ""},
+        {"service": "huvo i-2\r\nQUERY"},
+        {"zone": "x" * 5000},
         {"db_role": "witness"},
         {"born": "then"},
+        {"born": -1},
+        {"born": 10**30},
         {"sequence": None},
+        {"sequence": 10**30},
+        {"slots": 0},
+        {"slots": 2**62},
+        {"slots": 1e300},
+        {"version": 7},
+        {"cold_remaining_ms": "soon"},
+        {"cold_remaining_ms": 10**400},
     ],
 )
 def test_an_invalid_heartbeat_is_refused_and_adds_no_target(api, change):
+    """Of another writer: each process that used such an entry failed at it again."""
     assert api.heartbeat(**change).status == 400
     assert api.state.directory.view.targets == {}
 
 
+@pytest.mark.parametrize("field", sorted(HEARTBEAT))
+def test_a_heartbeat_without_a_field_is_refused_and_adds_no_target(api, field):
+    """Targets send all fields; an entry with defaults in their place was used."""
+    body = {name: value for name, value in HEARTBEAT.items() if name != field}
+    assert api.call("POST", "/api/instances/i-1/heartbeat", body).status == 400
+    assert api.state.directory.view.targets == {}
+
+
+@pytest.mark.parametrize("target_id", ["i-1\r\n", "i 1", "i" * 200, "é"])
+def test_a_heartbeat_under_an_id_of_no_target_is_refused(api, target_id):
+    assert api.heartbeat(target_id).status == 400
+    assert api.state.directory.view.targets == {}
+
+
+@pytest.mark.parametrize("depth", range(60, 1200, 20))
+def test_a_deeply_nested_heartbeat_is_refused_or_names_a_target(api, depth):
+    """A field that nobody reads, nested beyond what the decoder follows."""
+    nested = b"[" * depth + b"]" * depth
+    body = json.dumps(HEARTBEAT).encode()[:-1] + b', "more": ' + nested + b"}"
+    status = api.call("POST", "/api/instances/i-1/heartbeat", body).status
+    assert (status, "i-1" in api.state.directory.view.targets) in (
+        (200, True),
+        (400, False),
+    )
+
+
+def test_a_heartbeat_of_an_unknown_service_replaces_no_known_target(api):
+    """Another writer may name the address, or the id, of a target."""
+    api.heartbeat(service="kafi", born=90)
+    api.put(CONFIG)
+    assert set(api.state.directory.view.targets) == {"i-1"}
+    api.heartbeat()
+    known = api.state.directory.view.targets
+    assert api.heartbeat("x-1", service="kafi", born=500).status == 200
+    assert api.heartbeat(service="kafi", born=500).status == 200
+    assert api.state.directory.view.targets == known
+
+
 def test_a_heartbeat_that_is_not_text_is_refused_and_logged(api):
     messages = []
     eliot.add_destinations(messages.append)
@@ -253,6 +312,16 @@
     assert "i-1" in api.state.directory.view.targets
 
 
+@pytest.mark.parametrize(
+    "body", [b'{"born": null}', b'{"born": 1e400}', b'{"born": ' + b"[" * 900, b"\xff"]
+)
+def test_an_invalid_departure_removes_no_target(api, body):
+    """Of another writer: the target that it names runs on."""
+    api.heartbeat()
+    assert api.call("POST", "/api/instances/i-1/deregister", body).status == 400
+    assert "i-1" in api.state.directory.view.targets
+
+
 def test_without_a_leader_nothing_is_acknowledged(api):
     api.log.is_leader = False
     assert api.heartbeat().status == 503
