Refuse configurations that no process could decode or encode

Cause: numbers of a configuration had no upper limit, so that one beyond 64 bits was committed and acknowledged, but could not be encoded for any process. A document nested deeply in a field that nobody reads was accepted at one depth of the stack; a member that applied it from the log at a deeper one raised, and did so again after each restart.

--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -8,6 +8,8 @@
 from ..control.state import ControlState
 from ..internal.clock import Clock
 from ..observe.events import EventName, record_event
+from ..wire.codec import check_nesting
+from ..wire.errors import BadMessage
 from .assembly import AssemblyBudget
 from .commands import (
     DropEntry,
@@ -191,11 +193,11 @@
         leadership = self.current_leadership()
         is_newest = leadership.receive_announcement(entry, sequence, self.clock.now())
         directory = self.state.directory
-        if self.grants_leases and entry.service in directory.view.primaries:
-            # A former primary continues to claim the lead until it hears of the other.
         if directory.would_displace_configured(entry):
             self.confirm()
             return
+        if self.grants_leases and entry.service in directory.view.primaries:
+            # A former primary continues to claim the lead until it hears of the other.
             entry = msgspec.structs.replace(entry, claims_lead=False)
         known = directory.view.targets.get(entry.target_id)
         if not is_newest or known == entry or directory.is_outdated(entry):
@@ -280,7 +282,8 @@
 
     def _check(self, document: bytes) -> RoutingTable:
         try:
+            check_nesting(document)
             return self.state.directory.codec.decode(document)
-        except InvalidTable as error:
+        except (BadMessage, InvalidTable) as error:
             record_event(EventName.table_refused, reason=str(error))
-            raise
+            raise InvalidTable(str(error)) from error
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..wire.numbers import MAX_NUMBER, Count, Rate
+from ..wire.numbers import MAX_NUMBER, Count, Integer, Rate
 
 # Account of statements and connections that belong to no client account.
 NO_ACCOUNT = ""
@@ -33,10 +33,10 @@
     database: str
     service: str
     consistency: Consistency
-    statement_timeout_ms: int
-    latency_objective_ms: int
-    priority: int = 0
-    max_staleness_ms: int = 0
+    statement_timeout_ms: Integer
+    latency_objective_ms: Integer
+    priority: Integer = 0
+    max_staleness_ms: Integer = 0
     public: bool = True
 
 
@@ -49,8 +49,8 @@
     """
 
     name: str
-    max_connections: int
-    synchronous_replicas: int = 0
+    max_connections: Integer
+    synchronous_replicas: Integer = 0
 
 
 class AccountPolicy(msgspec.Struct, frozen=True):
@@ -77,8 +77,8 @@
         milliseconds.
     """
 
-    start_timeout_ms: int = 3000
-    transaction_idle_ms: int = 3000
+    start_timeout_ms: Integer = 3000
+    transaction_idle_ms: Integer = 3000
 
 
 class RoutingTable(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..observe.events import EventName, record_event
 from .commands import (
     DropEntry,
     EntryResult,
@@ -13,6 +14,7 @@
     TableResult,
 )
 from .documents import unpack_document
+from .errors import InvalidTable
 from .records import DirectoryView, OwnerEntry, RoutingTable, TargetEntry
 from .table_changes import RecentTables
 from .tables import TableCodec
@@ -66,7 +68,9 @@
 
     def put_table(self, index: int, command: PutTable) -> TableResult:
         """Activates a table, if its version is higher than the active one's."""
-        table = self.codec.decode(unpack_document(command.document))
+        table = self._decode(command.document)
+        if table is None:
+            return TableResult(False, self.view.table.version)
         if self.document and table.version <= self.view.table.version:
             return TableResult(False, self.view.table.version)
         self.document = command.document
@@ -100,10 +104,6 @@
             if target_id == entry.target_id or other.address == entry.address
         )
 
-    def drop_entry(self, index: int, command: DropEntry) -> EntryResult:
-        """Removes a target, and unless it may return, blocks its incarnation."""
-        known = self.view.targets.get(command.target_id)
-        if known is None or known.started_at_ms > command.started_at_ms:
     def would_displace_configured(self, entry: TargetEntry) -> bool:
         """Whether an entry of an unknown service would replace one of a known service.
 
@@ -119,6 +119,10 @@
             if target_id == entry.target_id or other.address == entry.address
         )
 
+    def drop_entry(self, index: int, command: DropEntry) -> EntryResult:
+        """Removes a target, and unless it may return, blocks its incarnation."""
+        known = self.view.targets.get(command.target_id)
+        if known is None or known.started_at_ms > command.started_at_ms:
             return EntryResult(False)
         if not command.may_return:
             self._record_departure(command)
@@ -173,8 +177,9 @@
         """Replaces the whole state."""
         self.document = snapshot.document
         table = RoutingTable()
-        if snapshot.document:
-            table = self.codec.decode(unpack_document(snapshot.document))
+        decoded = self._decode(snapshot.document) if snapshot.document else None
+        if decoded is not None:
+            table = decoded
             self.recent_tables.add(table)
         self.view = DirectoryView(
             snapshot.version,
@@ -188,6 +193,18 @@
         self.tokens = dict(snapshot.tokens)
         self.departed = dict(snapshot.gone)
 
+    def _decode(self, stored: bytes) -> RoutingTable | None:
+        """Decodes a stored document.
+
+        :returns: ``None`` if an earlier version of the codec has accepted a document
+            that this one refuses: what is in the log must not end the process.
+        """
+        try:
+            return self.codec.decode(unpack_document(stored))
+        except InvalidTable as error:
+            record_event(EventName.table_refused, reason=str(error))
+            return None
+
     def _record_departure(self, command: DropEntry) -> None:
         self.departed.pop(command.target_id, None)
         self.departed[command.target_id] = command.started_at_ms
--- a/tests/adapter/test_control_api.py
+++ b/tests/adapter/test_control_api.py
@@ -1,8 +1,10 @@
 """Heartbeats and the operator's calls, in a cell of one member."""
 
+import copy
 import json
 
 import eliot
+import msgspec
 import pytest
 
 from fleet.control_api import ControlApi
@@ -10,10 +12,13 @@
 from godwitwheel.accounts.keys import digest_of
 from godwitwheel.control.committer import MAX_BATCH_BYTES
 from godwitwheel.control.state import ControlState
+from godwitwheel.directory.commands import PutTable
+from godwitwheel.directory.documents import pack_document
 from godwitwheel.directory.errors import InvalidTable
 from godwitwheel.directory.member import DirectoryMember
 from godwitwheel.directory.state import Directory
 from godwitwheel.internal.clock import ManualClock
+from godwitwheel.wire.codec import MAX_NESTING, encode
 from godwitwheel.wire.server import Server
 from tests.common.control import OneMemberLog
 
@@ -293,6 +298,58 @@
     assert api.state.directory.view.targets == known
 
 
+@pytest.mark.parametrize("depth", range(60, 1200, 20))
+def test_a_deeply_nested_configuration_is_refused_or_can_be_restored(api, depth):
+    """The deeper stack of another process could not decode what one had accepted."""
+    nested = b"[" * depth + b"]" * depth
+    document = json.dumps(CONFIG).encode()[:-1] + b', "more": ' + nested + b"}"
+    reply = api.put(document)
+    assert reply.status == (200 if depth < MAX_NESTING else 400)
+    restored = Directory(FleetTableCodec())
+    restored.restore(api.state.directory.snapshot())
+    assert restored.view.table == api.state.directory.view.table
+
+
+@pytest.mark.parametrize("number", [10**30, 1e300, -(10**30), 2**63])
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("version",),
+        ("routes", 0, "timeout_ms"),
+        ("routes", 0, "target_latency_ms"),
+        ("routes", 0, "priority"),
+        ("routes", 0, "max_staleness_ms"),
+        ("services", 0, "max_connections"),
+        ("services", 0, "sync_replicas"),
+        ("limits", "tx_idle_ms"),
+    ],
+)
+def test_a_configuration_with_a_number_too_large_is_refused(api, path, number):
+    """It was acknowledged, but could not be sent to any process."""
+    changed = copy.deepcopy(CONFIG)
+    holder = changed
+    for key in path[:-1]:
+        holder = holder[key]
+    holder[path[-1]] = number
+    assert api.put(changed).status == 400
+    encode(api.state.directory.view.table)
+    assert api.put({**CONFIG, "version": 8}).status == 200
+
+
+def test_a_document_in_the_log_that_is_no_longer_valid_ends_no_process(api):
+    """Every member failed at it, and at each restart again."""
+    api.put(CONFIG)
+    refused = {**CONFIG, "version": 9, "routes": [{"name": "no database"}]}
+    stored = pack_document(json.dumps(refused).encode())
+    result = api.state.directory.put_table(50, PutTable(stored))
+    assert (result.applied, result.version) == (False, 7)
+    restored = Directory(FleetTableCodec())
+    restored.restore(
+        msgspec.structs.replace(api.state.directory.snapshot(), document=stored)
+    )
+    assert restored.put_table(51, PutTable(api.state.directory.document)).applied
+
+
 def test_a_heartbeat_that_is_not_text_is_refused_and_logged(api):
     messages = []
     eliot.add_destinations(messages.append)
