Pause and ask replicas that leave before a synchronous promotion

Cause: the targets that may be promoted were also the only ones that were paused and asked. A replica that leaves counts towards acknowledgements until it ends: the primary went on acknowledging through it for the 600 ms that the promotion took.

Change: a rule for each kind of service says which targets are asked and which of them is promoted (directory/candidates.py). A synchronous service pauses all replicas, those that leave first. A promotion is withheld if as many replicas are silent as a commit needs.

Tests of the decisions were moved to the new interface, with their assertions unchanged.

--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -1,10 +1,9 @@
-"""Decides when a service's primary is replaced, and by which target."""
+"""Decides when a service's primary is replaced."""
 
 import enum
 import math
 
-from ..sessions.statements import Position
-from .records import DirectoryView, ProxyReport, TargetEntry
+from .records import DirectoryView, ProxyReport
 from .report_timing import MAX_REPORT_AGE_S, NEW_LEADER_GRACE_S
 
 # A proxy's last confirmation of its primary is valid for this long.
@@ -202,88 +201,3 @@
             f"can't reach {primary_id}",
         )
     return Assessment(Verdict.keep, f"{len(confirmed)} proxies confirmed the primary")
-
-
-class Candidate:
-    """A target that could be promoted.
-
-    :ivar received: last log position that it received; ``None`` if it did not answer.
-    :ivar unreachable_from: number of proxies that can't reach it.
-    """
-
-    __slots__ = ("entry", "received", "term", "unreachable_from")
-
-    def __init__(
-        self,
-        entry: TargetEntry,
-        received: Position | None,
-        term: int,
-        unreachable_from: int,
-    ):
-        self.entry = entry
-        self.received = received
-        self.term = term
-        self.unreachable_from = unreachable_from
-
-
-def candidates_of(service: str, view: DirectoryView) -> list[TargetEntry]:
-    """Returns the targets that may be queried as candidates for promotion.
-
-    A fenced primary is one of them: it takes over again if no other target can.
-    """
-    excluded_id = "" if service in view.fences else view.primaries.get(service, "")
-    return [
-        entry
-        for entry in view.targets.values()
-        if entry.service == service
-        and not entry.leaving
-        and entry.target_id != excluded_id
-    ]
-
-
-def choose_candidate(
-    candidates: list[Candidate],
-    observations: list[Observation],
-    primary_id: str,
-    ordered_id: str = "",
-) -> Candidate | None:
-    """Returns the reachable target whose promotion loses the fewest writes.
-
-    :param primary_id: the primary that is to be replaced; it is chosen only if it is
-        fenced and no other candidate is left.
-    :param ordered_id: target that an earlier order may still promote; it is chosen if
-        it answered, since another choice could be overturned by that order.
-    :returns: ``None`` if no target is reached by more proxies than the primary.
-    """
-    unconfirmed_count = sum(
-        1
-        for observation in observations
-        if observation.target_id == primary_id and not observation.is_confirmed
-    )
-    eligible = [each for each in candidates if each.received is not None]
-    if observations and unconfirmed_count:
-        eligible = [
-            each
-            for each in eligible
-            if each.unreachable_from < max(unconfirmed_count, 1)
-        ]
-    for candidate in candidates:
-        if ordered_id == candidate.entry.target_id and candidate.received is not None:
-            return candidate
-    if not eligible:
-        return None
-    return max(
-        eligible,
-        key=lambda each: (
-            each.entry.target_id != primary_id,
-            each.received,
-            -each.unreachable_from,
-        ),
-    )
-
-
-def count_unreachable_from(target_id: str, observations: list[Observation]) -> int:
-    """Returns how many proxies can't reach a target."""
-    return sum(
-        1 for observation in observations if target_id in observation.unreachable
-    )
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -13,16 +13,16 @@
     ReplicaStatus,
 )
 from ..sessions.errors import SessionsError
-from .commands import SetPrimary
-from .errors import PromotionFailed, PromotionFenced
-from .failover import (
-    PROMOTION_GRACE_S,
+from .candidates import (
     Candidate,
-    Observation,
-    candidates_of,
-    choose_candidate,
+    CandidateRule,
+    Replacement,
     count_unreachable_from,
+    rule_for,
 )
+from .commands import SetPrimary
+from .errors import PromotionFailed, PromotionFenced
+from .failover import PROMOTION_GRACE_S, Observation
 from .fencing import PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
 from .records import NO_ACCOUNT, DirectoryView, TargetEntry
@@ -103,15 +103,15 @@
 
         :raises PromotionFailed: if no order was sent, or it was not confirmed.
         """
-        queried = self._query_all(
-            service, view, candidates_of(service, view), observations
-        )
+        rule = rule_for(service, view)
+        asked = rule.asked_targets(service, view)
+        queried = self._query_all(rule, asked, observations)
         candidate = self._select(service, view, queried, observations, reason)
         fenced = self.fence.establish(leadership, service, view)
         if fenced is not view:
             # The targets' positions may have changed while the leases were waited for.
             responsive = [each.entry for each in queried if each.received is not None]
-            queried = self._query_all(service, fenced, responsive, observations)
+            queried = self._query_all(rule, [responsive], observations)
             candidate = self._select(service, fenced, queried, observations, reason)
         target_id = candidate.entry.target_id
         self.fence.prepare_order(leadership, service, target_id)
@@ -188,52 +188,44 @@
     ) -> Candidate:
         primary_id = view.primaries.get(service, "")
         ordered_id = view.fences.get(service, "")
-        silent = [
-            each.entry.target_id
-            for each in candidates
-            if each.received is None and each.entry.target_id != primary_id
-        ]
-        candidate = None
-        # At a synchronous group, a replica that did not answer may be the only one that
-        # holds a commit.
-        if not (silent and self._is_synchronous(service, view)):
-            candidate = choose_candidate(
-                candidates, observations, primary_id, ordered_id
-            )
+        candidate = rule_for(service, view).choose(
+            Replacement(candidates, observations, primary_id, ordered_id)
+        )
         if candidate is None:
             record_event(
                 EventName.promotion_withheld,
                 service=service,
                 reason=reason,
-                why="no candidate that answered is reached by more proxies",
+                why="no candidate that answered is reached by more proxies, or too "
+                "many replicas of a synchronous service did not answer",
+                silent=[
+                    each.entry.target_id for each in candidates if each.received is None
+                ],
             )
             raise PromotionFailed("no candidate")
         return candidate
 
     def _query_all(
         self,
-        service: str,
-        view: DirectoryView,
-        entries: list[TargetEntry],
+        rule: CandidateRule,
+        groups: list[list[TargetEntry]],
         observations: list[Observation],
     ) -> list[Candidate]:
-        is_synchronous = self._is_synchronous(service, view)
-        queries = [
-            spawn(self._query_one, entry, observations, is_synchronous)
-            for entry in entries
-        ]
-        return [task.wait() for task in queries]
-
-    def _is_synchronous(self, service: str, view: DirectoryView) -> bool:
-        policy = view.table.services.get(service)
-        return policy is not None and policy.synchronous_replicas > 0
+        candidates = []
+        for entries in groups:
+            queries = [
+                spawn(self._query_one, entry, observations, rule.pauses_replicas)
+                for entry in entries
+            ]
+            candidates += [task.wait() for task in queries]
+        return candidates
 
     def _query_one(
-        self, entry: TargetEntry, observations: list[Observation], is_synchronous: bool
+        self, entry: TargetEntry, observations: list[Observation], pauses: bool
     ) -> Candidate:
         unreachable_from = count_unreachable_from(entry.target_id, observations)
         try:
-            status = self._query(entry, is_synchronous)
+            status = self._query(entry, pauses)
         except SessionsError as error:
             return self._unresponsive_candidate(entry, unreachable_from, error)
         except Exception as error:
@@ -242,11 +234,11 @@
             return self._unresponsive_candidate(entry, unreachable_from, error)
         return Candidate(entry, status.received, status.term, unreachable_from)
 
-    def _query(self, entry: TargetEntry, is_synchronous: bool) -> ReplicaStatus:
+    def _query(self, entry: TargetEntry, pauses: bool) -> ReplicaStatus:
         connection = self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
         try:
             status = self._status(connection, AskStatus())
-            if is_synchronous:
+            if pauses:
                 # Its position must not advance between the selection and the promotion.
                 status = self._status(connection, PauseReceiving(status.term + 1))
             return status
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -1,13 +1,15 @@
 """When a primary is replaced, and by which target."""
 
-from godwitwheel.directory.failover import (
+from godwitwheel.directory.candidates import (
+    AsynchronousRule,
     Candidate,
+    Replacement,
+)
+from godwitwheel.directory.failover import (
     Observation,
     ReceivedReport,
     Verdict,
     assess,
-    candidates_of,
-    choose_candidate,
     observations_by_service,
 )
 from godwitwheel.directory.records import (
@@ -40,6 +42,11 @@
     return assess(SERVICE, view(leaving), observations, proxies, led_for_s).verdict
 
 
+def choose_candidate(candidates, observations, primary_id):
+    replacement = Replacement(candidates, observations, primary_id)
+    return AsynchronousRule().choose(replacement)
+
+
 def test_a_confirmed_primary_is_kept():
     assert verdict([observation("p1"), observation("p2")]) is Verdict.keep
 
@@ -162,4 +169,5 @@
 def test_leaving_targets_are_not_candidates():
     entries = view().targets | {"t2": target("t2", leaving=True)}
     changed = DirectoryView(1, targets=entries, primaries={SERVICE: "t1"})
-    assert [e.target_id for e in candidates_of(SERVICE, changed)] == ["t3"]
+    (asked,) = AsynchronousRule().asked_targets(SERVICE, changed)
+    assert [e.target_id for e in asked] == ["t3"]
