Remove dead targets also where services have owners

Cause: a target is removed once no process reaches it, and proxies that connect to no target counted as if they reached all. Where services have owners no dead target was ever removed; at a synchronous service each of them would have held up every promotion for good.

Change: only reports of processes that use the target's service count. The test's reports name the service now, since a report without it says nothing about its targets; a new test has a proxy that uses none beside an owner, and fails before the change.

--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -200,7 +200,7 @@
         for target_id, entry in view.targets.items():
             if leadership.announcement_age_s(target_id, now) < TARGET_EXPIRY_S:
                 continue
-            if not leadership.is_unreachable_from_all(target_id, now):
+            if not leadership.is_unreachable_from_all(entry, now):
                 continue
             # Restarts the timeout, so that a failed commit is not retried at once.
             leadership.reset_announcement_age(target_id, now)
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -188,14 +188,19 @@
         )
         return None if latest is None else round(1000 * (now - latest))
 
-    def is_unreachable_from_all(self, target_id: str, now: float) -> bool:
-        """Whether there are recent reports and all list a target as unreachable."""
+    def is_unreachable_from_all(self, entry: TargetEntry, now: float) -> bool:
+        """Whether all processes that use a target's service can't reach it.
+
+        Of those with a recent report there has to be one at least; a process that
+        connects to no target of the service can't know.
+        """
         fresh = [
             received.report
             for received in self.reports.values()
             if now - received.received_at <= MAX_REPORT_AGE_S
+            and any(p.service == entry.service for p in received.report.primaries)
         ]
-        return bool(fresh) and all(target_id in r.unreachable for r in fresh)
+        return bool(fresh) and all(entry.target_id in r.unreachable for r in fresh)
 
     def receive_announcement(
         self, entry: TargetEntry, sequence: int, now: float
--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -18,6 +18,7 @@
 from godwitwheel.directory.promotion import fencing_token
 from godwitwheel.directory.records import (
     Consistency,
+    PrimaryReport,
     ProxyReport,
     Route,
     RoutingTable,
@@ -180,9 +181,24 @@
 
 def test_a_target_is_unreachable_only_if_every_proxy_reports_it():
     leadership = DirectoryLeadership(0.0, 1)
-    assert not leadership.is_unreachable_from_all("t1", 1.0)
-    report = ProxyReport("p1", "dc-1", 0, unreachable=["t1"])
+    assert not leadership.is_unreachable_from_all(entry(), 1.0)
+    primaries = [PrimaryReport(SERVICE, "t2", False, 900)]
+    report = ProxyReport("p1", "dc-1", 0, primaries, unreachable=["t1"])
     leadership.receive_report(report, 1.0)
-    assert leadership.is_unreachable_from_all("t1", 1.0)
-    leadership.receive_report(ProxyReport("p2", "dc-1", 0), 1.0)
-    assert not leadership.is_unreachable_from_all("t1", 1.0)
+    assert leadership.is_unreachable_from_all(entry(), 1.0)
+    leadership.receive_report(ProxyReport("p2", "dc-1", 0, primaries), 1.0)
+    assert not leadership.is_unreachable_from_all(entry(), 1.0)
+
+
+def test_a_proxy_that_uses_no_target_of_a_service_does_not_keep_a_dead_one():
+    """Where services have owners, dead targets were listed for good.
+
+    At a synchronous service each of them holds up every promotion.
+    """
+    leadership = DirectoryLeadership(0.0, 1)
+    leadership.receive_report(ProxyReport("p1", "dc-1", 0), 1.0)
+    assert not leadership.is_unreachable_from_all(entry(), 1.0)
+    primaries = [PrimaryReport(SERVICE, "t2", False, 900)]
+    owner = ProxyReport("o1", "dc-1", 0, primaries, unreachable=["t1"])
+    leadership.receive_report(owner, 1.0)
+    assert leadership.is_unreachable_from_all(entry(), 1.0)
