Promote the replica with all commits of a synchronous service

Cause: candidates that no fewer proxies miss than miss the primary were dropped before the logs were compared, also where a commit is acknowledged by a replica.

Change: at a synchronous service the position comes first and reach second. A primary that may stay and serves is replaced only by a complete target that more proxies reach. A target of an earlier order and a fenced primary are compared as well, and after the fence all targets are asked, from the view after the wait for leases. Other services are served as before.

--- a/src/godwitwheel/directory/candidates.py
+++ b/src/godwitwheel/directory/candidates.py
@@ -34,9 +34,11 @@
 
     :ivar primary_id: the primary that is to be replaced, or an empty string.
     :ivar ordered_id: target that an earlier order may still promote, or empty.
+    :ivar may_stay: whether the primary may go on as primary: it neither leaves nor is
+        fenced.
     """
 
-    __slots__ = ("candidates", "observations", "primary_id", "ordered_id")
+    __slots__ = ("candidates", "observations", "primary_id", "ordered_id", "may_stay")
 
     def __init__(
         self,
@@ -44,11 +46,13 @@
         observations: list[Observation],
         primary_id: str,
         ordered_id: str = "",
+        may_stay: bool = True,
     ):
         self.candidates = candidates
         self.observations = observations
         self.primary_id = primary_id
         self.ordered_id = ordered_id
+        self.may_stay = may_stay
 
     def responsive(self) -> list[Candidate]:
         """Returns the candidates that answered."""
@@ -62,6 +66,13 @@
             if observation.target_id == self.primary_id and not observation.is_confirmed
         )
 
+    def serves(self) -> bool:
+        """Whether the primary may stay, and some proxy has confirmed it."""
+        return self.may_stay and any(
+            observation.target_id == self.primary_id and observation.is_confirmed
+            for observation in self.observations
+        )
+
 
 class CandidateRule(ABC):
     """Which targets are asked before a promotion, and which of them is promoted.
@@ -79,6 +90,16 @@
     ) -> list[list[TargetEntry]]:
         """Returns the targets to ask, in groups that are asked one after the other."""
 
+    @abstractmethod
+    def asked_after_fence(
+        self, service: str, view: DirectoryView, asked: list[Candidate]
+    ) -> list[list[TargetEntry]]:
+        """Returns the targets to ask once no process uses the primary any more.
+
+        :param view: the view with the fence.
+        :param asked: the candidates that were asked before.
+        """
+
     @abstractmethod
     def choose(self, replacement: Replacement) -> Candidate | None:
         """Returns the target to promote, ``None`` if there is none to promote now."""
@@ -99,6 +120,11 @@
         entries = candidate_targets(service, view)
         return [[entry for entry in entries if not entry.leaving]]
 
+    def asked_after_fence(
+        self, service: str, view: DirectoryView, asked: list[Candidate]
+    ) -> list[list[TargetEntry]]:
+        return [[each.entry for each in asked if each.received is not None]]
+
     def choose(self, replacement: Replacement) -> Candidate | None:
         """Returns the reachable target whose promotion loses the fewest writes.
 
@@ -128,13 +154,14 @@
         )
 
 
-class SynchronousRule(AsynchronousRule):
+class SynchronousRule(CandidateRule):
     """For services that acknowledge a commit once some replicas have received it.
 
     Every replica counts towards the acknowledgement until it ends, also one that
     leaves, so that each is asked and stops receiving. Each acknowledged commit is held
     by ``synchronous_replicas`` of them at least: if fewer did not answer, one of the
-    others holds it, and too few are left for the primary to acknowledge another.
+    others holds it, and too few are left for the primary to acknowledge another. The
+    promoted target is one that has received all that any of them has.
 
     :ivar synchronous_replicas: replicas that hold a commit before it is acknowledged.
     """
@@ -155,15 +182,44 @@
         leaving = [entry for entry in entries if entry.leaving]
         return [leaving, [entry for entry in entries if not entry.leaving]]
 
+    def asked_after_fence(
+        self, service: str, view: DirectoryView, asked: list[Candidate]
+    ) -> list[list[TargetEntry]]:
+        # Those that were silent may answer by now, and may hold the most.
+        return self.asked_targets(service, view)
+
     def choose(self, replacement: Replacement) -> Candidate | None:
-        silent = [
-            each
-            for each in replacement.candidates
-            if each.received is None and each.entry.target_id != replacement.primary_id
-        ]
-        if len(silent) >= self.synchronous_replicas:
+        """Returns the target that has received most, however few proxies reach it.
+
+        Once it leads, another target can receive its commits and replace it. A fenced
+        primary holds every commit that was acknowledged, but is chosen only if no
+        replica can be: it was given up for a reason.
+        """
+        replicas, primary = [], None
+        silent_count = 0
+        for each in replacement.candidates:
+            if each.entry.target_id == replacement.primary_id:
+                primary = each if each.received is not None else None
+            elif each.received is None:
+                silent_count += 1
+            else:
+                replicas.append(each)
+        if silent_count >= self.synchronous_replicas or not replicas:
+            return primary
+        best = max(
+            replicas,
+            key=lambda each: (
+                each.received,
+                each.entry.target_id == replacement.ordered_id,
+                not each.entry.leaving,
+                -each.unreachable_from,
+            ),
+        )
+        is_better_reached = best.unreachable_from < replacement.unconfirmed_count()
+        if replacement.serves() and not is_better_reached:
+            # A promotion would interrupt the proxies that reach the primary.
             return None
-        return super().choose(replacement)
+        return best
 
 
 def rule_for(service: str, view: DirectoryView) -> CandidateRule:
--- a/src/godwitwheel/directory/fencing.py
+++ b/src/godwitwheel/directory/fencing.py
@@ -85,14 +85,16 @@
         started_at = self.clock.now()
         # Its version is at least that of the fence, which an earlier leader may have
         # committed.
-        fenced = self.read_view()
-        while not leadership.leases.all_proxies_use(fenced.version, self.clock.now()):
+        version = self.read_view().version
+        while not leadership.leases.all_proxies_use(version, self.clock.now()):
             sleep(LEASE_POLL_S)
+        # Targets may have appeared meanwhile.
+        fenced = self.read_view()
         record_event(
             EventName.primary_fenced,
             service=service,
             target_id=fenced.primaries.get(service, ""),
-            view_version=fenced.version,
+            view_version=version,
             waited_ms=round(1000 * (self.clock.now() - started_at)),
         )
         return fenced
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -110,8 +110,8 @@
         fenced = self.fence.establish(leadership, service, view)
         if fenced is not view:
             # The targets' positions may have changed while the leases were waited for.
-            responsive = [each.entry for each in queried if each.received is not None]
-            queried = self._query_all(rule, [responsive], observations)
+            asked = rule.asked_after_fence(service, fenced, queried)
+            queried = self._query_all(rule, asked, observations)
             candidate = self._select(service, fenced, queried, observations, reason)
         target_id = candidate.entry.target_id
         self.fence.prepare_order(leadership, service, target_id)
@@ -188,8 +188,12 @@
     ) -> Candidate:
         primary_id = view.primaries.get(service, "")
         ordered_id = view.fences.get(service, "")
+        primary = view.targets.get(primary_id)
+        may_stay = (
+            primary is not None and not primary.leaving and service not in view.fences
+        )
         candidate = rule_for(service, view).choose(
-            Replacement(candidates, observations, primary_id, ordered_id)
+            Replacement(candidates, observations, primary_id, ordered_id, may_stay)
         )
         if candidate is None:
             record_event(
--- a/tests/cover/test_synchronous_promotion.py
+++ b/tests/cover/test_synchronous_promotion.py
@@ -2,12 +2,23 @@
 
 import pytest
 
+from godwitwheel.directory import fencing
+from godwitwheel.directory.candidates import (
+    Candidate,
+    Replacement,
+    SynchronousRule,
+)
+from godwitwheel.directory.commands import FencePrimary, PutEntry
 from godwitwheel.directory.errors import PromotionFailed
 from godwitwheel.directory.failover import Observation
-from godwitwheel.directory.fencing import PlatformFence
+from godwitwheel.directory.fencing import LeaseFence, PlatformFence
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.promotion import Promoter
-from tests.common.sync_group import SERVICE, SyncGroup
+from godwitwheel.directory.records import TargetEntry
+from godwitwheel.directory.state import Directory
+from godwitwheel.directory.tables import JsonTableCodec
+from godwitwheel.sessions.statements import Position
+from tests.common.sync_group import SERVICE, SyncGroup, SyncTarget
 
 UNCONFIRMED = [Observation("p1", "t1", False, 900, [])]
 CONFIRMED = [Observation("p1", "t1", True, 50, [])]
@@ -65,3 +76,113 @@
     group.before_command = lambda target, command: asked.append(target.target_id)
     replace(group, view)
     assert asked == ["t3"]
+
+
+def proxies(count, missing, unreachable):
+    """Returns observations of proxies, the first of which miss targets.
+
+    :param missing: how many of them miss the primary and the other targets.
+    """
+    return [
+        Observation(f"p{n}", "t1", False, 5000, list(unreachable))
+        if n < missing
+        else Observation(f"p{n}", "t1", True, 50, [])
+        for n in range(count)
+    ]
+
+
+def group_with_deaf_replica():
+    """Returns a group in which ``t2`` alone holds the acknowledged commits."""
+    group = SyncGroup()
+    group.targets["t3"].is_deaf = True
+    group.write()
+    return group
+
+
+def test_the_replica_with_all_commits_is_promoted_though_some_proxies_miss_it():
+    """It was passed over for one that lacked 200 to 390 acknowledged commits."""
+    group = group_with_deaf_replica()
+    replace(group, group.view(leaving=["t1"]), proxies(10, 3, ["t1", "t2"]))
+    assert group.primary.target_id == "t2"
+    assert group.lost == 0
+
+
+def test_a_replica_that_no_proxy_reaches_is_promoted_if_it_alone_has_all_commits():
+    """The next replacement can choose a target that has received its commits."""
+    group = group_with_deaf_replica()
+    replace(group, group.view(), proxies(3, 3, ["t1", "t2"]))
+    assert group.primary.target_id == "t2"
+    assert group.lost == 0
+
+
+def test_a_primary_that_serves_is_kept_if_no_complete_replica_is_better_reached():
+    group = group_with_deaf_replica()
+    with pytest.raises(PromotionFailed):
+        replace(group, group.view(), proxies(10, 4, ["t1", "t2"]))
+    assert group.orders == []
+
+
+def candidate(name, number, unreachable_from=0, term=1):
+    entry = TargetEntry(name, SERVICE, f"10.0.0.{name[1]}:1", "dc-1", 2, 0)
+    received = None if number is None else Position(term, number)
+    return Candidate(entry, received, term, unreachable_from)
+
+
+def choose(*candidates, ordered_id="", synchronous_replicas=1):
+    replacement = Replacement(list(candidates), UNCONFIRMED, "t1", ordered_id, False)
+    chosen = SynchronousRule(synchronous_replicas).choose(replacement)
+    return chosen and chosen.entry.target_id
+
+
+def test_a_target_that_was_ordered_before_is_not_chosen_if_it_lacks_commits():
+    """It was taken without a comparison, because its order may still be carried out."""
+    assert choose(candidate("t2", 8), candidate("t3", 9), ordered_id="t2") == "t3"
+    assert choose(candidate("t2", 9), candidate("t3", 9), ordered_id="t2") == "t2"
+
+
+def test_commits_of_a_later_term_count_more_than_many_of_an_earlier_one():
+    assert choose(candidate("t2", 90), candidate("t3", 9, term=2)) == "t3"
+
+
+def test_equally_complete_replicas_are_chosen_by_how_many_proxies_reach_them():
+    assert choose(candidate("t2", 9, 3), candidate("t3", 9, 1)) == "t3"
+
+
+def test_a_fenced_primary_takes_over_if_too_many_replicas_are_silent():
+    assert choose(candidate("t1", 9), candidate("t2", 8), candidate("t3", None)) == "t1"
+    assert choose(candidate("t1", 9), candidate("t2", 8)) == "t2"
+
+
+def test_fewer_silent_replicas_than_hold_each_commit_do_not_matter():
+    silent = candidate("t3", None)
+    assert choose(candidate("t2", 9), silent, synchronous_replicas=2) == "t2"
+    assert choose(candidate("t2", 9), silent, synchronous_replicas=1) is None
+
+
+def test_a_replica_that_appears_while_leases_are_waited_for_is_asked(monkeypatch):
+    """After the fence only those were asked that had answered before it."""
+    group = SyncGroup()
+    directory = Directory(JsonTableCodec())
+    directory.view = group.view()
+
+    def commit(command):
+        index = directory.view.version + 1
+        if isinstance(command, FencePrimary):
+            return directory.fence_primary(index, command).applied
+        return directory.set_primary(index, command).applied
+
+    def wait_for_leases(seconds):
+        if "t4" not in group.targets:
+            group.targets["t4"] = SyncTarget("t4")
+            entry = TargetEntry("t4", SERVICE, "10.0.0.4:1", "dc-1", 2, 0)
+            directory.put_entry(directory.view.version + 1, PutEntry(entry))
+        group.write()
+        group.clock.advance(seconds)
+
+    monkeypatch.setattr(fencing, "sleep", wait_for_leases)
+    fence = LeaseFence(lambda: directory.view, commit, group.clock)
+    promoter = Promoter(group, group, group.clock, commit, lambda: None, fence)
+    leadership = DirectoryLeadership(group.clock.now(), 3)
+    promoter.replace(leadership, SERVICE, directory.view, UNCONFIRMED, "lost")
+    assert group.acknowledged > 1
+    assert group.lost == 0
