Resume paused replicas, and complete orders that got no answer

Cause: replicas were paused before it was known whether an order would follow, nothing recorded that, and nothing resumed them. Resuming them alone would lose commits, as an order that got no answer may be carried out late.

Change: replicas are asked first and paused only if one can be promoted. The pause, and the target of an order before it is sent, are committed. The leader of that time resumes the replicas of a primary that is kept, until all have answered, or completes the promotion if an order may still be carried out. Pauses and resumes are sent only shortly after a confirmation of the leader, and given up before a new leader sends its first.

--- a/src/godwitwheel/control/commands.py
+++ b/src/godwitwheel/control/commands.py
@@ -5,8 +5,10 @@
 from ..directory.commands import (
     DropEntry,
     FencePrimary,
+    PauseReplicas,
     PutEntry,
     PutTable,
+    ResumeReplicas,
     SetOwners,
     SetPrimary,
 )
@@ -99,6 +101,8 @@
     | FencePrimary
     | SetPrimary
     | SetOwners
+    | PauseReplicas
+    | ResumeReplicas
 )
 
 
--- a/src/godwitwheel/control/state.py
+++ b/src/godwitwheel/control/state.py
@@ -9,8 +9,10 @@
 from ..directory.commands import (
     DropEntry,
     FencePrimary,
+    PauseReplicas,
     PutEntry,
     PutTable,
+    ResumeReplicas,
     SetOwners,
     SetPrimary,
 )
@@ -84,6 +86,8 @@
             SetPrimary: self.directory.set_primary,
             FencePrimary: self.directory.fence_primary,
             SetOwners: self.directory.set_owners,
+            PauseReplicas: self.directory.pause_replicas,
+            ResumeReplicas: self.directory.resume_replicas,
         }
 
     def apply(self, index: int, command: bytes) -> bytes:
--- a/src/godwitwheel/directory/commands.py
+++ b/src/godwitwheel/directory/commands.py
@@ -54,6 +54,27 @@
     candidate: str = ""
 
 
+class PauseReplicas(msgspec.Struct, frozen=True, tag="pause_replicas"):
+    """Records that a service's replicas are about to be paused for a promotion.
+
+    :ivar candidate: target that is about to be ordered to take over; empty if none is
+        chosen yet.
+    """
+
+    service: str
+    candidate: str = ""
+
+
+class ResumeReplicas(msgspec.Struct, frozen=True, tag="resume_replicas"):
+    """Records that a service's replicas have been resumed.
+
+    :ivar paused_at: log index of the pause that has ended; a later one goes on.
+    """
+
+    service: str
+    paused_at: int
+
+
 class SetOwners(msgspec.Struct, frozen=True, tag="set_owners"):
     """Replaces the owners of the services that need one."""
 
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -8,7 +8,7 @@
 from ..observe.events import EventName, record_event, record_failure
 from ..sessions.connections.connection import Connector
 from .commands import DropEntry, SetOwners, SetPrimary
-from .errors import PromotionFailed
+from .errors import PromotionFailed, PromotionWithheld, ResumeFailed
 from .failover import (
     Assessment,
     Observation,
@@ -21,13 +21,17 @@
 from .leadership import DirectoryLeadership, PromotionOrder
 from .member import DirectoryMember
 from .ownership import assign_owners, replaced_owners
+from .pausing import ReplicaPauses
 from .promotion import Promoter, PromotionClient, retry_delay_after
 from .records import DirectoryView, OwnerEntry
 from .report_timing import NEW_LEADER_GRACE_S
+from .target_queries import TargetQueries
 
 DECISION_INTERVAL_S = 0.05
 # Delay before a replacement is retried that failed for an unexpected error, in seconds.
 UNEXPECTED_RETRY_S = 0.5
+# Delay before replicas that did not answer are told again to resume, in seconds.
+RESUME_RETRY_S = 1.0
 # A target that has not announced itself for this long, and that no proxy can reach,
 # is removed; its next announcement adds it again.
 TARGET_EXPIRY_S = 12.0
@@ -50,7 +54,7 @@
 class DirectoryControllers:
     """Replaces primaries, assigns owners, and removes expired targets and proxies."""
 
-    __slots__ = ("member", "promoter")
+    __slots__ = ("member", "promoter", "pauses")
 
     def __init__(
         self,
@@ -59,13 +63,19 @@
         promotion_client: PromotionClient,
     ):
         self.member = member
+        confirm = partial(member.confirm, is_urgent=True)
+        queries = TargetQueries(connector, member.clock, confirm)
+        self.pauses = ReplicaPauses(
+            queries, lambda: member.state.directory.paused, member.commit_entry
+        )
         self.promoter = Promoter(
-            connector,
+            queries,
             promotion_client,
             member.clock,
             member.commit_entry,
-            partial(member.confirm, is_urgent=True),
+            confirm,
             fence_for(member),
+            self.pauses,
         )
 
     def run(self) -> None:
@@ -149,10 +159,39 @@
             may_adopt=not self.member.grants_leases,
         )
         if assessment.verdict is Verdict.keep:
-            return
+            if not assessment.serves or service not in self.pauses.read_paused():
+                return
+            pending_id = self.pauses.candidate_of(service)
+            if pending_id in ("", view.primaries.get(service)):
+                self._decide_resume(leadership, service, now)
+                return
+            # Commits must not be acknowledged that this target would lack.
+            assessment = Assessment(
+                Verdict.replace, f"an order for {pending_id} may be carried out late"
+            )
         leadership.in_progress.add(service)
         spawn(self._execute, leadership, service, assessment, observed.recent)
 
+    def _decide_resume(
+        self, leadership: DirectoryLeadership, service: str, now: float
+    ) -> None:
+        if now < leadership.resume_at.get(service, now):
+            return
+        leadership.resume_at[service] = now + RESUME_RETRY_S
+        leadership.in_progress.add(service)
+        spawn(self._resume, leadership, service)
+
+    def _resume(self, leadership: DirectoryLeadership, service: str) -> None:
+        try:
+            self.pauses.resume(service, self.member.state.directory.view)
+        except (ResumeFailed, ControlError):
+            # The event of the attempt says which replicas are still paused.
+            pass
+        except Exception as error:
+            record_failure(error)
+        finally:
+            leadership.in_progress.discard(service)
+
     def _execute(
         self,
         leadership: DirectoryLeadership,
@@ -168,6 +207,9 @@
             self.promoter.replace(
                 leadership, service, view, observations, assessment.reason
             )
+        except PromotionWithheld as error:
+            self._delay_retry(leadership, service, retry_delay_after(error), str(error))
+            self._resume_withheld(leadership, service, observations)
         except PromotionFailed as error:
             self._delay_retry(leadership, service, retry_delay_after(error), str(error))
         except ControlError as error:
@@ -178,6 +220,22 @@
         finally:
             leadership.in_progress.discard(service)
 
+    def _resume_withheld(
+        self,
+        leadership: DirectoryLeadership,
+        service: str,
+        observations: list[Observation],
+    ) -> None:
+        """Resumes replicas if the primary goes on serving until it can be replaced."""
+        if service not in self.pauses.read_paused():
+            return
+        primary_id = self.member.state.directory.view.primaries.get(service, "")
+        is_confirmed = any(
+            each.is_confirmed and each.target_id == primary_id for each in observations
+        )
+        if is_confirmed and not self.pauses.candidate_of(service):
+            self._resume(leadership, service)
+
     def _delay_retry(
         self, leadership: DirectoryLeadership, service: str, delay_s: float, why: str
     ) -> None:
--- a/src/godwitwheel/directory/errors.py
+++ b/src/godwitwheel/directory/errors.py
@@ -19,6 +19,18 @@
     """The platform refused the order: its token is too low, or the target is down."""
 
 
+class PromotionNotSent(PromotionFailed):
+    """The order certainly did not reach the platform."""
+
+
+class PromotionWithheld(PromotionFailed):
+    """No target can be promoted at present, and no order was sent."""
+
+
+class ResumeFailed(DirectoryError):
+    """A replica that may be paused did not confirm that it receives again."""
+
+
 class UnknownTable(DirectoryError):
     """Raised when a member does not know a version of the routing table."""
 
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -40,14 +40,22 @@
     """A verdict with its reason.
 
     :ivar target_id: for ``adopt``, the target that is the primary.
+    :ivar serves: for ``keep``, whether a proxy has confirmed the primary.
     """
 
-    __slots__ = ("verdict", "reason", "target_id")
+    __slots__ = ("verdict", "reason", "target_id", "serves")
 
-    def __init__(self, verdict: Verdict, reason: str, target_id: str = ""):
+    def __init__(
+        self,
+        verdict: Verdict,
+        reason: str,
+        target_id: str = "",
+        serves: bool = False,
+    ):
         self.verdict = verdict
         self.reason = reason
         self.target_id = target_id
+        self.serves = serves
 
 
 class ReceivedReport:
@@ -200,4 +208,8 @@
             f"{len(unconfirmed)} of {len(observations)} proxies "
             f"can't reach {primary_id}",
         )
-    return Assessment(Verdict.keep, f"{len(confirmed)} proxies confirmed the primary")
+    return Assessment(
+        Verdict.keep,
+        f"{len(confirmed)} proxies confirmed the primary",
+        serves=len(naming_another) < len(confirmed),
+    )
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -60,6 +60,8 @@
     :ivar orders: last promotion order for each service.
     :ivar in_progress: services for which a change is being carried out.
     :ivar orders_issued: number of fencing tokens issued.
+    :ivar resume_at: by service, when paused replicas are next told to resume; in
+        seconds of the clock.
     :ivar leases: leases under which proxies rely on primaries; unused on a platform
         that stops a former primary itself.
     :ivar rate_shares: division of the accounts' rate limits among the runners.
@@ -74,6 +76,7 @@
         "orders",
         "in_progress",
         "orders_issued",
+        "resume_at",
         "leases",
         "rate_shares",
     )
@@ -87,6 +90,7 @@
         self.orders: dict[str, PromotionOrder] = {}
         self.in_progress: set[str] = set()
         self.orders_issued = 0
+        self.resume_at: dict[str, float] = {}
         self.leases = LeaseTable(since, PRIMARY_LEASE_S, CLOCK_DRIFT)
         self.rate_shares = RateShares(since, term, CLOCK_DRIFT)
 
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -15,8 +15,10 @@
     DropEntry,
     EntryResult,
     FencePrimary,
+    PauseReplicas,
     PutEntry,
     PutTable,
+    ResumeReplicas,
     SetOwners,
     SetPrimary,
     TableResult,
@@ -269,7 +271,16 @@
             )
 
     def commit_entry(
-        self, command: PutEntry | DropEntry | SetPrimary | FencePrimary | SetOwners
+        self,
+        command: (
+            PutEntry
+            | DropEntry
+            | SetPrimary
+            | FencePrimary
+            | SetOwners
+            | PauseReplicas
+            | ResumeReplicas
+        ),
     ) -> bool:
         """Commits a change to the directory.
 
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -3,31 +3,22 @@
 from abc import ABC, abstractmethod
 
 from ..internal.clock import Clock
-from ..internal.loop import spawn
-from ..observe.events import EventName, record_event, record_failure
-from ..sessions.connections.connection import (
-    AskStatus,
-    Command,
-    Connector,
-    PauseReceiving,
-    ReplicaStatus,
-)
-from ..sessions.errors import SessionsError
-from .candidates import (
-    Candidate,
-    CandidateRule,
-    Replacement,
-    count_unreachable_from,
-    rule_for,
-)
+from ..observe.events import EventName, record_event
+from .candidates import Candidate, Replacement, rule_for
 from .commands import SetPrimary
-from .errors import PromotionFailed, PromotionFenced
+from .errors import (
+    PromotionFailed,
+    PromotionFenced,
+    PromotionNotSent,
+    PromotionWithheld,
+)
 from .failover import PROMOTION_GRACE_S, Observation
 from .fencing import PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
-from .records import NO_ACCOUNT, DirectoryView, TargetEntry
+from .pausing import ReplicaPauses
+from .records import DirectoryView
+from .target_queries import TargetQueries
 
-STATUS_TIMEOUT_S = 0.4
 # The platform usually answers within about 20 ms, unless the network delays the order
 # or its answer.
 ORDER_TIMEOUT_S = 0.4
@@ -49,6 +40,7 @@
 
         :param token: fencing token; the platform refuses lower ones afterwards.
         :raises PromotionFenced: if the platform refused the order.
+        :raises PromotionNotSent: if the order certainly did not reach it.
         :raises PromotionFailed: if the outcome is unknown; the order may still be
             carried out.
         """
@@ -71,25 +63,36 @@
     :ivar commit: commits a command and returns whether it changed anything.
     :ivar confirm: returns once a quorum has confirmed this leader, or raises.
     :ivar fence: ends the use of the former primary.
+    :ivar pauses: records the pauses of synchronous replicas.
     """
 
-    __slots__ = ("connector", "promotion_client", "clock", "commit", "confirm", "fence")
+    __slots__ = (
+        "queries",
+        "promotion_client",
+        "clock",
+        "commit",
+        "confirm",
+        "fence",
+        "pauses",
+    )
 
     def __init__(
         self,
-        connector: Connector,
+        queries: TargetQueries,
         promotion_client: PromotionClient,
         clock: Clock,
         commit,
         confirm,
         fence: PrimaryFence,
+        pauses: ReplicaPauses,
     ):
-        self.connector = connector
+        self.queries = queries
         self.promotion_client = promotion_client
         self.clock = clock
         self.commit = commit
         self.confirm = confirm
         self.fence = fence
+        self.pauses = pauses
 
     def replace(
         self,
@@ -101,43 +104,69 @@
     ) -> None:
         """Chooses a target and orders its promotion.
 
+        :raises PromotionWithheld: if no target can be promoted; nothing was ordered.
         :raises PromotionFailed: if no order was sent, or it was not confirmed.
         """
-        rule = rule_for(service, view)
-        asked = rule.asked_targets(service, view)
-        queried = self._query_all(rule, asked, observations)
-        candidate = self._select(service, view, queried, observations, reason)
-        fenced = self.fence.establish(leadership, service, view)
-        if fenced is not view:
-            # The targets' positions may have changed while the leases were waited for.
-            asked = rule.asked_after_fence(service, fenced, queried)
-            queried = self._query_all(rule, asked, observations)
-            candidate = self._select(service, fenced, queried, observations, reason)
+        candidate = self._choose(leadership, service, view, observations, reason)
         target_id = candidate.entry.target_id
         self.fence.prepare_order(leadership, service, target_id)
+        pending_id = self.pauses.candidate_of(service)
+        if rule_for(service, view).pauses_replicas:
+            self.pauses.record_candidate(service, target_id)
         self._confirm_leadership()
+        previous = leadership.orders.get(service)
         order = self._next_order(leadership, service, target_id)
-        token = order.token
         record_event(
             EventName.promotion_ordered,
             service=service,
             target_id=target_id,
             before=view.primaries.get(service, ""),
-            token=token,
+            token=order.token,
             reason=reason,
             received=repr(candidate.received),
             missed_by=candidate.unreachable_from,
         )
-        self._send_order(order, service)
-        self.commit(SetPrimary(service, target_id, token))
+        try:
+            self._send_order(order, service, is_retry=order is previous)
+        except PromotionFailed:
+            if not order.is_unanswered and not pending_id and order is not previous:
+                # No order can be carried out late.
+                self.pauses.forget_candidate(service)
+            raise
+        self.commit(SetPrimary(service, target_id, order.token))
         record_event(
             EventName.promotion_answered,
             service=service,
             target_id=target_id,
-            token=token,
+            token=order.token,
             outcome="done",
         )
 
+    def _choose(
+        self,
+        leadership: DirectoryLeadership,
+        service: str,
+        view: DirectoryView,
+        observations: list[Observation],
+        reason: str,
+    ) -> Candidate:
+        """Returns the target to promote, once nobody relies on the primary any more."""
+        rule = rule_for(service, view)
+        asked = rule.asked_targets(service, view)
+        candidates = self.queries.ask_all(asked, observations)
+        chosen = self._select(service, view, candidates, observations, reason)
+        fenced = self.fence.establish(leadership, service, view)
+        if fenced is view and not rule.pauses_replicas:
+            return chosen
+        # Positions may have changed while the leases were waited for.
+        asked = rule.asked_after_fence(service, fenced, candidates)
+        if rule.pauses_replicas:
+            term = max(each.term for each in candidates) + 1
+            candidates = self.pauses.pause(service, asked, term, observations)
+        else:
+            candidates = self.queries.ask_all(asked, observations)
+        return self._select(service, fenced, candidates, observations, reason)
+
     def _confirm_leadership(self) -> None:
         """Returns if this member has led until just now.
 
@@ -168,7 +197,7 @@
         leadership.orders[service] = order
         return order
 
-    def _send_order(self, order: PromotionOrder, service: str) -> None:
+    def _send_order(self, order: PromotionOrder, service: str, is_retry: bool) -> None:
         try:
             self.promotion_client.promote(
                 service, order.target_id, order.token, ORDER_TIMEOUT_S
@@ -176,6 +205,10 @@
         except PromotionFenced:
             order.is_unanswered = False
             raise
+        except PromotionNotSent:
+            # An earlier attempt may have reached the platform.
+            order.is_unanswered = is_retry
+            raise
         order.is_unanswered = False
 
     def _select(
@@ -187,11 +220,15 @@
         reason: str,
     ) -> Candidate:
         primary_id = view.primaries.get(service, "")
-        ordered_id = view.fences.get(service, "")
+        pending_id = self.pauses.candidate_of(service)
         primary = view.targets.get(primary_id)
         may_stay = (
-            primary is not None and not primary.leaving and service not in view.fences
+            primary is not None
+            and not primary.leaving
+            and service not in view.fences
+            and not pending_id
         )
+        ordered_id = view.fences.get(service, pending_id)
         candidate = rule_for(service, view).choose(
             Replacement(candidates, observations, primary_id, ordered_id, may_stay)
         )
@@ -206,61 +243,9 @@
                     each.entry.target_id for each in candidates if each.received is None
                 ],
             )
-            raise PromotionFailed("no candidate")
+            raise PromotionWithheld("no candidate")
         return candidate
 
-    def _query_all(
-        self,
-        rule: CandidateRule,
-        groups: list[list[TargetEntry]],
-        observations: list[Observation],
-    ) -> list[Candidate]:
-        candidates = []
-        for entries in groups:
-            queries = [
-                spawn(self._query_one, entry, observations, rule.pauses_replicas)
-                for entry in entries
-            ]
-            candidates += [task.wait() for task in queries]
-        return candidates
-
-    def _query_one(
-        self, entry: TargetEntry, observations: list[Observation], pauses: bool
-    ) -> Candidate:
-        unreachable_from = count_unreachable_from(entry.target_id, observations)
-        try:
-            status = self._query(entry, pauses)
-        except SessionsError as error:
-            return self._unresponsive_candidate(entry, unreachable_from, error)
-        except Exception as error:
-            # One target must not keep the others from being promoted.
-            record_failure(error)
-            return self._unresponsive_candidate(entry, unreachable_from, error)
-        return Candidate(entry, status.received, status.term, unreachable_from)
-
-    def _query(self, entry: TargetEntry, pauses: bool) -> ReplicaStatus:
-        connection = self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
-        try:
-            status = self._status(connection, AskStatus())
-            if pauses:
-                # Its position must not advance between the selection and the promotion.
-                status = self._status(connection, PauseReceiving(status.term + 1))
-            return status
-        finally:
-            connection.close()
-
-    def _status(self, connection, command: Command):
-        answer = connection.exchange([command], STATUS_TIMEOUT_S)[0]
-        return self.connector.read_status(answer)
-
-    def _unresponsive_candidate(
-        self, entry: TargetEntry, unreachable_from: int, error: Exception
-    ) -> Candidate:
-        record_event(
-            EventName.target_unreachable, target_id=entry.target_id, reason=str(error)
-        )
-        return Candidate(entry, None, 0, unreachable_from)
-
 
 def retry_delay_after(error: PromotionFailed) -> float:
     """Returns the delay before a failed promotion is retried, in seconds."""
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -120,6 +120,17 @@
     address: str
 
 
+class PausedReplicas(msgspec.Struct, frozen=True):
+    """The replicas of a service that may be paused for a promotion.
+
+    :ivar index: log index of the command that recorded it.
+    :ivar candidate: target that an unanswered order may promote, or empty.
+    """
+
+    index: int
+    candidate: str = ""
+
+
 class DirectoryView(msgspec.Struct, frozen=True):
     """The routing information that proxies use.
 
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -7,15 +7,23 @@
     DropEntry,
     EntryResult,
     FencePrimary,
+    PauseReplicas,
     PutEntry,
     PutTable,
+    ResumeReplicas,
     SetOwners,
     SetPrimary,
     TableResult,
 )
 from .documents import unpack_document
 from .errors import InvalidTable
-from .records import DirectoryView, OwnerEntry, RoutingTable, TargetEntry
+from .records import (
+    DirectoryView,
+    OwnerEntry,
+    PausedReplicas,
+    RoutingTable,
+    TargetEntry,
+)
 from .table_changes import RecentTables
 from .tables import TableCodec
 from .view_changes import RecentViews
@@ -34,6 +42,7 @@
     gone: dict[str, int] = {}
     owners: dict[str, OwnerEntry] = {}
     fences: dict[str, str] = {}
+    paused: dict[str, PausedReplicas] = {}
 
 
 class Directory:
@@ -45,6 +54,7 @@
     :ivar recent_tables: the tables that were active recently.
     :ivar recent_views: the views that were active recently.
     :ivar departed: start times of targets that left, by id, in order of departure.
+    :ivar paused: services whose replicas may be paused for a promotion.
     """
 
     __slots__ = (
@@ -53,6 +63,7 @@
         "document",
         "tokens",
         "departed",
+        "paused",
         "recent_tables",
         "recent_views",
     )
@@ -63,6 +74,7 @@
         self.document = b""
         self.tokens: dict[str, int] = {}
         self.departed: dict[str, int] = {}
+        self.paused: dict[str, PausedReplicas] = {}
         self.recent_tables = RecentTables()
         self.recent_views = RecentViews()
 
@@ -137,6 +149,8 @@
             return EntryResult(False)
         if command.token:
             self.tokens[command.service] = command.token
+            # The platform has answered the order, so that it isn't carried out late.
+            self._forget_candidate(command.service)
         primaries = {**self.view.primaries, command.service: command.target_id}
         fences = dict(self.view.fences)
         fences.pop(command.service, None)
@@ -152,6 +166,19 @@
         self._update_view(index, fences=fences)
         return EntryResult(True)
 
+    def pause_replicas(self, index: int, command: PauseReplicas) -> EntryResult:
+        """Records that replicas are being paused, and the candidate for promotion."""
+        self.paused[command.service] = PausedReplicas(index, command.candidate)
+        return EntryResult(True)
+
+    def resume_replicas(self, index: int, command: ResumeReplicas) -> EntryResult:
+        """Ends a pause, unless a later one has begun."""
+        paused = self.paused.get(command.service)
+        if paused is None or paused.index != command.paused_at:
+            return EntryResult(False)
+        del self.paused[command.service]
+        return EntryResult(True)
+
     def set_owners(self, index: int, command: SetOwners) -> EntryResult:
         """Replaces the owners of services."""
         if command.owners == self.view.owners:
@@ -171,6 +198,7 @@
             self.departed,
             view.owners,
             view.fences,
+            dict(self.paused),
         )
 
     def restore(self, snapshot: DirectorySnapshot) -> None:
@@ -192,6 +220,7 @@
         self.recent_views.add(self.view)
         self.tokens = dict(snapshot.tokens)
         self.departed = dict(snapshot.gone)
+        self.paused = dict(snapshot.paused)
 
     def _decode(self, stored: bytes) -> RoutingTable | None:
         """Decodes a stored document.
@@ -205,6 +234,11 @@
             record_event(EventName.table_refused, reason=str(error))
             return None
 
+    def _forget_candidate(self, service: str) -> None:
+        paused = self.paused.get(service)
+        if paused is not None:
+            self.paused[service] = PausedReplicas(paused.index)
+
     def _record_departure(self, command: DropEntry) -> None:
         self.departed.pop(command.target_id, None)
         self.departed[command.target_id] = command.started_at_ms
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -60,6 +60,8 @@
     promotion_ordered = "promotion_ordered"
     promotion_answered = "promotion_answered"
     promotion_withheld = "promotion_withheld"
+    replicas_paused = "replicas_paused"
+    replicas_resumed = "replicas_resumed"
     settings_reloaded = "settings_reloaded"
     settings_rejected = "settings_rejected"
     storage_failed = "storage_failed"
--- a/src/godwitwheel/sessions/connections/connection.py
+++ b/src/godwitwheel/sessions/connections/connection.py
@@ -94,6 +94,12 @@
         self.term = term
 
 
+class ResumeReceiving(Command):
+    """Ends a :class:`PauseReceiving`."""
+
+    __slots__ = ()
+
+
 class ReplicaStatus:
     """The role and position that a target reports of itself.
 
@@ -123,6 +129,10 @@
     def is_usable(self) -> bool:
         """Whether the idle connection is open and has no unread input."""
 
+    @abstractmethod
+    def reset_on_close(self) -> None:
+        """Lets :meth:`close` discard what has been sent and has not arrived."""
+
     @abstractmethod
     def close(self) -> None:
         """Closes the connection; the target rolls back an open transaction."""
@@ -144,7 +154,10 @@
 
     @abstractmethod
     def read_status(self, answer: Answer) -> ReplicaStatus:
-        """Decodes the answer to :class:`AskStatus` or :class:`PauseReceiving`.
+        """Decodes the answer to a command that asks for, or changes, receiving.
+
+        These are :class:`AskStatus`, :class:`PauseReceiving` and
+        :class:`ResumeReceiving`.
 
         :raises SessionsError: if the answer holds no status.
         """
--- a/tests/adapter/test_unusable_targets.py
+++ b/tests/adapter/test_unusable_targets.py
@@ -7,15 +7,14 @@
 import pytest
 
 from fleet.targets import LineConnector
-from godwitwheel.directory.fencing import PlatformFence
 from godwitwheel.directory.leadership import DirectoryLeadership
-from godwitwheel.directory.promotion import Promoter
 from godwitwheel.directory.records import NO_ACCOUNT, TargetEntry
 from godwitwheel.sessions.errors import ConnectFailed
 from godwitwheel.sessions.reporting.sampler import Sampler
 from godwitwheel.wire.client import Client
 from godwitwheel.wire.errors import NotSent
 from tests.common.fake_sessions import SERVICE, FakeGroup, read
+from tests.common.promoters import promoter_of
 from tests.cover.test_promoter import OBSERVATIONS, ScriptedPromotionClient
 
 UNUSABLE = [
@@ -89,9 +88,7 @@
     group = MixedGroup(address)
     group.primary.is_unresponsive = True
     orders = ScriptedPromotionClient()
-    promoter = Promoter(
-        group, orders, group.clock, lambda command: True, lambda: None, PlatformFence()
-    )
+    promoter = promoter_of(group, orders, lambda command: True)
     leadership = DirectoryLeadership(0.0, 3)
     promoter.replace(leadership, SERVICE, group.board.view, OBSERVATIONS, "lost")
     assert [target_id for target_id, _ in orders.orders] in (["t2"], ["t3"])
@@ -109,9 +106,7 @@
     group = FaultyGroup()
     group.primary.is_unresponsive = True
     orders = ScriptedPromotionClient()
-    promoter = Promoter(
-        group, orders, group.clock, lambda command: True, lambda: None, PlatformFence()
-    )
+    promoter = promoter_of(group, orders, lambda command: True)
     leadership = DirectoryLeadership(0.0, 3)
     promoter.replace(leadership, SERVICE, group.board.view, OBSERVATIONS, "lost")
     assert [target_id for target_id, _ in orders.orders] == ["t3"]
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -29,6 +29,7 @@
     PauseReceiving,
     Prepare,
     ReplicaStatus,
+    ResumeReceiving,
     Rollback,
     Run,
     SetValue,
@@ -156,6 +157,9 @@
     def is_usable(self):
         return self.is_open
 
+    def reset_on_close(self):
+        pass
+
     def close(self):
         self.is_open = False
         self.transaction = 0
@@ -186,7 +190,7 @@
                 self.values.clear()
                 self.prepared.clear()
                 return Answer()
-            case AskStatus() | PauseReceiving():
+            case AskStatus() | PauseReceiving() | ResumeReceiving():
                 return Answer(rows=[self.target.target_id.encode()])
             case Run():
                 return self._run(command)
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -42,6 +42,9 @@
     def is_usable(self):
         return not self.is_broken
 
+    def reset_on_close(self):
+        pass
+
     def close(self):
         self.target.open.remove(self)
 
--- a/tests/common/sync_group.py
+++ b/tests/common/sync_group.py
@@ -25,6 +25,7 @@
     DatabaseConnection,
     PauseReceiving,
     ReplicaStatus,
+    ResumeReceiving,
 )
 from godwitwheel.sessions.errors import ConnectFailed, ConnectionLost
 from godwitwheel.sessions.statements import Answer, Position
@@ -75,6 +76,9 @@
     def is_usable(self):
         return True
 
+    def reset_on_close(self):
+        pass
+
     def close(self):
         pass
 
@@ -110,7 +114,7 @@
 
         :returns: whether it was acknowledged.
         """
-        if self.primary.has_ended or self.primary.is_deaf:
+        if self.primary.has_ended or self.primary.is_silent:
             return False
         self.primary.log.append(self.term)
         number = len(self.primary.log)
@@ -145,6 +149,8 @@
             case PauseReceiving():
                 if command.term > self.term and target is not self.primary:
                     target.paused_below = command.term
+            case ResumeReceiving():
+                target.paused_below = 0
             case _:
                 raise TypeError(command)
 
--- a/tests/cover/test_lease_fence.py
+++ b/tests/cover/test_lease_fence.py
@@ -8,12 +8,12 @@
 from godwitwheel.directory.failover import Observation, Verdict, assess
 from godwitwheel.directory.fencing import LATE_ORDER_S, LeaseFence
 from godwitwheel.directory.leadership import DirectoryLeadership
-from godwitwheel.directory.promotion import Promoter
 from godwitwheel.directory.records import ProxyReport
 from godwitwheel.directory.report_timing import PRIMARY_LEASE_S
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
 from tests.common.fake_sessions import SERVICE, FakeGroup
+from tests.common.promoters import promoter_of
 from tests.cover.test_promoter import ScriptedPromotionClient
 
 OBSERVATIONS = [Observation("p1", "t1", False, 900, [])]
@@ -35,9 +35,7 @@
         self.restart_leadership(self.clock.now() - 60.0)
         monkeypatch.setattr(fencing, "sleep", self.clock.advance)
         fence = LeaseFence(lambda: self.directory.view, self.commit, self.clock)
-        self.promoter = Promoter(
-            self.group, self.client, self.clock, self.commit, lambda: None, fence
-        )
+        self.promoter = promoter_of(self.group, self.client, self.commit, fence)
 
     def restart_leadership(self, since):
         self.leadership = DirectoryLeadership(since, 3)
--- a/tests/cover/test_promoter.py
+++ b/tests/cover/test_promoter.py
@@ -4,10 +4,10 @@
 
 from godwitwheel.directory.errors import PromotionFailed, PromotionFenced
 from godwitwheel.directory.failover import Observation
-from godwitwheel.directory.fencing import PlatformFence
 from godwitwheel.directory.leadership import DirectoryLeadership
-from godwitwheel.directory.promotion import Promoter, PromotionClient
+from godwitwheel.directory.promotion import PromotionClient
 from tests.common.fake_sessions import SERVICE, FakeGroup
+from tests.common.promoters import promoter_of
 
 OBSERVATIONS = [Observation("p1", "t1", False, 900, [])]
 
@@ -37,14 +37,7 @@
         self.promotion_client = ScriptedPromotionClient(*failures)
         self.committed = []
         self.leadership = DirectoryLeadership(0.0, 3)
-        self.promoter = Promoter(
-            self.group,
-            self.promotion_client,
-            self.group.clock,
-            self.commit,
-            lambda: None,
-            PlatformFence(),
-        )
+        self.promoter = promoter_of(self.group, self.promotion_client, self.commit)
 
     def commit(self, command):
         self.committed.append(command)
--- a/tests/cover/test_synchronous_promotion.py
+++ b/tests/cover/test_synchronous_promotion.py
@@ -11,13 +11,13 @@
 from godwitwheel.directory.commands import FencePrimary, PutEntry
 from godwitwheel.directory.errors import PromotionFailed
 from godwitwheel.directory.failover import Observation
-from godwitwheel.directory.fencing import LeaseFence, PlatformFence
+from godwitwheel.directory.fencing import LeaseFence
 from godwitwheel.directory.leadership import DirectoryLeadership
-from godwitwheel.directory.promotion import Promoter
 from godwitwheel.directory.records import TargetEntry
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
 from godwitwheel.sessions.statements import Position
+from tests.common.promoters import promoter_of
 from tests.common.sync_group import SERVICE, SyncGroup, SyncTarget
 
 UNCONFIRMED = [Observation("p1", "t1", False, 900, [])]
@@ -25,9 +25,7 @@
 
 
 def replace(group, view, observations=CONFIRMED):
-    promoter = Promoter(
-        group, group, group.clock, lambda command: True, lambda: None, PlatformFence()
-    )
+    promoter = promoter_of(group, group, lambda command: True)
     leadership = DirectoryLeadership(0.0, 3)
     promoter.replace(leadership, SERVICE, view, observations, "leaving")
 
@@ -181,7 +179,7 @@
 
     monkeypatch.setattr(fencing, "sleep", wait_for_leases)
     fence = LeaseFence(lambda: directory.view, commit, group.clock)
-    promoter = Promoter(group, group, group.clock, commit, lambda: None, fence)
+    promoter = promoter_of(group, group, commit, fence)
     leadership = DirectoryLeadership(group.clock.now(), 3)
     promoter.replace(leadership, SERVICE, directory.view, UNCONFIRMED, "lost")
     assert group.acknowledged > 1
