--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -1,4 +1,4 @@
-"""Groups of targets with asynchronous replication, behind the line protocol."""
+"""Groups of targets that replicate their commits, behind the line protocol."""
 
 import contextlib
 import random
@@ -21,6 +21,7 @@
     Discard,
     PauseReceiving,
     Prepare,
+    ResumeReceiving,
     Rollback,
     Run,
     SetValue,
@@ -54,6 +55,7 @@
     :ivar answer_loss_rate: share of its answers that are lost with their connection.
     :ivar leaving: its heartbeats state that it is draining.
     :ivar started_at_ms: Unix time of its start.
+    :ivar paused_below: term below which it receives nothing, 0 if it isn't paused.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.answer_loss_rate = 0.0
         self.leaving = False
         self.started_at_ms = int(time.time() * 1000)
+        self.paused_below = 0
         self.sequence = 0
         self.slots = Semaphore(SLOTS)
         self.max_connections = MAX_CONNECTIONS
@@ -152,8 +155,17 @@
         return answer
 
     def _answer(self, command: Command) -> Answer:
-        if isinstance(command, AskStatus | PauseReceiving):
-            return Answer(rows=[self._status()])
+        target = self.target
+        match command:
+            case PauseReceiving():
+                if command.term > target.group.term and not target.is_primary():
+                    target.paused_below = command.term
+                return Answer(rows=[self._status()])
+            case ResumeReceiving():
+                target.paused_below = 0
+                return Answer(rows=[self._status()])
+            case AskStatus():
+                return Answer(rows=[self._status()])
         return super()._answer(command)
 
     def _status(self) -> bytes:
@@ -199,6 +211,11 @@
                 operation, statement.request_id, self.target.contains_write
             )
         answer.rows = [f"{statement.request_id} {self.target.target_id}".encode()]
+        committed = pending if statement.kind is StatementKind.commit else []
+        if not self.transaction and not committed and self._is_write(command):
+            committed = [statement.request_id]
+        if not group.acknowledge(committed):
+            return error_answer(ErrorCode.failed, "lost the lead")
         return answer
 
     def _text_as_sent(self, command: Run) -> str:
@@ -223,14 +240,24 @@
 class SoakGroup:
     """The targets of one service.
 
+    :ivar synchronous_replicas: replicas that hold a commit before it is acknowledged.
+    :ivar acknowledged: ids of the acknowledged writes of a synchronous service.
     :ivar tokens: holder of each fencing token of an accepted promotion order.
     :ivar log_numbers: number in the log of each write, by id.
     :ivar term_start: number of writes in the log when the current term began.
     :ivar lost_writes: ids of writes that promotions dropped.
     """
 
-    def __init__(self, service: str, promises: PromiseChecker, rng: random.Random):
+    def __init__(
+        self,
+        service: str,
+        promises: PromiseChecker,
+        rng: random.Random,
+        synchronous_replicas: int = 0,
+    ):
         self.service = service
+        self.synchronous_replicas = synchronous_replicas
+        self.acknowledged: set[str] = set()
         self.promises = promises
         self.rng = rng
         self.clock = None
@@ -256,13 +283,33 @@
         self.committed_at.append(time.monotonic())
         self.primary.log.append(Commit(request_id, Position(self.term, number)))
 
+    def acknowledge(self, request_ids: list[str]) -> bool:
+        """Waits until enough replicas hold what the primary has committed.
+
+        :returns: whether they do; otherwise another target was promoted meanwhile.
+        """
+        if not request_ids or not self.synchronous_replicas:
+            return True
+        term, number = self.term, len(self.primary.log)
+        while self.term == term:
+            holders = sum(
+                len(target.log) >= number
+                for target in self.targets.values()
+                if target is not self.primary
+            )
+            if holders >= self.synchronous_replicas:
+                self.acknowledged.update(request_ids)
+                return True
+            sleep(REPLICATION_INTERVAL_S)
+        return False
+
     def run_replication(self) -> None:
         """Replicates the primary's log to the replicas, each with its lag."""
         while True:
             sleep(REPLICATION_INTERVAL_S)
             now = time.monotonic()
             for target in self.targets.values():
-                if target is not self.primary:
+                if target is not self.primary and target.paused_below <= self.term:
                     self._replicate(target, now)
 
     def _replicate(self, target: SoakTarget, now: float) -> None:
@@ -299,11 +346,16 @@
         kept = len(target.log)
         dropped = [commit.request_id for commit in self.primary.log[kept:]]
         self.lost_writes.update(dropped)
+        for request_id in self.acknowledged.intersection(dropped):
+            self.promises.report_violation(
+                "LOST", f"{request_id} is not in the log of {target.target_id}"
+            )
         self.term += 1
         self.term_start = kept
         self.primary = target
         del self.committed_at[kept:]
         for other in self.targets.values():
+            other.paused_below = 0
             del other.log[kept:]
 
 
@@ -322,6 +374,8 @@
             return AskStatus()
         case "PAUSE":
             return PauseReceiving(int(rest))
+        case "RESUME":
+            return ResumeReceiving()
         case "DISCARD":
             return Discard()
     statement = parse_statement(request_id, text)
--- a/bench/soak/platform_calls.py
+++ b/bench/soak/platform_calls.py
@@ -17,10 +17,11 @@
 from godwitwheel.wire.status import CONFLICT
 
 from .accounts import ACTIVATION_TIME_S, AccountBook
-from .databases import MAX_CONNECTIONS, SoakGroup, SoakTarget
+from .databases import MAX_CONNECTIONS, SLOTS, SoakGroup, SoakTarget
 from .promises import PromiseChecker
 
 HEARTBEAT_INTERVAL_S = 0.6
+SOFTWARE_VERSION = "v1"
 CALL_TIMEOUT_S = 1.0
 PUBLISH_RETRY_PAUSE_S = 0.3
 READ_INTERVAL_S = 0.5
@@ -91,10 +92,12 @@
             target.group.service,
             target.address,
             target.data_centre,
-            4,
+            SOFTWARE_VERSION,
+            SLOTS,
             state,
-            target.sequence,
+            0,
             role,
+            target.sequence,
             target.started_at_ms,
         )
         path = f"/api/instances/{target.target_id}/heartbeat"
@@ -111,6 +114,7 @@
 class Operator:
     """Changes the routing table and reads it back.
 
+    :ivar services: number of synchronous replicas of each service.
     :ivar version: of the newest table that was sent.
     :ivar acknowledged: versions that were acknowledged, each with its time.
     :ivar documents: body of each table that was sent, by version.
@@ -130,7 +134,7 @@
 
     def __init__(
         self,
-        services: list[str],
+        services: dict[str, int],
         accounts: AccountBook,
         control_addresses: list[str],
         promises: PromiseChecker,
@@ -224,7 +228,10 @@
                         max_staleness_ms=MAX_STALENESS_MS,
                     )
                 )
-        services = [ServiceEntry(name, MAX_CONNECTIONS) for name in self.services]
+        services = [
+            ServiceEntry(name, MAX_CONNECTIONS, synchronous_replicas)
+            for name, synchronous_replicas in self.services.items()
+        ]
         document = TableDocument(
             version, routes, services, accounts=self.accounts.entries()
         )
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -105,6 +105,8 @@
     - ONE: two holders used the same fencing token.
     - HELD, LOST: without an unplanned fault, a request got no answer, or a requested
       stop interrupted it.
+    - LOST: an acknowledged write of a synchronous service isn't in the log of a target
+      that was promoted.
     - CONFIG: a routing table was refused, altered, or not active in time, or a
       statement ran long after its caller's key was withdrawn.
     - START, RECOVER: the system was not ready in time at the start or after the faults.
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -25,7 +25,8 @@
 )
 from .promises import PromiseChecker
 
-SERVICES = ["bookings", "orders"]
+# Number of synchronous replicas of each service.
+SERVICES = {"bookings": 0, "orders": 1}
 TARGETS_PER_GROUP = 3
 TARGET_PORT = 7500
 START_TIMEOUT_S = 30.0
@@ -195,6 +196,12 @@
             "RECOVER",
             "no table acknowledged",
         )
+        self._wait_until(
+            self._receives_everywhere,
+            RECOVERY_TIMEOUT_S,
+            "RECOVER",
+            "a replica is still paused",
+        )
         newest = self.operator.version
         self._wait_until(
             lambda: self.operator.read() == newest,
@@ -203,6 +210,14 @@
             f"version {newest} is not read back",
         )
 
+    def _receives_everywhere(self) -> bool:
+        """Whether no replica is paused for a promotion any more."""
+        return not any(
+            target.paused_below
+            for group in self.groups.values()
+            for target in group.targets.values()
+        )
+
     def _publish_table(self) -> bool:
         return self.operator.publish(limit_s=5.0)
 
@@ -238,14 +253,16 @@
             self.balancer,
             self.promises,
             self.successes,
-            SERVICES,
+            list(SERVICES),
             self.accounts,
             self._derived_rng(),
         )
 
     def _create_group(self, service: str) -> SoakGroup:
-        group = SoakGroup(service, self.promises, self._derived_rng())
-        offset = 100 + 10 * SERVICES.index(service)
+        group = SoakGroup(
+            service, self.promises, self._derived_rng(), SERVICES[service]
+        )
+        offset = 100 + 10 * list(SERVICES).index(service)
         for index in range(TARGETS_PER_GROUP):
             host = self.fleet.address(offset + index)
             address = f"{host}:{TARGET_PORT}"
