Test disks of control that are full one after another

Another operator's report: long after the last of them had room again, changes were refused or unanswered.

The soak's full disk refused only syncs; it refuses writes to files as well now.

--- a/bench/soak/launch.py
+++ b/bench/soak/launch.py
@@ -8,6 +8,7 @@
 import errno
 import os
 import runpy
+import stat
 import sys
 import time
 from pathlib import Path
@@ -55,24 +56,34 @@
 
 
 def install_faults(file: InjectedFaultsFile) -> None:
-    """Replaces the wall clock and the sync calls by ones with the file's faults."""
+    """Replaces the wall clock, writes to files and syncs by ones with faults."""
     real_time = time.time
 
     def shifted_time() -> float:
         return real_time() + file.current().clock_offset_s
 
+    def refuse_if_full() -> None:
+        if file.current().disk is DiskState.full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
     def with_disk_faults(sync):
         def run(descriptor: int) -> None:
-            state = file.current().disk
-            if state is DiskState.full:
-                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-            if state is DiskState.slow:
+            refuse_if_full()
+            if file.current().disk is DiskState.slow:
                 # A slow disk blocks the whole process, not only the task that syncs.
                 _blocking_sleep(SLOW_SYNC_S)
             sync(descriptor)
 
         return run
 
+    real_write = os.write
+
+    def limited_write(descriptor: int, data: bytes) -> int:
+        if stat.S_ISREG(os.fstat(descriptor).st_mode):
+            refuse_if_full()
+        return real_write(descriptor, data)
+
+    os.write = limited_write
     time.time = shifted_time
     os.fsync = with_disk_faults(os.fsync)
     os.fdatasync = with_disk_faults(os.fdatasync)
