Restart a member of control that fails unexpectedly

Cause: an unexpected error while a member did its work ended the task that does it, and nothing noticed. The process ran on, answered its peers and could lead, but applied nothing any more. No such error is known; the former InvalidTable of a document in the log was one.

Change: such an error stops the member as a failed disk does, and it is opened again from its log, with the event member_failed.

--- a/src/godwitwheel/consensus/driver.py
+++ b/src/godwitwheel/consensus/driver.py
@@ -5,10 +5,10 @@
 from ..internal.clock import Clock
 from ..internal.errors import InvalidValue
 from ..internal.loop import Event, Task, sleep, spawn, wait_for
-from ..observe.events import EventName, record_event
+from ..observe.events import EventName, record_event, record_failure
 from . import membership as memberships
 from .core import Consensus
-from .errors import NotLeader, OutcomeUnknown, StorageError
+from .errors import MemberFailed, NotLeader, OutcomeUnknown, StorageError
 from .log import MAX_APPEND_BYTES
 from .messages import AnyMessage, Entry, EntryKind
 from .replicated import ReplicatedLog, StateMachine
@@ -34,7 +34,7 @@
     :ivar became_leader_at: clock reading when both became true, or ``None``.
     :ivar answered_identity: identity of the peer whose request is being answered;
         messages to it go into ``answers``, the body of the reply.
-    :ivar failure: the storage error that stopped the member, or ``None``.
+    :ivar failure: the error that stopped the member, or ``None``.
     """
 
     __slots__ = (
@@ -79,7 +79,7 @@
         self.became_leader_at: float | None = None
         self.wake_event = Event()
         self.tasks: list[Task] = []
-        self.failure: StorageError | None = None
+        self.failure: StorageError | MemberFailed | None = None
         self.is_working = False
         self.answered_identity = ""
         self.answers: list[AnyMessage] = []
@@ -226,8 +226,11 @@
             self.do_work()
         except StorageError as error:
             self._fail(error)
+        except Exception as error:
+            record_failure(error)
+            self._fail(MemberFailed(repr(error)))
 
-    def _fail(self, error: StorageError) -> None:
+    def _fail(self, error: StorageError | MemberFailed) -> None:
         # The content of the disk is unknown, so this member must not vote or
         # acknowledge anything any more.
         self.failure = error
--- a/src/godwitwheel/consensus/errors.py
+++ b/src/godwitwheel/consensus/errors.py
@@ -32,5 +32,12 @@
     """Raised when the data folder can't be read, written or synced."""
 
 
+class MemberFailed(ConsensusError):
+    """Raised when a member can't go on after an unexpected error, and has to restart.
+
+    Part of its work was lost, so that it must not vote or acknowledge anything.
+    """
+
+
 class CorruptLog(StorageError):
     """Raised when a synced record of the log or a snapshot fails its checksum."""
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..consensus.driver import ConsensusLog
-from ..consensus.errors import StorageError
+from ..consensus.errors import MemberFailed, StorageError
 from ..consensus.http_transport import consensus_routes
 from ..consensus.running import running_log
 from ..consensus.state import ConsensusOptions
@@ -91,6 +91,8 @@
 
     A failed write to the disk stops the member but not the process: the log is reopened
     until that succeeds, so that a full disk needs no operator to restart the process.
+    The same holds for an unexpected error, after which the member would go on without
+    applying anything.
 
     :param control_routes: builds the routes for targets and operators.
     """
@@ -102,6 +104,9 @@
         except (StorageError, OSError) as error:
             record_event(EventName.storage_failed, error=str(error))
             sleep(REOPEN_DELAY_S)
+        except MemberFailed as error:
+            record_event(EventName.member_failed, error=str(error))
+            sleep(REOPEN_DELAY_S)
 
 
 def _run_once(
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -65,6 +65,7 @@
     settings_reloaded = "settings_reloaded"
     settings_rejected = "settings_rejected"
     storage_failed = "storage_failed"
+    member_failed = "member_failed"
     owners_changed = "owners_changed"
     owner_unreachable = "owner_unreachable"
     isolation_changed = "isolation_changed"
--- a/tests/cover/test_consensus_failures.py
+++ b/tests/cover/test_consensus_failures.py
@@ -5,9 +5,10 @@
 import pytest
 
 from godwitwheel.consensus import core, driver, log, transfer
-from godwitwheel.consensus.errors import NotLeader
+from godwitwheel.consensus.errors import MemberFailed, NotLeader
 from godwitwheel.consensus.messages import Append, Hello, SnapshotPart, VoteRequest
 from godwitwheel.consensus.state import FIRST_CONTACT_HEARTBEATS
+from godwitwheel.internal.loop import sleep
 from tests.common.cell import (
     ELECTION_TIMEOUT_S,
     STEP_S,
@@ -442,3 +443,29 @@
     cell.in_flight.append((leader.member_id, removed.member_id, request))
     cell.step(20)
     assert removed.state.term == cell.leader().state.term == term
+
+
+def test_a_member_that_fails_unexpectedly_stops_and_starts_again_with_its_log():
+    """It went on without applying anything, and led or voted nevertheless."""
+    cell = Cell()
+    cell.commit("before")
+    member = next(each for each in cell.running() if not each.state.is_leader())
+
+    def fail(index, command):
+        raise ZeroDivisionError
+
+    member.log.state_machine.apply = fail
+    with pytest.raises(ZeroDivisionError):
+        cell.commit("meanwhile")
+    with member.log as log:
+        while log.failure is None:
+            sleep(STEP_S)
+        assert isinstance(log.failure, MemberFailed)
+        assert log.leader_since() is None
+        with pytest.raises(NotLeader):
+            log.propose(b"x", STEP_S)
+    member.crash()
+    member.start()
+    cell.commit("after")
+    cell.step(4)
+    assert member.log.state_machine.commands == cell.committed
