Ask targets for positions as before, and shorten the decision on paused replicas

Read as a newcomer: each target is connected and asked in one task again, so that a slow connect to one doesn't hold up the question to another; a resume that fails because this member no longer leads leaves a log line; the decision about paused replicas has no nested branch.

--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -158,9 +158,7 @@
             led_for_s,
             may_adopt=not self.member.grants_leases,
         )
-        if assessment.verdict is Verdict.keep:
-            if not assessment.serves or service not in self.pauses.read_paused():
-                return
+        if assessment.serves and service in self.pauses.read_paused():
             pending_id = self.pauses.candidate_of(service)
             if pending_id in ("", view.primaries.get(service)):
                 self._decide_resume(leadership, service, now)
@@ -169,6 +167,8 @@
             assessment = Assessment(
                 Verdict.replace, f"an order for {pending_id} may be carried out late"
             )
+        if assessment.verdict is Verdict.keep:
+            return
         leadership.in_progress.add(service)
         spawn(self._execute, leadership, service, assessment, observed.recent)
 
@@ -184,7 +184,7 @@
     def _resume(self, leadership: DirectoryLeadership, service: str) -> None:
         try:
             self.pauses.resume(service, self.member.state.directory.view)
-        except (ResumeFailed, ControlError):
+        except ResumeFailed:
             # The event of the attempt says which replicas are still paused.
             pass
         except Exception as error:
--- a/src/godwitwheel/directory/target_queries.py
+++ b/src/godwitwheel/directory/target_queries.py
@@ -1,9 +1,10 @@
 """Sends questions of control to targets, and commands that only a leader may send."""
 
+import math
 from collections.abc import Callable
 
 from ..internal.clock import Clock
-from ..internal.loop import spawn
+from ..internal.loop import Task, spawn
 from ..observe.events import EventName, record_event, record_failure
 from ..sessions.connections.connection import (
     AskStatus,
@@ -45,13 +46,11 @@
 
         :returns: all targets; one without an answer has no position.
         """
-        return [
-            candidate_of(entry, status, observations)
-            for entries in groups
-            for entry, status in self._exchange_all(
-                entries, self._connect_all(entries), AskStatus()
-            )
-        ]
+        candidates = []
+        for entries in groups:
+            asking = [spawn(self._ask, entry) for entry in entries]
+            candidates += candidates_of(entries, asking, observations)
+        return candidates
 
     def command_all(
         self,
@@ -74,36 +73,28 @@
             try:
                 send_before = self.clock.now() + MAX_COMMAND_DELAY_S
                 self.confirm()
-            except BaseException:
+                sending = [
+                    spawn(self._exchange, entry, connection, command, send_before)
+                    for entry, connection in zip(entries, connections, strict=True)
+                ]
+                candidates += candidates_of(entries, sending, observations)
+            finally:
                 close_all(connections)
-                raise
-            answers = self._exchange_all(entries, connections, command, send_before)
-            candidates += [
-                candidate_of(entry, status, observations) for entry, status in answers
-            ]
         return candidates
 
+    def _ask(self, entry: TargetEntry) -> ReplicaStatus | None:
+        connection = self._connect(entry)
+        try:
+            return self._exchange(entry, connection, AskStatus(), math.inf)
+        finally:
+            close_all([connection])
+
     def _connect_all(
         self, entries: list[TargetEntry]
     ) -> list[DatabaseConnection | None]:
         opening = [spawn(self._connect, entry) for entry in entries]
         return [task.wait() for task in opening]
 
-    def _exchange_all(
-        self,
-        entries: list[TargetEntry],
-        connections: list[DatabaseConnection | None],
-        command: Command,
-        send_before: float | None = None,
-    ) -> list[tuple[TargetEntry, ReplicaStatus | None]]:
-        tasks = [
-            spawn(self._exchange, entry, connection, command, send_before)
-            for entry, connection in zip(entries, connections, strict=True)
-        ]
-        statuses = [task.wait() for task in tasks]
-        close_all(connections)
-        return list(zip(entries, statuses, strict=True))
-
     def _connect(self, entry: TargetEntry) -> DatabaseConnection | None:
         try:
             return self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
@@ -119,11 +110,9 @@
         entry: TargetEntry,
         connection: DatabaseConnection | None,
         command: Command,
-        send_before: float | None,
+        send_before: float,
     ) -> ReplicaStatus | None:
-        if connection is None:
-            return None
-        if send_before is not None and self.clock.now() > send_before:
+        if connection is None or self.clock.now() > send_before:
             return None
         try:
             answer = connection.exchange([command], STATUS_TIMEOUT_S)[0]
@@ -135,14 +124,18 @@
         return None
 
 
-def candidate_of(
-    entry: TargetEntry, status: ReplicaStatus | None, observations: list[Observation]
-) -> Candidate:
-    """Returns a target with the position that it answered, if it did."""
-    unreachable_from = count_unreachable_from(entry.target_id, observations)
-    if status is None:
-        return Candidate(entry, None, 0, unreachable_from)
-    return Candidate(entry, status.received, status.term, unreachable_from)
+def candidates_of(
+    entries: list[TargetEntry], tasks: list[Task], observations: list[Observation]
+) -> list[Candidate]:
+    """Waits for the targets' answers, and returns them with their positions."""
+    candidates = []
+    for entry, task in zip(entries, tasks, strict=True):
+        status = task.wait()
+        received = None if status is None else status.received
+        term = 0 if status is None else status.term
+        unreachable_from = count_unreachable_from(entry.target_id, observations)
+        candidates.append(Candidate(entry, received, term, unreachable_from))
+    return candidates
 
 
 def close_all(connections: list[DatabaseConnection | None]) -> None:
