End lines at CR LF only

Callers saw: a line feed in the data of a write cut the statement there. A row or error of a target with a line feed was cut in the same way, and ended the connection.

Cause: Stream.read_line ended a line at a lone LF and dropped a CR before it. Callers' and targets' messages, which end with CR LF, are read with it on both sides. No other part cut texts: with the reader alone changed, all shapes of text in tests/adapter/test_texts.py come through, also over retries, lost connections and transactions.

Change: a line ends at CR LF. Received bytes are kept in a bytearray and searched once: before, each packet of a long line was appended to a copy of all before it, and all were searched again.

The stand-ins of the adapter's tests frame messages themselves now, since a reader that they share with the product can't be shown wrong by them, and draw their data from all that a field may hold.

--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -23,7 +23,8 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
-LINE_END = b"\n"
+# Ends a line of every protocol here; a lone CR or LF is part of the line.
+LINE_END = b"\r\n"
 # Value of ``SO_LINGER`` for a timeout of 0.
 LINGER_WITH_RESET = struct.pack("ii", 1, 0)
 
@@ -58,42 +59,41 @@
 
     def __init__(self, connected: socket.socket):
         self.socket = connected
-        self.buffer = b""
+        self.buffer = bytearray()
         set_stream_options(connected)
 
     def read_line(self, timeout_s: float | None, max_bytes: int) -> bytes:
-        """Returns the next line without its line end.
+        """Returns the next line without its end, CR LF.
 
         :param timeout_s: limit for the whole line, ``None`` for no limit.
+        :param max_bytes: longest line, without its end.
         :raises StreamTimeout: if the line is not complete in time.
         :raises StreamClosed: if the peer closes the stream first.
-        :raises LineTooLong: if it has more than ``max_bytes``.
+        :raises LineTooLong: if it is longer.
         """
         deadline = None if timeout_s is None else time.monotonic() + timeout_s
-        while LINE_END not in self.buffer:
-            if len(self.buffer) > max_bytes:
-                raise LineTooLong(f"expected at most {max_bytes} bytes a line")
-            self._receive(deadline)
-        line, _, self.buffer = self.buffer.partition(LINE_END)
-        if len(line) > max_bytes:
-            raise LineTooLong(f"got {len(line)} bytes, expected at most {max_bytes}")
-        return line.removesuffix(b"\r")
+        line = self.read_through(LINE_END, deadline, max_bytes + len(LINE_END))
+        return line[: -len(LINE_END)]
 
-    def read_through(self, end: bytes, deadline: float, max_bytes: int) -> bytes:
+    def read_through(self, end: bytes, deadline: float | None, max_bytes: int) -> bytes:
         """Returns the data up to and including ``end``.
 
-        :param deadline: in seconds of the monotonic clock.
+        :param deadline: in seconds of the monotonic clock, ``None`` for no limit.
         :raises StreamTimeout: if ``end`` does not arrive in time.
         :raises StreamClosed: if the peer closes the stream first.
         :raises LineTooLong: if it has more than ``max_bytes``.
         """
         searched = 0
         while (index := self.buffer.find(end, searched)) < 0:
-            if len(self.buffer) > max_bytes:
+            if len(self.buffer) >= max_bytes:
                 raise LineTooLong(f"expected at most {max_bytes} bytes")
-            searched = max(len(self.buffer) - len(end), 0)
+            # The end may have arrived in part.
+            searched = max(len(self.buffer) - len(end) + 1, 0)
             self._receive(deadline)
-        return self._take(index + len(end))
+        size = index + len(end)
+        if size > max_bytes:
+            raise LineTooLong(f"got {size} bytes, expected at most {max_bytes}")
+        return self._take(size)
 
     def read_bytes(self, count: int, timeout_s: float) -> bytes:
         """Returns the next ``count`` bytes.
@@ -127,7 +127,8 @@
             self._receive(time.monotonic() + timeout_s)
 
     def _take(self, count: int) -> bytes:
-        data, self.buffer = self.buffer[:count], self.buffer[count:]
+        data = bytes(self.buffer[:count])
+        del self.buffer[:count]
         return data
 
     def write(self, data: bytes, timeout_s: float) -> None:
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -13,6 +13,7 @@
 from godwitwheel.sessions.serving import FIRST_VIEW_WAIT_S, SessionServer
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
 from tests.common.fake_sessions import FakeGroup, KeyedGroup
+from tests.common.framing import MessageReader
 
 TIMEOUT_S = 5.0
 
@@ -22,13 +23,14 @@
 
     def __init__(self, address):
         self.stream = open_stream(address, TIMEOUT_S)
+        self.reader = MessageReader(self.stream)
 
     def send(self, *lines):
         text = "".join(f"{line}\r\n" for line in lines)
         self.stream.write(text.encode(), TIMEOUT_S)
 
     def line(self):
-        return self.stream.read_line(TIMEOUT_S, 1 << 20).decode()
+        return self.reader.read(TIMEOUT_S)
 
     def query(self, request_id, text):
         self.send(f"QUERY {request_id} {text}")
--- a/tests/adapter/test_departed_callers.py
+++ b/tests/adapter/test_departed_callers.py
@@ -13,6 +13,7 @@
 from godwitwheel.sessions.serving import SessionServer
 from godwitwheel.wire.streams import StreamServer, open_stream
 from tests.common.fake_sessions import SERVICE, FakeGroup
+from tests.common.framing import MessageReader
 
 TIMEOUT_S = 5.0
 WAIT_STEPS = 500
@@ -54,7 +55,7 @@
 def open_session(address):
     stream = open_stream(address, TIMEOUT_S)
     stream.write(b"START primary -\r\n", TIMEOUT_S)
-    assert stream.read_line(TIMEOUT_S, 100) == b"READY I -"
+    assert MessageReader(stream).read(TIMEOUT_S) == "READY I -"
     return stream
 
 
--- a/tests/adapter/test_lines.py
+++ b/tests/adapter/test_lines.py
@@ -4,7 +4,6 @@
 
 import pytest
 from hypothesis import given
-from hypothesis import strategies as st
 
 from fleet.lines import (
     ProtocolViolation,
@@ -31,6 +30,7 @@
     TransactionState,
 )
 from godwitwheel.wire.service import Access
+from tests.common.texts import field_texts
 
 
 @pytest.mark.parametrize(
@@ -79,7 +79,7 @@
         parse_statement("id", text)
 
 
-@given(st.text(alphabet=st.characters(exclude_characters="\r\n"), max_size=40))
+@given(field_texts(40))
 def test_any_text_is_a_statement_or_a_violation(text):
     with contextlib.suppress(ProtocolViolation):
         assert parse_statement("id", text).text == text
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -22,6 +22,7 @@
     TransactionState,
 )
 from godwitwheel.wire.errors import WireError
+from tests.common.framing import MessageReader
 from tests.common.line_target import LineTarget
 
 TIMEOUT_S = 5.0
@@ -109,9 +110,10 @@
 
     class SlowTarget(LineTarget):
         def serve(self, stream):
-            stream.read_line(TIMEOUT_S, 1000)
+            reader = MessageReader(stream)
+            reader.read(TIMEOUT_S)
             stream.write(self.start_reply, TIMEOUT_S)
-            stream.read_line(TIMEOUT_S, 1000)
+            reader.read(TIMEOUT_S)
             with contextlib.suppress(WireError):
                 for _ in range(20):
                     stream.write(b"DATAROW x\r\n", TIMEOUT_S)
