--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -20,6 +20,8 @@
     options = parse_options()
     # Exits through the context managers, which kill the started processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(os.EX_TEMPFAIL))
+    if options.folder is not None:
+        options.folder.mkdir(parents=True, exist_ok=True)
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.folder))
@@ -68,7 +70,11 @@
     parser.add_argument("--fronts", type=int, default=4, help="session proxies")
     parser.add_argument("--cores", type=int, default=3, help="control members")
     parser.add_argument("--callers", type=int, default=16)
-    parser.add_argument("--folder", type=Path, help="keeps logs of failed seeds")
+    parser.add_argument(
+        "--folder",
+        type=Path,
+        help="keeps logs of failed seeds; created if it does not exist",
+    )
     return parser.parse_args()
 
 
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -24,3 +24,13 @@
         command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S
     )
     assert finished.returncode == 0, finished.stdout + finished.stderr
+
+
+def test_the_folder_for_logs_is_created(tmp_path):
+    # A folder that did not exist ended the soak with a traceback.
+    folder = tmp_path / "new" / "logs"
+    command = [sys.executable, "-m", "bench.soak", "--seeds", "0"]
+    command += ["--folder", str(folder)]
+    finished = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=TIMEOUT_S)
+    assert finished.returncode == 0, finished.stderr
+    assert folder.is_dir()
