Let the soak frame its messages and draw texts from all that a field may hold

The soak's callers and databases read messages with Stream.read_line and formatted them with the product's functions, and their data were letters. So no run of it could see that a lone line feed ended a line. They frame messages themselves now, data and session values hold line feeds, CR, NUL, U+2028, blanks at both ends and the like, and each row repeats the text that ran, which the caller compares.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -6,21 +6,19 @@
 import time
 from collections.abc import Iterator
 
-from fleet.lines import (
-    MAX_MESSAGE_BYTES,
-    decode_line,
-    read_answer,
-)
 from godwitwheel.directory.records import Consistency
 from godwitwheel.internal.loop import sleep
 from godwitwheel.sessions.statements import Answer, TransactionState
 from godwitwheel.wire.client import Client
 from godwitwheel.wire.errors import WireError
-from godwitwheel.wire.streams import Stream, open_stream
+from godwitwheel.wire.streams import open_stream
+from tests.common.framing import MessageReader
+from tests.common.texts import draw_text
 
 from .accounts import AccountBook, CallerKey
 from .calm import FaultTracker
 from .fleet_processes import FRONT_PORT, READINESS_PORT
+from .messages import read_answer
 from .platform_calls import MAX_STALENESS_MS, database_of
 from .promises import Operation, PromiseChecker
 
@@ -32,6 +30,7 @@
 SESSION_PAUSE_S = (0.0, 0.4)
 OPERATIONS_PER_SESSION = (1, 12)
 RETRY_DELAY_S = 0.1
+SESSION_VALUES = ("1", " 2\n", "3\r\0\u2028")
 
 
 class LoadBalancer:
@@ -91,7 +90,7 @@
     """
 
     __slots__ = (
-        "stream",
+        "reader",
         "host",
         "service",
         "consistency",
@@ -102,14 +101,14 @@
 
     def __init__(
         self,
-        stream: Stream,
+        reader: MessageReader,
         host: str,
         service: str,
         consistency: Consistency,
         session_id: str,
         caller_key: CallerKey,
     ):
-        self.stream = stream
+        self.reader = reader
         self.host = host
         self.service = service
         self.consistency = consistency
@@ -122,8 +121,9 @@
 
         :raises WireError: if the session ends or the answer times out.
         """
-        self.stream.write(f"QUERY {request_id} {text}\r\n".encode(), CONNECT_TIMEOUT_S)
-        return read_answer(self.stream, time.monotonic() + ANSWER_TIMEOUT_S)
+        message = f"QUERY {request_id} {text}\r\n".encode()
+        self.reader.stream.write(message, CONNECT_TIMEOUT_S)
+        return read_answer(self.reader, ANSWER_TIMEOUT_S)
 
     def new_operation(self, is_transaction: bool) -> Operation:
         """Returns a new operation of this session."""
@@ -205,10 +205,11 @@
             caller_key = self.accounts.choose(self.rng)
             start = f"START {database} {caller_key.key}\r\n"
             stream.write(start.encode(), CONNECT_TIMEOUT_S)
-            line = decode_line(stream.read_line(ANSWER_TIMEOUT_S, MAX_MESSAGE_BYTES))
+            reader = MessageReader(stream)
+            line = reader.read(ANSWER_TIMEOUT_S)
             session_id = f"s{next(self.id_numbers)}"
             session = Session(
-                stream, host, service, consistency, session_id, caller_key
+                reader, host, service, consistency, session_id, caller_key
             )
             yield session if line.startswith("READY") else None
         finally:
@@ -227,7 +228,7 @@
         return self._run_single_statement(session)
 
     def _set_value(self, session: Session) -> bool:
-        name, value = f"v{self.rng.randint(1, 2)}", str(self.rng.randint(1, 3))
+        name, value = f"v{self.rng.randint(1, 2)}", self.rng.choice(SESSION_VALUES)
         if session.query("-", f"SET {name} {value}").error is not None:
             return False
         session.values[name] = value
@@ -238,14 +239,15 @@
         draw = self.rng.random()
         writes = draw < 0.3 and session.consistency is not Consistency.bounded_staleness
         item = f"i{self.rng.randint(1, 50)}"
+        data = draw_text(self.rng)
         if self.rng.random() < 0.2:
             # The name of a prepared statement is its shape.
             shape = "qw" if writes else "qr"
             access = "WRITE" if writes else "READ"
             answer = session.query("-", f"PREPARE {shape} {access} {shape}")
             if answer.error is None:
-                return f"EXECUTE {shape} {item} d", writes
-        return (f"WRITE {item} d" if writes else f"READ {item}"), writes
+                return f"EXECUTE {shape} {item} {data}", writes
+        return (f"WRITE {item} {data}" if writes else f"READ {item}"), writes
 
     def _run_single_statement(self, session: Session) -> bool:
         text, writes = self._draw_statement(session)
@@ -310,8 +312,6 @@
             self.promises.report_violation(
                 "MIXED", f"{request_id} got {answer.signature!r}"
             )
-        rows = [row.split(b" ")[0].decode() for row in answer.rows]
-        if text != "COMMIT" and rows != [request_id]:
-            self.promises.report_violation(
-                "MIXED", f"{request_id} got the rows of {rows}"
-            )
+        rows = [row.decode() for row in answer.rows]
+        if text != "COMMIT" and rows != [f"{request_id} {text}"]:
+            self.promises.report_violation("MIXED", f"{request_id} got the rows {rows}")
--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -4,14 +4,7 @@
 import random
 import time
 
-from fleet.lines import (
-    MAX_MESSAGE_BYTES,
-    ProtocolViolation,
-    decode_line,
-    format_answer,
-    parse_position,
-    parse_statement,
-)
+from fleet.lines import ProtocolViolation, parse_position, parse_statement
 from fleet.targets import OWN_NAME
 from godwitwheel.internal.loop import Semaphore, sleep
 from godwitwheel.sessions.connections.connection import (
@@ -35,7 +28,9 @@
 )
 from godwitwheel.wire.streams import Stream
 from tests.common.fake_sessions import Commit, FakeConnection, FakeTarget
+from tests.common.framing import MessageReader
 
+from .messages import encode_answer
 from .promises import PromiseChecker
 
 SLOTS = 4
@@ -79,7 +74,8 @@
         self.streams.append(stream)
         connection = SoakConnection(self, "")
         try:
-            start = decode_line(stream.read_line(5.0, MAX_MESSAGE_BYTES)).split(" ")
+            reader = MessageReader(stream)
+            start = reader.read(5.0).split(" ")
             if start[:2] != ["START", self.group.service] or start[3:4] not in (
                 [],
                 [self.target_id],
@@ -94,15 +90,16 @@
             sleep(CONNECT_DELAY_S)
             self._wait_while_unresponsive()
             stream.write(f"READY I {self.position()!r}\r\n".encode(), 1.0)
-            self._serve_queries(stream, connection)
+            self._serve_queries(reader, connection)
         finally:
             connection.close()
             self.streams.remove(stream)
 
-    def _serve_queries(self, stream: Stream, connection: "SoakConnection") -> None:
+    def _serve_queries(
+        self, reader: MessageReader, connection: "SoakConnection"
+    ) -> None:
         while True:
-            line = decode_line(stream.read_line(None, MAX_MESSAGE_BYTES))
-            word, _, rest = line.partition(" ")
+            word, _, rest = reader.read(None).partition(" ")
             if word != "QUERY":
                 return
             self._wait_while_unresponsive()
@@ -110,7 +107,7 @@
             if self.group.rng.random() < self.answer_loss_rate:
                 return
             self._wait_while_unresponsive()
-            stream.write(format_answer(answer), 5.0)
+            reader.stream.write(encode_answer(answer), 5.0)
 
     def _wait_while_unresponsive(self) -> None:
         while self.is_unresponsive:
@@ -210,7 +207,8 @@
             group.promises.check_read(
                 operation, statement.request_id, self.target.contains_write
             )
-        answer.rows = [f"{statement.request_id} {self.target.target_id}".encode()]
+        text = self._text_as_sent(command)
+        answer.rows = [f"{statement.request_id} {text}".encode()]
         committed = pending if statement.kind is StatementKind.commit else []
         if not self.transaction and not committed and self._is_write(command):
             committed = [statement.request_id]
--- a/tests/common/framing.py
+++ b/tests/common/framing.py
@@ -76,12 +76,14 @@
 def read_reply(reader: MessageReader, timeout_s: float) -> Reply:
     """Reads a complete answer.
 
-    :param timeout_s: limit for each of its messages.
+    :param timeout_s: limit for the whole answer.
     :raises WireError: if it does not arrive in time, or the stream is closed.
     """
+    deadline = time.monotonic() + timeout_s
     reply = Reply()
     while True:
-        word, _, rest = reader.read(timeout_s).partition(" ")
+        left_s = max(deadline - time.monotonic(), 0.001)
+        word, _, rest = reader.read(left_s).partition(" ")
         match word:
             case "DATAROW":
                 reply.rows.append(rest)
