Serve messages of the longest length that callers may send

Callers saw: a message of up to 1 MiB, which the protocol allows, failed where the proxy or the way to the target made it longer. The target closed the connection, and the caller was told that a write is in doubt or a read timed out, at each try.

Cause, each seen by a test at a target that reports the longest message: - a read at a replica carries the position of its floor in front, - a prepared statement got a name of the connection that may be longer than the caller's, - the request to an owner is JSON, which writes a character as up to six bytes, and an owner refused bodies over 1 MiB.

Change: reads over 128 Ki characters run at the primary, without a position. Names on a connection are one character each, and the connection is cleared when all 62 have been used (formerly beyond 64 statements). Owners accept requests of 64 MiB; so that no request can exceed them, the values and prepared statements of one session may be 4 Mi characters together, and more is refused with TOOLARGE.

A request head whose lines end with LF alone is still answered with 408.

--- a/src/godwitwheel/sessions/connections/carrying.py
+++ b/src/godwitwheel/sessions/connections/carrying.py
@@ -1,10 +1,13 @@
 """Session state of a pooled connection, and the commands that change it."""
 
+import string
+
 from ...wire.service import Access
 from .connection import Command, Discard, SetValue
 
-# A connection with more prepared statements than this is cleared before it is used.
-MAX_PREPARED = 64
+# Names of a connection's prepared statements; it is cleared once all are used up. They
+# are as short as names can be, so that renaming makes no statement longer.
+PREPARED_NAMES = string.ascii_letters + string.digits
 
 
 class PreparedStatement:
@@ -26,7 +29,8 @@
 
     :ivar values: session values by name.
     :ivar prepared: names of its prepared statements, by access and shape.
-    :ivar next_name: number in the name of the next prepared statement.
+    :ivar next_name: index of the next prepared statement's name, counted since the
+        connection was cleared.
     """
 
     __slots__ = ("values", "prepared", "next_name")
@@ -40,20 +44,30 @@
         """Records that the connection was cleared."""
         self.values = {}
         self.prepared = {}
+        self.next_name = 0
 
     def name_of(self, prepared: PreparedStatement) -> str:
         """Returns the connection's name of a prepared statement, or an empty string."""
         return self.prepared.get(prepared.key(), "")
 
     def add_name(self, prepared: PreparedStatement) -> str:
-        """Returns a new name, under which the caller must prepare the statement."""
-        name = f"g{self.next_name}"
+        """Returns a new name, under which the caller must prepare the statement.
+
+        :func:`commands_for_values` makes sure that one is left.
+        """
+        name = PREPARED_NAMES[self.next_name]
         self.next_name += 1
         self.prepared[prepared.key()] = name
         return name
 
     def needs_discard(self, values: dict[str, str]) -> bool:
-        """Whether a value is set that a session with ``values`` does not have."""
+        """Whether to clear the connection before a session with ``values`` uses it.
+
+        It is if a value is set that the session does not have, or if no name is left
+        for another prepared statement.
+        """
+        if self.next_name == len(PREPARED_NAMES):
+            return True
         return any(name not in values for name in self.values)
 
 
@@ -66,10 +80,7 @@
     is closed if one of them fails. So the caller must send them, or close it.
     """
     commands: list[Command] = []
-    if (
-        connection_state.needs_discard(values)
-        or len(connection_state.prepared) > MAX_PREPARED
-    ):
+    if connection_state.needs_discard(values):
         commands.append(Discard())
         connection_state.clear()
     for name, value in values.items():
--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -15,6 +15,8 @@
 
     :ivar values: session values by name.
     :ivar prepared: prepared statements, by their names in the session.
+    :ivar stored_chars: length of all its values, and of the shapes of its prepared
+        statements.
     :ivar own_positions: log position of the session's last commit, by service.
     :ivar key_digest: digest of the caller's key; empty if it gave none.
     :ivar account: client account of the current statement or transaction, or
@@ -27,6 +29,7 @@
         "database",
         "values",
         "prepared",
+        "stored_chars",
         "own_positions",
         "key_digest",
         "account",
@@ -41,6 +44,7 @@
         self.presence = CallerPresence()
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
+        self.stored_chars = 0
         self.own_positions: dict[str, Position] = {}
 
     def record_commit(self, service: str, position: Position | None) -> None:
--- a/src/godwitwheel/sessions/owning/owner_process.py
+++ b/src/godwitwheel/sessions/owning/owner_process.py
@@ -26,6 +26,9 @@
 # reported that it is leaving.
 HANDOVER_S = 1.0
 HANDOVER_POLL_S = 0.05
+# Longest request of a proxy: JSON writes a character of a statement, or of the values
+# of its session, as up to six bytes.
+MAX_REQUEST_BYTES = 1 << 26
 
 
 class OwnerSettings:
@@ -119,7 +122,7 @@
                 settings.process_id,
                 settings.listen,
             )
-            server = Server(routes, record_failure)
+            server = Server(routes, record_failure, max_body_bytes=MAX_REQUEST_BYTES)
             stack.enter_context(server.listening(settings.listen))
             for task in (
                 reporter.run,
--- a/src/godwitwheel/sessions/running/single.py
+++ b/src/godwitwheel/sessions/running/single.py
@@ -21,6 +21,10 @@
 from .health import kind_of
 from .single_run import RETRY_LAGGING_MS, SingleRun
 
+# Longest text of a read at a replica, in characters. The position in front of it could
+# make a longer one exceed the longest message of a target.
+MAX_REPLICA_READ_CHARS = 1 << 17
+
 
 def run_single(
     context: SessionContext, state: SessionState, route: Route, statement: Statement
@@ -149,6 +153,8 @@
         self.is_lagging = False
 
     def attempt(self) -> Answer | None:
+        if len(self.statement.text) > MAX_REPLICA_READ_CHARS:
+            return super().attempt()
         floor = floor_of(self.context, self.state, self.route)
         if isinstance(floor, Refusal):
             self.is_lagging = True
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -18,6 +18,9 @@
 
 MAX_SESSION_VALUES = 256
 MAX_SESSION_PREPARED = 1024
+# Longest values and shapes of one session, together; an owner is sent the values with
+# each statement.
+MAX_SESSION_CHARS = 1 << 22
 
 
 class Session:
@@ -90,8 +93,7 @@
             case StatementKind.prepare:
                 return self._prepare(statement)
             case StatementKind.deallocate:
-                self.state.prepared.pop(statement.name, None)
-                return Answer()
+                return self._deallocate(statement)
             case StatementKind.execute if statement.name not in self.state.prepared:
                 return error_answer(
                     ErrorCode.unknown_statement, f"{statement.name}: not prepared"
@@ -118,16 +120,36 @@
         is_new = statement.name not in self.state.values
         if is_new and len(self.state.values) >= MAX_SESSION_VALUES:
             return error_answer(ErrorCode.too_large, "too many session values")
+        known = self.state.values.get(statement.name, "")
+        if not self._may_store(statement.value, known):
+            return error_answer(ErrorCode.too_large, "the session values are too long")
         self.state.values[statement.name] = statement.value
         return Answer()
 
     def _prepare(self, statement: Statement) -> Answer:
         if len(self.state.prepared) >= MAX_SESSION_PREPARED:
             return error_answer(ErrorCode.too_large, "too many prepared statements")
+        known = self.state.prepared.get(statement.name)
+        if not self._may_store(statement.shape, known.shape if known else ""):
+            return error_answer(ErrorCode.too_large, "prepared statements too long")
         prepared = PreparedStatement(statement.access, statement.shape)
         self.state.prepared[statement.name] = prepared
         return Answer()
 
+    def _deallocate(self, statement: Statement) -> Answer:
+        removed = self.state.prepared.pop(statement.name, None)
+        if removed is not None:
+            self.state.stored_chars -= len(removed.shape)
+        return Answer()
+
+    def _may_store(self, text: str, replaced: str) -> bool:
+        """Counts a text that replaces another, unless there is no room for it."""
+        stored = self.state.stored_chars + len(text) - len(replaced)
+        if stored > MAX_SESSION_CHARS:
+            return False
+        self.state.stored_chars = stored
+        return True
+
     def _run(self, statement: Statement) -> Answer:
         if self.transaction is not None:
             refusal = self._refuse_in_transaction(statement)
--- a/src/godwitwheel/wire/server.py
+++ b/src/godwitwheel/wire/server.py
@@ -19,7 +19,6 @@
 )
 from .numbers import MAX_NUMBER
 from .streams import (
-    LINE_END,
     LineTooLong,
     Stream,
     StreamClosed,
@@ -34,6 +33,8 @@
 HEADER_TIMEOUT_S = 10.0
 # Limit for a peer that neither sends nor accepts data.
 SOCKET_TIMEOUT_S = 30.0
+# In a request line, also in one whose end is malformed.
+LINE_FEED = b"\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -192,7 +193,7 @@
             data = self.stream.read_through(HEAD_END, deadline, MAX_HEAD_BYTES)
             return parse_request_head(data)
         except StreamTimeout as error:
-            if LINE_END not in self.stream.buffer:
+            if LINE_FEED not in self.stream.buffer:
                 # Not even a request line, which could be answered.
                 raise
             message = f"headers not whole in {HEADER_TIMEOUT_S} s"
@@ -206,7 +207,7 @@
         if "transfer-encoding" in head.headers:
             raise UnreadableRequest(411, "Content-Length: expected, got none")
         length = int(head.headers.get("content-length", "0"))
-        if length > MAX_BODY_BYTES:
+        if length > self.server.max_body_bytes:
             raise UnreadableRequest(413, f"body of {length} bytes is too long")
         if head.headers.get("expect", "").lower() == "100-continue":
             self.stream.write(CONTINUE, SOCKET_TIMEOUT_S)
@@ -243,14 +244,14 @@
     return Response({"message": message}, status)
 
 
-def _read_body(environ: dict) -> bytes:
+def _read_body(environ: dict, max_bytes: int) -> bytes:
     length = environ.get("CONTENT_LENGTH") or "0"
     if not is_whole_number(length, MAX_NUMBER):
         raise BadMessage(
             f"Content-Length: got {length[:40]!r}, expected a whole number"
         )
-    if int(length) > MAX_BODY_BYTES:
-        raise BodyTooLarge(f"body of {length} bytes, expected at most {MAX_BODY_BYTES}")
+    if int(length) > max_bytes:
+        raise BodyTooLarge(f"body of {length} bytes, expected at most {max_bytes}")
     body = environ["wsgi.input"].read(int(length))
     if len(body) != int(length):
         raise BadMessage(f"body ended after {len(body)} of {length} bytes")
@@ -263,6 +264,7 @@
     A handler that raises :class:`BadMessage` yields a 400; any other exception
     yields a 500 and is passed to ``on_error``, and the server keeps running.
 
+    :ivar max_body_bytes: longest body of a request.
     :ivar connections: the open connections.
     :ivar is_closing: whether each connection ends with the request that it serves.
     """
@@ -270,6 +272,7 @@
     __slots__ = (
         "routes",
         "on_error",
+        "max_body_bytes",
         "streams",
         "protocol",
         "address",
@@ -282,9 +285,11 @@
         routes: dict[tuple[str, str], Handler],
         on_error: Callable[[Exception], None],
         protocol: type[HttpProtocol] = HttpProtocol,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ):
         self.routes = RouteTable(routes)
         self.on_error = on_error
+        self.max_body_bytes = max_body_bytes
         self.protocol = protocol
         self.streams = StreamServer(self._serve, on_error)
         self.address = ""
@@ -299,7 +304,7 @@
         if handler is None:
             return _problem(404, f"no such interface: {method} {path}")
         try:
-            body = _read_body(environ)
+            body = _read_body(environ, self.max_body_bytes)
             return handler(Request(method, path, body, environ, parameters))
         except BodyTooLarge as error:
             return _problem(413, str(error))
--- a/tests/common/line_target.py
+++ b/tests/common/line_target.py
@@ -61,17 +61,21 @@
     :ivar refusals: codes with which it answers its next reads and writes instead; an
         empty one closes the connection without an answer.
     :ivar ran: id and text of each read, write and commit that it has run.
+    :ivar longest_message: bytes of the longest message so far, without its end.
     """
 
     def __init__(self):
         super().__init__(None)
         self.refusals: list[str] = []
         self.ran: list[tuple[str, str]] = []
+        self.longest_message = 0
 
     def serve_queries(self, stream: Stream, reader: MessageReader) -> None:
         state = "I"
         while True:
-            _, request_id, text = reader.read(None).split(" ", 2)
+            message = reader.read(None)
+            self.longest_message = max(self.longest_message, len(message.encode()))
+            _, request_id, text = message.split(" ", 2)
             self.queries.append((request_id, text))
             word = text.partition(" ")[0]
             if word in ("BEGIN", "COMMIT", "ROLLBACK"):
--- a/tests/cover/test_server_requests.py
+++ b/tests/cover/test_server_requests.py
@@ -66,5 +66,10 @@
     assert lines[0].startswith("HTTP/1.1 408")
 
 
+def test_headers_whose_lines_end_with_lf_alone_do_not_hold_the_connection(server):
+    lines = exchange(server, b"POST /echo HTTP/1.1\nHost: x\n\n")
+    assert lines[0].startswith("HTTP/1.1 408")
+
+
 def test_a_first_line_that_never_ends_does_not_hold_the_connection(server):
     assert exchange(server, b"POST /ec") == [""]
