Answer callers whose messages do not end

Since only CR LF ends a message, a caller that ends its lines with LF alone sends nothing complete, and waited without an answer for as long as it liked.

--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -71,7 +71,7 @@
         :raises StreamClosed: if the peer closes the stream first.
         :raises LineTooLong: if it is longer.
         """
-        deadline = None if timeout_s is None else time.monotonic() + timeout_s
+        deadline = _deadline_after(timeout_s)
         line = self.read_through(LINE_END, deadline, max_bytes + len(LINE_END))
         return line[: -len(LINE_END)]
 
@@ -117,14 +117,15 @@
             self._receive(deadline)
         return self._take(len(self.buffer))
 
-    def wait_for_input(self, timeout_s: float) -> None:
+    def wait_for_input(self, timeout_s: float | None) -> None:
         """Returns once there is data to read.
 
+        :param timeout_s: ``None`` for no limit.
         :raises StreamTimeout: if none arrives in time.
         :raises StreamClosed: if the peer closes the stream.
         """
         if not self.buffer:
-            self._receive(time.monotonic() + timeout_s)
+            self._receive(_deadline_after(timeout_s))
 
     def _take(self, count: int) -> bytes:
         data = bytes(self.buffer[:count])
@@ -201,6 +202,10 @@
         self.buffer += data
 
 
+def _deadline_after(timeout_s: float | None) -> float | None:
+    return None if timeout_s is None else time.monotonic() + timeout_s
+
+
 def set_stream_options(connected: socket.socket) -> None:
     """Sends small messages without delay and detects a dead peer."""
     for level, option, value in (
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -3,8 +3,10 @@
 import contextlib
 
 import eliot
+import msgspec
 import pytest
 
+from fleet import callers
 from fleet.callers import LineCallerLink
 from godwitwheel.directory.records import DirectoryView
 from godwitwheel.internal.clock import BootClock
@@ -197,6 +199,63 @@
     assert served().line() == "READY I -"
 
 
+def test_a_caller_that_ends_lines_with_lf_alone_is_answered(served, monkeypatch):
+    # It waited without an answer, since nothing that it sent was a whole message.
+    monkeypatch.setattr(callers, "MESSAGE_TIMEOUT_S", 0.1)
+    caller = served()
+    caller.line()
+    caller.stream.write(b"QUERY a WRITE 1a4 x\n", TIMEOUT_S)
+    assert caller.line().startswith("ERROR MALFORMED not run: got no CR LF")
+    assert caller.is_closed()
+    assert served.group.runs() == []
+
+
+def test_a_start_that_ends_with_lf_alone_is_answered():
+    group = FakeGroup()
+    view = group.board.view
+    limits = msgspec.structs.replace(view.table.limits, start_timeout_ms=100)
+    table = msgspec.structs.replace(view.table, limits=limits)
+    group.board.apply_view(msgspec.structs.replace(view, version=9, table=table))
+    server = SessionServer(group.context, RunnerSelector(group.context))
+    listener = StreamServer(lambda s: server.serve(LineCallerLink(s)), raise_error)
+    with listener.listening("127.0.0.1:0") as listening:
+        caller = Caller(listening.address)
+        caller.stream.write(b"START primary u3f1\n", TIMEOUT_S)
+        assert caller.line().startswith("ERROR MALFORMED not run: got no CR LF")
+        assert caller.is_closed()
+        silent = Caller(listening.address)
+        assert silent.is_closed()
+
+
+def test_a_message_that_is_slow_within_the_limit_is_served(served, monkeypatch):
+    monkeypatch.setattr(callers, "MESSAGE_TIMEOUT_S", 2.0)
+    caller = served()
+    caller.line()
+    sleep(0.1)
+    for piece in (b"QUERY a WR", b"ITE 1a4 x\n\r", b"\n"):
+        caller.stream.write(piece, TIMEOUT_S)
+        sleep(0.1)
+    assert caller.line() == "DATAROW a"
+
+
+def test_a_transaction_fails_and_its_caller_is_answered_if_a_message_does_not_end(
+    served, monkeypatch
+):
+    monkeypatch.setattr(callers, "MESSAGE_TIMEOUT_S", 0.1)
+    view = served.group.board.view
+    limits = msgspec.structs.replace(view.table.limits, transaction_idle_ms=100)
+    table = msgspec.structs.replace(view.table, limits=limits)
+    served.group.board.apply_view(msgspec.structs.replace(view, version=9, table=table))
+    caller = served()
+    caller.line()
+    caller.query("a", "BEGIN")
+    caller.query("b", "WRITE 1a4 x")
+    caller.stream.write(b"QUERY c COMMIT\n", TIMEOUT_S)
+    assert caller.line().startswith("ERROR MALFORMED not run: got no CR LF")
+    assert caller.is_closed()
+    assert served.group.primary.log == []
+
+
 def test_an_incomplete_line_runs_nothing(served):
     caller = served()
     caller.line()
