Refuse fields that would be read as other fields or messages

A line end can't arrive inside a field any more, but it could be composed: texts, names and values that come over HTTP were put into QUERY, SET and PREPARE as they were. A write whose text or request id held CR LF, sent to a session over HTTP, ran what followed as a statement that no caller had sent. A blank in a request id or in the name of a value shifted the fields behind it, and a read could have any text, STEPDOWN for example. A service of a configuration could be named by several words, as accounts no longer could. A commit over HTTP needed a text that no page asks for; it is always sent as COMMIT.

Where each kind of text is checked now, before anything is sent: - statements over HTTP, and requests from proxies to owners: the target's adapter checks that they are one statement of their kind. Refused with 400, "not run: ...". - names of services in a configuration: one word, as the names of accounts.

--- a/src/godwitwheel/directory/tables.py
+++ b/src/godwitwheel/directory/tables.py
@@ -53,10 +53,21 @@
                 f"route {name!r}: got timeout {route.statement_timeout_ms} ms, "
                 "expected at least 1"
             )
+    for name in table.services:
+        check_single_word(name, "service")
     check_accounts(table)
     check_keys(table)
 
 
+def check_single_word(name: str, what: str) -> None:
+    """Checks a name that targets are told as one word.
+
+    :raises InvalidTable: naming it.
+    """
+    if not name or any(each.isspace() or not each.isprintable() for each in name):
+        raise InvalidTable(f"{what} {name!r}: expected a name of one word")
+
+
 def check_accounts(table: RoutingTable) -> None:
     """Checks names, keys and limits of the client accounts.
 
@@ -65,9 +76,7 @@
     for name, account in table.accounts.items():
         if name != account.name:
             raise InvalidTable(f"account {name!r}: its name is {account.name!r}")
-        if not name or any(each.isspace() or not each.isprintable() for each in name):
-            # Targets are told the name as one word.
-            raise InvalidTable(f"account {name!r}: expected a name of one word")
+        check_single_word(name, "account")
         if "" in account.key_digests:
             raise InvalidTable(f"account {name!r}: got an empty key")
         if (account.rate_per_s or 0.0) < 0.0 or account.burst < 0.0:
--- a/src/godwitwheel/sessions/connections/connection.py
+++ b/src/godwitwheel/sessions/connections/connection.py
@@ -152,6 +152,14 @@
         :raises ConnectFailed: if it can't be opened in time.
         """
 
+    @abstractmethod
+    def check_statement(self, statement: Statement) -> None:
+        """Checks a statement that did not come by the targets' own protocol.
+
+        :raises InvalidStatement: if targets would read it as another statement, or as
+            several.
+        """
+
     @abstractmethod
     def read_status(self, answer: Answer) -> ReplicaStatus:
         """Decodes the answer to a command that asks for, or changes, receiving.
--- a/src/godwitwheel/sessions/errors.py
+++ b/src/godwitwheel/sessions/errors.py
@@ -35,6 +35,10 @@
         self.timed_out = timed_out
 
 
+class InvalidStatement(SessionsError):
+    """A statement can't be sent to a target as it is; nothing ran."""
+
+
 class TurnRefused(SessionsError):
     """A statement got no turn at a target in time; nothing ran.
 
--- a/tests/adapter/test_lines.py
+++ b/tests/adapter/test_lines.py
@@ -4,9 +4,13 @@
 
 import pytest
 from hypothesis import given
+from hypothesis import strategies as st
 
 from fleet.lines import (
+    MAX_MESSAGE_BYTES,
     ProtocolViolation,
+    UnsendableField,
+    check_statement,
     format_answer,
     format_command,
     format_position,
@@ -26,12 +30,15 @@
     Answer,
     ErrorCode,
     Position,
+    Statement,
     StatementKind,
     TransactionState,
 )
 from godwitwheel.wire.service import Access
 from tests.common.texts import field_texts
 
+WORDS = ["READ", "WRITE", "SET", "PREPARE", "EXECUTE", "PREPARE a READ", "DEALLOCATE"]
+
 
 @pytest.mark.parametrize(
     "text, kind",
@@ -131,3 +138,74 @@
     )
     expected = b"ERROR BUSY not run,  retry\r\nREADY E -\r\n"
     assert format_answer(refused) == expected
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        Prepare("g 0", Access.write, "q2c"),
+        Prepare("g0", Access.write, "q2c\r\nQUERY x STEPDOWN 9"),
+        SetValue("time zone", "utc"),
+        SetValue("", "utc"),
+        SetValue("tz", "utc\r\nQUERY x WRITE 1a4 y"),
+        Run(Statement(StatementKind.read, "a b", "READ 1a4")),
+        Run(Statement(StatementKind.read, "a\r\nQUERY", "READ 1a4")),
+        Run(Statement(StatementKind.write, "a", "WRITE 1a4 x\r\nQUERY b STATUS")),
+        Run(
+            Statement(
+                StatementKind.execute, "a", "", arguments="1a4\r\nQUERY b STATUS"
+            ),
+            prepared_name="g0",
+        ),
+    ],
+)
+def test_a_command_that_would_be_read_as_another_one_is_not_formatted(command):
+    with pytest.raises(UnsendableField):
+        format_command(command)
+
+
+@pytest.mark.parametrize(
+    "statement",
+    [
+        Statement(StatementKind.read, "a", "WRITE 1a4 x"),
+        Statement(StatementKind.read, "a", "STEPDOWN 9"),
+        Statement(StatementKind.write, "a", ""),
+        Statement(StatementKind.write, "a", "AFTER 1.1 WRITE 1a4 x"),
+        Statement(StatementKind.write, "a b", "WRITE 1a4 x"),
+        Statement(StatementKind.commit, "a WRITE 1a4 x", "COMMIT"),
+        Statement(StatementKind.execute, "a", "", arguments="x\r\nQUERY b STATUS"),
+        Statement(StatementKind.set_value, "a", "", name="a b", value="c"),
+        Statement(StatementKind.set_value, "a", "", name="", value="c"),
+        Statement(StatementKind.prepare, "a", "", shape="q\r\nQUERY b STATUS"),
+    ],
+)
+def test_a_statement_that_targets_would_read_as_another_one_is_refused(statement):
+    with pytest.raises((ProtocolViolation, UnsendableField)):
+        check_statement(statement)
+
+
+@given(st.builds("{} {}".format, st.sampled_from(WORDS), field_texts(40)))
+def test_every_statement_that_callers_may_send_can_be_sent_to_targets(text):
+    with contextlib.suppress(ProtocolViolation):
+        check_statement(parse_statement("id", text))
+
+
+def test_a_commit_is_sent_as_one_whatever_its_text():
+    # One that came over HTTP had an empty text, which targets can't read.
+    commit = Run(Statement(StatementKind.commit, "id", ""))
+    assert format_command(commit) == "QUERY id COMMIT\r\n"
+
+
+def test_a_row_with_a_line_end_is_not_sent():
+    with pytest.raises(UnsendableField):
+        format_answer(Answer([b"a\r\nCOMPLETE sig"]))
+
+
+@given(st.integers(MAX_MESSAGE_BYTES - 40, MAX_MESSAGE_BYTES))
+def test_an_error_is_shortened_to_the_longest_message(characters):
+    detail = "\u00e9" * (characters // 2)
+    line = format_answer(Answer(error=ErrorCode.failed, detail=detail)).split(b"\r\n")[
+        0
+    ]
+    assert len(line) <= MAX_MESSAGE_BYTES
+    assert f"ERROR FAILED {detail}".startswith(line.decode())
--- a/tests/adapter/test_long_texts.py
+++ b/tests/adapter/test_long_texts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fleet.lines import MAX_MESSAGE_BYTES
-from tests.common.line_proxy import running_proxy
+from tests.common.line_proxy import TIMEOUT_S, LineCaller, running_proxy
 
 
 @pytest.fixture(scope="module", params=[False, True], ids=["direct", "owner"])
@@ -61,3 +61,20 @@
         assert caller.query("a", "SET v0 x").error == ""
         assert caller.query("a", fill("SET v5 ", "x")).error == ""
     assert proxy.target.longest_message <= MAX_MESSAGE_BYTES
+
+
+def test_the_longest_name_of_an_unknown_database_gets_an_answer(proxy):
+    database = "d" * (MAX_MESSAGE_BYTES - len("START "))
+    with LineCaller(proxy.address) as caller:
+        caller.send(f"START {database}")
+        answer = caller.reader.read(TIMEOUT_S)
+    assert answer.startswith("ERROR NODB dd")
+    assert len(answer) == MAX_MESSAGE_BYTES
+
+
+def test_a_message_over_the_limit_is_refused_as_not_run(proxy):
+    text = fill("WRITE x ") + "yy"
+    with proxy.open() as caller:
+        caller.send(f"QUERY a {text}")
+        assert caller.reader.read(TIMEOUT_S).startswith("ERROR MALFORMED not run")
+    assert proxy.target.ran == []
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -291,6 +291,9 @@
         fake.opened += 1
         return connection
 
+    def check_statement(self, statement):
+        pass
+
     def read_status(self, answer):
         if not answer.rows:
             raise SessionsError("no status")
--- a/tests/common/pools.py
+++ b/tests/common/pools.py
@@ -83,5 +83,8 @@
         self.open.append(connection)
         return connection
 
+    def check_statement(self, statement):
+        pass
+
     def read_status(self, answer):
         raise NotImplementedError
