Keep outside texts in their place in HTTP heads, metrics and logs

The other places where texts from outside become part of a line: - HTTP heads: the parser refuses lone CR and LF, which tests show now. A header that is sent was not checked: the name of a VM in the platform's settings goes into one, and could have added others, or failed with an error that ends a promotion. Such a request is not sent and counts as such. - Metrics: aioprometheus writes the values of labels as they are. The name of an account or target with a quote made the page unreadable. These names are escaped. - Logs: each event is one line, whatever its texts; a property test shows it. - Two tools of bench/ split logs at every character that Python counts as the end of a line, such as U+2028, which JSON leaves as it is. They split at line feeds only.

Evidence: the four cases of test_a_header_that_would_be_read_as_several_is_not_sent fail without the change. The metric's test needs the new function; with the value unescaped the page holds account="a"b\c and a line of its own.

--- a/bench/experiment/failover.py
+++ b/bench/experiment/failover.py
@@ -114,7 +114,7 @@
     """Returns the events of all processes in the order of their wall times."""
     events = []
     for path in deployment.log_files():
-        for line in path.read_text(errors="replace").splitlines():
+        for line in path.read_bytes().splitlines():
             event = json.loads(line)
             if "message_type" in event:
                 events.append(event)
--- a/bench/load_run.py
+++ b/bench/load_run.py
@@ -66,6 +66,6 @@
     """Returns the last lines of every process's output, to diagnose a failed run."""
     parts = []
     for path in sorted(folder.glob("*.out")):
-        lines = path.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:]
+        lines = path.read_text(errors="replace").split("\n")[-LOG_TAIL_LINES:]
         parts += [f"{path.name}: {line}" for line in lines]
     return "\n".join(parts)
--- a/src/godwitwheel/observe/metrics.py
+++ b/src/godwitwheel/observe/metrics.py
@@ -27,6 +27,16 @@
         return int(file.read().split()[1]) * _PAGE_BYTES
 
 
+def label_value(text: str) -> str:
+    """Returns a name from outside as the value of a label.
+
+    The library writes values into lines as they are; a quote or backslash in one would
+    make the whole page unreadable.
+    """
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return escaped.replace("\n", "\\n")
+
+
 class ProcessMetrics:
     """Creates metrics and renders them all.
 
--- a/src/godwitwheel/sessions/metrics.py
+++ b/src/godwitwheel/sessions/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a proxy's interactive sessions."""
 
-from ..observe.metrics import Counter, ProcessMetrics
+from ..observe.metrics import Counter, ProcessMetrics, label_value
 from .connections.counts import PoolCounts
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]
@@ -36,7 +36,7 @@
         named = ranked[:NAMED_ACCOUNTS]
         self.counter.values.clear()
         for name in named:
-            self.counter.set({"account": name}, self.counts[name])
+            self.counter.set({"account": label_value(name)}, self.counts[name])
         rest = sum(self.counts[name] for name in ranked[NAMED_ACCOUNTS:])
         if rest:
             self.counter.set({"account": OTHER_ACCOUNTS}, rest)
--- a/src/godwitwheel/sessions/running/health.py
+++ b/src/godwitwheel/sessions/running/health.py
@@ -4,6 +4,7 @@
 from ...decisions.outlier_evidence import Ejection
 from ...directory.records import Route, TargetEntry
 from ...observe.events import EventName
+from ...observe.metrics import label_value
 from ...wire.service import Access
 from ..connections.connection import Command, Run
 from ..context import SessionContext
@@ -84,7 +85,7 @@
     if decision is None:
         return
     is_primary = members.primary_id == target.target_id
-    labels = {"target": target.target_id}
+    labels = {"target": label_value(target.target_id)}
     if isinstance(decision, Ejection):
         context.metrics.ejections.inc({**labels, "reason": decision.reason.value})
         context.log.record(
--- a/src/godwitwheel/wire/client.py
+++ b/src/godwitwheel/wire/client.py
@@ -61,15 +61,21 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
     ) -> ResponseReader:
-        """Like :meth:`exchange`, but returns the response with its headers."""
+        """Like :meth:`exchange`, but returns the response with its headers.
+
+        :raises NotSent: if a header can't be sent; the connection is closed.
+        """
         deadline = time.monotonic() + max(timeout_s, 0.001)
-        request = format_request(method, path, self.address, headers or {}, body)
         reader = ResponseReader()
         try:
+            request = format_request(method, path, self.address, headers or {}, body)
             if self.stream is None:
                 raise NoReply("the connection is closed")
             self.stream.write(request, max(timeout_s, 0.001))
             reader.read(self.stream, deadline)
+        except NotSent:
+            self.close()
+            raise
         except WireError as error:
             if self.resets_failed and self.stream is not None:
                 self.stream.reset_on_close()
--- a/src/godwitwheel/wire/http1.py
+++ b/src/godwitwheel/wire/http1.py
@@ -2,7 +2,7 @@
 
 import httptools
 
-from .errors import WireError
+from .errors import NotSent, WireError
 from .streams import Stream, StreamClosed
 
 HEAD_END = b"\r\n\r\n"
@@ -13,25 +13,46 @@
     """The peer's message is not valid HTTP/1.1."""
 
 
+class UnsendableHead(NotSent):
+    """A header holds a text that none can hold; nothing was sent."""
+
+
 def format_request(
     method: str, path: str, host: str, headers: dict[str, str], body: bytes
 ) -> bytes:
-    """Returns a request."""
+    """Returns a request.
+
+    :raises UnsendableHead: if a header would be read as several, or can't be encoded.
+    """
     lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return _join_head(lines) + body
 
 
 def format_response(
     status: int, headers: list[tuple[str, str]], body: bytes, reason: str = "-"
 ) -> bytes:
-    """Returns a response."""
+    """Returns a response.
+
+    :raises UnsendableHead: if a header would be read as several, or can't be encoded.
+    """
     lines = [f"HTTP/1.1 {status} {reason}"]
     lines += [f"{name}: {value}" for name, value in headers]
     lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return _join_head(lines) + body
+
+
+def _join_head(lines: list[str]) -> bytes:
+    head = "\r\n".join([*lines, "", ""])
+    ends = len(lines) + 1
+    if head.count("\r") != ends or head.count("\n") != ends:
+        raise UnsendableHead(f"got a line end in a header after {lines[0][:80]!r}")
+    try:
+        return head.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise UnsendableHead(f"{lines[0][:80]!r}: {error.reason}") from error
 
 
 class RequestHead:
--- a/tests/cover/test_http1.py
+++ b/tests/cover/test_http1.py
@@ -208,3 +208,26 @@
     assert task.wait()[0] == 200
     assert not connection.is_usable()
     assert served == [True]
+
+
+@pytest.mark.parametrize("value", ["a\r\nX: y", "a\nX: y", "a\rX: y", "\u20ac"])
+def test_a_header_that_would_be_read_as_several_is_not_sent(value):
+    with pytest.raises(NotSent):
+        format_request("POST", "/failover", "10.0.0.1:80", {"Holder": value}, b"")
+    with pytest.raises(NotSent):
+        format_response(307, [("Location", value)], b"")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET /a HTTP/1.1\n\nGET /b HTTP/1.1\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nX: y\n\nGET /b HTTP/1.1\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nX: y\nZ: w\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nX: y\rZ: w\r\n\r\n",
+    ],
+)
+def test_a_head_with_a_lone_line_feed_or_cr_is_refused(head):
+    # Two readers that end its lines differently would find different requests in it.
+    with pytest.raises(MalformedHttp):
+        parse_request_head(head)
--- a/tests/cover/test_observe.py
+++ b/tests/cover/test_observe.py
@@ -6,13 +6,15 @@
 import socket
 
 import pytest
+from hypothesis import given
 
 from godwitwheel.observe.errors import LogUnavailable
 from godwitwheel.observe.events import EventName, record_event
 from godwitwheel.observe.health import observe_routes
 from godwitwheel.observe.log import MAX_PENDING_BYTES, LineWriter, process_log, reopen
-from godwitwheel.observe.metrics import ProcessMetrics
+from godwitwheel.observe.metrics import ProcessMetrics, label_value
 from godwitwheel.wire.server import Server
+from tests.common.texts import field_texts
 
 
 def test_each_event_is_on_disk_at_once_with_its_process(tmp_path):
@@ -28,6 +30,25 @@
     assert (event["version"], event["sequence"]) == (7, 1)
 
 
+@given(field_texts())
+def test_a_text_in_an_event_begins_no_line_of_its_own(tmp_path_factory, text):
+    # Texts of callers and targets are logged, such as the name of a database.
+    path = tmp_path_factory.mktemp("log") / "proxy.log"
+    with process_log(str(path), "p1", "proxy", "carrasco"):
+        record_event(EventName.session_refused, database=text)
+    (line, rest) = path.read_bytes().split(b"\n")
+    assert (json.loads(line)["database"], rest) == (text, b"")
+
+
+def test_names_with_quotes_leave_the_metrics_readable():
+    # They were written as they are, so that the line could not be read.
+    metrics = ProcessMetrics("p1", "proxy")
+    name = 'a"b\\c\nd'
+    metrics.counter("refused_total", "Refused.").inc({"account": label_value(name)})
+    page = metrics.render().decode()
+    assert 'account="a\\"b\\\\c\\nd"' in page
+
+
 def test_a_full_pipe_neither_blocks_nor_loses_the_last_lines():
     reader, write_end = os.pipe()
     os.set_blocking(write_end, False)
