--- a/tests/common/sync_fleet.py
+++ b/tests/common/sync_fleet.py
@@ -113,6 +113,9 @@
         self.member.act()
         return self.group.connect(target, account, timeout_s)
 
+    def check_statement(self, statement):
+        pass
+
     def read_status(self, answer):
         return self.group.read_status(answer)
 
--- a/tests/common/sync_group.py
+++ b/tests/common/sync_group.py
@@ -154,6 +154,9 @@
             case _:
                 raise TypeError(command)
 
+    def check_statement(self, statement):
+        pass
+
     def read_status(self, answer):
         target = self.targets[answer.rows[0].decode()]
         return ReplicaStatus(target is self.primary, self.term, target.received())
