Limit how long a leader acts on its confirmation in one place

Orders of promotion and commands to replicas were both sent only for 0.3 s after a confirmation of the leader was requested, each with a limit and an explanation of its own. Both use confirm_leader and its limit now, which follows from the grace of a new leader. Behaviour is the same: tests/cover and tests/adapter pass.

--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -6,6 +6,7 @@
 from ..observe.events import EventName, record_event
 from .candidates import Candidate, Replacement, rule_for
 from .commands import SetPrimary
+from .confirmation import COMMAND_TIMEOUT_S, confirm_leader
 from .errors import (
     PromotionFailed,
     PromotionFenced,
@@ -19,12 +20,6 @@
 from .records import DirectoryView
 from .target_queries import TargetQueries
 
-# The platform usually answers within about 20 ms, unless the network delays the order
-# or its answer.
-ORDER_TIMEOUT_S = 0.4
-# Longest time that confirming the leader may take before an order, in seconds.
-# A new leader sends none until longer than this after its election.
-MAX_CONFIRMATION_S = 0.3
 # Delay before a retry of a failed promotion, in seconds.
 RETRY_DELAY_S = 0.15
 # Fencing tokens per term: a token of a later term is above all of an earlier one.
@@ -170,12 +165,10 @@
     def _confirm_leadership(self) -> None:
         """Returns if this member has led until just now.
 
-        A leader that was partitioned or paused meanwhile must not send the order: after
-        a pause, an old confirmation may be the first thing that it receives.
+        :raises PromotionFailed: if it may have lost the lead meanwhile.
         """
-        asked_at = self.clock.now()
-        self.confirm()
-        if self.clock.now() - asked_at > MAX_CONFIRMATION_S:
+        send_before = confirm_leader(self.confirm, self.clock)
+        if self.clock.now() > send_before:
             raise PromotionFailed("the confirmation of this leader took too long")
 
     def _next_order(
@@ -200,7 +193,7 @@
     def _send_order(self, order: PromotionOrder, service: str, is_retry: bool) -> None:
         try:
             self.promotion_client.promote(
-                service, order.target_id, order.token, ORDER_TIMEOUT_S
+                service, order.target_id, order.token, COMMAND_TIMEOUT_S
             )
         except PromotionFenced:
             order.is_unanswered = False
--- a/src/godwitwheel/directory/target_queries.py
+++ b/src/godwitwheel/directory/target_queries.py
@@ -15,15 +15,9 @@
 )
 from ..sessions.errors import SessionsError
 from .candidates import Candidate, count_unreachable_from
+from .confirmation import COMMAND_TIMEOUT_S, confirm_leader
 from .failover import Observation
 from .records import NO_ACCOUNT, TargetEntry
-from .report_timing import NEW_LEADER_GRACE_S
-
-STATUS_TIMEOUT_S = 0.4
-# Longest time from a confirmation of the leader until a command is sent that only the
-# leader may send, in seconds. It arrives, or is given up, before a leader that was
-# elected after the confirmation sends its first command.
-MAX_COMMAND_DELAY_S = NEW_LEADER_GRACE_S - STATUS_TIMEOUT_S - 0.1
 
 
 class TargetQueries:
@@ -71,8 +65,7 @@
                     # leader may have sent a different one.
                     connection.reset_on_close()
             try:
-                send_before = self.clock.now() + MAX_COMMAND_DELAY_S
-                self.confirm()
+                send_before = confirm_leader(self.confirm, self.clock)
                 sending = [
                     spawn(self._exchange, entry, connection, command, send_before)
                     for entry, connection in zip(entries, connections, strict=True)
@@ -97,7 +90,7 @@
 
     def _connect(self, entry: TargetEntry) -> DatabaseConnection | None:
         try:
-            return self.connector.connect(entry, NO_ACCOUNT, STATUS_TIMEOUT_S)
+            return self.connector.connect(entry, NO_ACCOUNT, COMMAND_TIMEOUT_S)
         except SessionsError as error:
             record_unreachable(entry, error)
         except Exception as error:
@@ -115,7 +108,7 @@
         if connection is None or self.clock.now() > send_before:
             return None
         try:
-            answer = connection.exchange([command], STATUS_TIMEOUT_S)[0]
+            answer = connection.exchange([command], COMMAND_TIMEOUT_S)[0]
             return self.connector.read_status(answer)
         except SessionsError as error:
             record_unreachable(entry, error)
