Say once whether some proxy has confirmed the primary

The rule stood in Replacement.serves, in _resume_withheld and, as a comparison of two counts, in assess. AsynchronousRule ranked targets that leave, which it never asks; that part of its key is gone.

--- a/src/godwitwheel/directory/candidates.py
+++ b/src/godwitwheel/directory/candidates.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from ..sessions.statements import Position
-from .failover import Observation
+from .failover import Observation, is_confirmed_by_some
 from .records import DirectoryView, TargetEntry
 
 
@@ -68,9 +68,8 @@
 
     def serves(self) -> bool:
         """Whether the primary may stay, and some proxy has confirmed it."""
-        return self.may_stay and any(
-            observation.target_id == self.primary_id and observation.is_confirmed
-            for observation in self.observations
+        return self.may_stay and is_confirmed_by_some(
+            self.primary_id, self.observations
         )
 
 
@@ -148,7 +147,6 @@
             key=lambda each: (
                 each.entry.target_id != replacement.primary_id,
                 each.received,
-                not each.entry.leaving,
                 -each.unreachable_from,
             ),
         )
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -15,6 +15,7 @@
     ServiceObservations,
     Verdict,
     assess,
+    is_confirmed_by_some,
     observations_by_service,
 )
 from .fencing import LeaseFence, PlatformFence, PrimaryFence
@@ -230,9 +231,7 @@
         if service not in self.pauses.read_paused():
             return
         primary_id = self.member.state.directory.view.primaries.get(service, "")
-        is_confirmed = any(
-            each.is_confirmed and each.target_id == primary_id for each in observations
-        )
+        is_confirmed = is_confirmed_by_some(primary_id, observations)
         if is_confirmed and not self.pauses.candidate_of(service):
             self._resume(leadership, service)
 
--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -150,6 +150,14 @@
     return found
 
 
+def is_confirmed_by_some(target_id: str, observations: list[Observation]) -> bool:
+    """Whether some proxy has confirmed a target as the primary."""
+    return any(
+        observation.target_id == target_id and observation.is_confirmed
+        for observation in observations
+    )
+
+
 def assess(
     service: str,
     view: DirectoryView,
@@ -211,5 +219,5 @@
     return Assessment(
         Verdict.keep,
         f"{len(confirmed)} proxies confirmed the primary",
-        serves=len(naming_another) < len(confirmed),
+        serves=is_confirmed_by_some(primary_id, observations),
     )
