Keep stalls of the machine out of the test of a graceful stop

Traced by a stall of the loop put into the test: with 0.5 s or more, before or during the stop, 5 of 80 requests get 503, reason overloaded, "t0: too_late"; with 0.3 s none. A request may queue for MAX_QUEUE_WAIT_S (0.5 s), and is then refused as not run, whether the proxy stops or not. The five are those beyond the adaptive limit, which queue when 20 callers send at once.

So the check was wrong in that it counted a bound on queueing as a fault of the stop. It stays as it is, all requests are answered with 200, and the test runs without that bound: with stalls of 0.1 to 1.5 s at both moments all are answered.

--- a/tests/nocover/test_graceful_stop.py
+++ b/tests/nocover/test_graceful_stop.py
@@ -5,6 +5,7 @@
 import pytest
 
 from godwitwheel.blackboard import Blackboard, ProxyIdentity
+from godwitwheel.decisions import admission
 from godwitwheel.internal.clock import BootClock
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.observe.metrics import ProcessMetrics
@@ -60,7 +61,10 @@
 
 
 @pytest.fixture
-def proxy():
+def proxy(monkeypatch):
+    # A stall of the machine must not count as time that requests have queued: those
+    # that have queued for too long are refused, whether the proxy stops or not.
+    monkeypatch.setattr(admission, "MAX_QUEUE_WAIT_S", 10.0)
     clock = BootClock()
     board = Blackboard(ProxyIdentity("p0", 1, "dc", "127.0.0.1:2"))
     control = FakeControl(VIEW, CONFIGURATION)
