--- a/src/godwitwheel/sessions/connections/carrying.py
+++ b/src/godwitwheel/sessions/connections/carrying.py
@@ -5,8 +5,8 @@
 from ...wire.service import Access
 from .connection import Command, Discard, SetValue
 
-# Names of a connection's prepared statements; it is cleared once all are used up. They
-# are as short as names can be, so that renaming makes no statement longer.
+# Names of a connection's prepared statements; it is cleared between transactions once
+# all are used up. No name is shorter, so that renaming makes no statement longer.
 PREPARED_NAMES = string.ascii_letters + string.digits
 
 
@@ -51,36 +51,39 @@
         return self.prepared.get(prepared.key(), "")
 
     def add_name(self, prepared: PreparedStatement) -> str:
-        """Returns a new name, under which the caller must prepare the statement.
-
-        :func:`commands_for_values` makes sure that one is left.
-        """
-        name = PREPARED_NAMES[self.next_name]
+        """Returns a new name, under which the caller must prepare the statement."""
+        if self.has_short_name():
+            name = PREPARED_NAMES[self.next_name]
+        else:
+            name = f"g{self.next_name}"
         self.next_name += 1
         self.prepared[prepared.key()] = name
         return name
 
-    def needs_discard(self, values: dict[str, str]) -> bool:
-        """Whether to clear the connection before a session with ``values`` uses it.
+    def has_short_name(self) -> bool:
+        """Whether one of ``PREPARED_NAMES`` is left."""
+        return self.next_name < len(PREPARED_NAMES)
 
-        It is if a value is set that the session does not have, or if no name is left
-        for another prepared statement.
-        """
-        if self.next_name == len(PREPARED_NAMES):
-            return True
+    def needs_discard(self, values: dict[str, str]) -> bool:
+        """Whether a value is set that a session with ``values`` does not have."""
         return any(name not in values for name in self.values)
 
 
 def commands_for_values(
-    connection_state: ConnectionState, values: dict[str, str]
+    connection_state: ConnectionState,
+    values: dict[str, str],
+    in_transaction: bool = False,
 ) -> list[Command]:
     """Returns the commands that give a connection the values of a session.
 
+    Between transactions they also clear one that has no short name left.
+
     ``connection_state`` is updated before the commands are sent, since the connection
     is closed if one of them fails. So the caller must send them, or close it.
     """
     commands: list[Command] = []
-    if connection_state.needs_discard(values):
+    lacks_names = not in_transaction and not connection_state.has_short_name()
+    if lacks_names or connection_state.needs_discard(values):
         commands.append(Discard())
         connection_state.clear()
     for name, value in values.items():
--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -15,8 +15,8 @@
 
     :ivar values: session values by name.
     :ivar prepared: prepared statements, by their names in the session.
-    :ivar stored_chars: length of all its values, and of the shapes of its prepared
-        statements.
+    :ivar stored_chars: length of all its values and of the shapes of its prepared
+        statements, with their names.
     :ivar own_positions: log position of the session's last commit, by service.
     :ivar key_digest: digest of the caller's key; empty if it gave none.
     :ivar account: client account of the current statement or transaction, or
--- a/src/godwitwheel/sessions/running/attempts.py
+++ b/src/godwitwheel/sessions/running/attempts.py
@@ -79,7 +79,10 @@
 
     :param floor: minimum position that the target's log must have reached, or ``None``.
     """
-    commands = commands_for_values(pooled.connection_state, state.values)
+    in_transaction = pooled.state is not TransactionState.idle
+    commands = commands_for_values(
+        pooled.connection_state, state.values, in_transaction
+    )
     prepared = state.find_prepared(statement)
     name = ""
     if prepared is not None:
--- a/src/godwitwheel/sessions/session.py
+++ b/src/godwitwheel/sessions/session.py
@@ -18,8 +18,8 @@
 
 MAX_SESSION_VALUES = 256
 MAX_SESSION_PREPARED = 1024
-# Longest values and shapes of one session, together; an owner is sent the values with
-# each statement.
+# Longest values and prepared statements of one session, together and with their names;
+# an owner is sent the values with each statement.
 MAX_SESSION_CHARS = 1 << 22
 
 
@@ -117,34 +117,35 @@
         return Answer()
 
     def _set_value(self, statement: Statement) -> Answer:
-        is_new = statement.name not in self.state.values
-        if is_new and len(self.state.values) >= MAX_SESSION_VALUES:
+        name, known = statement.name, self.state.values.get(statement.name)
+        if known is None and len(self.state.values) >= MAX_SESSION_VALUES:
             return error_answer(ErrorCode.too_large, "too many session values")
-        known = self.state.values.get(statement.name, "")
-        if not self._may_store(statement.value, known):
+        freed = 0 if known is None else len(name) + len(known)
+        if not self._may_store(len(name) + len(statement.value) - freed):
             return error_answer(ErrorCode.too_large, "the session values are too long")
-        self.state.values[statement.name] = statement.value
+        self.state.values[name] = statement.value
         return Answer()
 
     def _prepare(self, statement: Statement) -> Answer:
         if len(self.state.prepared) >= MAX_SESSION_PREPARED:
             return error_answer(ErrorCode.too_large, "too many prepared statements")
-        known = self.state.prepared.get(statement.name)
-        if not self._may_store(statement.shape, known.shape if known else ""):
+        name, known = statement.name, self.state.prepared.get(statement.name)
+        freed = 0 if known is None else len(name) + len(known.shape)
+        if not self._may_store(len(name) + len(statement.shape) - freed):
             return error_answer(ErrorCode.too_large, "prepared statements too long")
         prepared = PreparedStatement(statement.access, statement.shape)
-        self.state.prepared[statement.name] = prepared
+        self.state.prepared[name] = prepared
         return Answer()
 
     def _deallocate(self, statement: Statement) -> Answer:
         removed = self.state.prepared.pop(statement.name, None)
         if removed is not None:
-            self.state.stored_chars -= len(removed.shape)
+            self.state.stored_chars -= len(statement.name) + len(removed.shape)
         return Answer()
 
-    def _may_store(self, text: str, replaced: str) -> bool:
-        """Counts a text that replaces another, unless there is no room for it."""
-        stored = self.state.stored_chars + len(text) - len(replaced)
+    def _may_store(self, added_chars: int) -> bool:
+        """Counts characters that the session is to store, unless it has no room."""
+        stored = self.state.stored_chars + added_chars
         if stored > MAX_SESSION_CHARS:
             return False
         self.state.stored_chars = stored
--- a/tests/adapter/test_lines.py
+++ b/tests/adapter/test_lines.py
@@ -3,7 +3,7 @@
 import contextlib
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from fleet.lines import (
@@ -69,6 +69,7 @@
         "READ",
         "WRITE 1a4",
         "SET tz",
+        "SET  utc",
         "PREPARE s1 q2c",
         "PREPARE s1 DELETE q2c",
         "EXECUTE s1",
@@ -184,6 +185,7 @@
         check_statement(statement)
 
 
+@example("SET  utc")
 @given(st.builds("{} {}".format, st.sampled_from(WORDS), field_texts(40)))
 def test_every_statement_that_callers_may_send_can_be_sent_to_targets(text):
     with contextlib.suppress(ProtocolViolation):
--- a/tests/adapter/test_long_texts.py
+++ b/tests/adapter/test_long_texts.py
@@ -52,6 +52,22 @@
     assert proxy.target.longest_message <= MAX_MESSAGE_BYTES
 
 
+def test_a_transaction_that_uses_up_the_short_names_is_not_interrupted(proxy):
+    # The connection may be cleared between transactions only.
+    with proxy.open() as caller:
+        assert caller.query("b", "BEGIN").error == ""
+        for number in range(70):
+            assert caller.query("p", f"PREPARE s WRITE t{number}").error == ""
+            reply = caller.query(f"w{number}", f"EXECUTE s {number}")
+            assert (reply.error, reply.state) == ("", "T")
+        assert caller.query("z", "COMMIT").error == ""
+        begun = proxy.target.queries.index(("-", "BEGIN"))
+        assert ("-", "DISCARD") not in proxy.target.queries[begun:]
+        assert caller.query("p", "PREPARE s WRITE last").error == ""
+        assert caller.query("w", "EXECUTE s x").error == ""
+        assert ("-", "DISCARD") in proxy.target.queries[begun:]
+
+
 def test_values_have_room_for_the_longest_one_and_end_with_a_clear_error(proxy):
     with proxy.open() as caller:
         replies = [caller.query("a", fill(f"SET v{i} ", "x")) for i in range(6)]
@@ -63,6 +79,19 @@
     assert proxy.target.longest_message <= MAX_MESSAGE_BYTES
 
 
+def test_names_of_values_and_prepared_statements_count_as_well(proxy):
+    with proxy.open() as caller:
+        names = [f"{number}{'n' * (1 << 19)}" for number in range(9)]
+        replies = [caller.query("a", f"SET {name} x") for name in names]
+        assert [reply.error for reply in replies[:7] + replies[8:]] == [""] * 7 + [
+            "TOOLARGE"
+        ]
+        assert caller.query("a", f"PREPARE {names[0]} READ q").error == "TOOLARGE"
+        assert caller.query("a", "PREPARE s READ q").error == ""
+        assert caller.query("a", "DEALLOCATE s").error == ""
+        assert caller.query("a", "WRITE x y").error == ""
+
+
 def test_the_longest_name_of_an_unknown_database_gets_an_answer(proxy):
     database = "d" * (MAX_MESSAGE_BYTES - len("START "))
     with LineCaller(proxy.address) as caller:
