Show that a replica that control does not know yet can lose commits

Control doesn't know the replica, so it doesn't pause it, and the primary counts it towards acknowledgements.

--- a/tests/cover/test_synchronous_promotion.py
+++ b/tests/cover/test_synchronous_promotion.py
@@ -184,3 +184,13 @@
     promoter.replace(leadership, SERVICE, directory.view, UNCONFIRMED, "lost")
     assert group.acknowledged > 1
     assert group.lost == 0
+
+
+def test_a_replica_that_control_does_not_know_yet_loses_no_commit():
+    # It isn't paused, and acknowledges commits that the promoted target lacks.
+    group = SyncGroup()
+    view = group.view(leaving=["t1"])
+    del view.targets["t3"]
+    replace(group, view)
+    assert group.primary.target_id == "t2"
+    assert group.lost == 0
