Let the soak's operator follow redirects

Traced by the members' logs and data folders: the former leader had sent the table to the others when its own disk was full; 1.6 s later another led, and its term's first entry was on two disks, so it could commit. Nothing reached it in the 3 s that were left. The operator tried members at random and took a redirect for a failure, so that with a second lost at the former leader each time it may miss the leader.

--- a/bench/soak/platform_calls.py
+++ b/bench/soak/platform_calls.py
@@ -10,11 +10,12 @@
 from fleet.tables import RouteEntry, ServiceEntry, TableDocument
 from godwitwheel.directory.records import Consistency
 from godwitwheel.internal.loop import sleep
-from godwitwheel.wire.client import Client
+from godwitwheel.wire.client import Client, HttpConnection
 from godwitwheel.wire.codec import decode
 from godwitwheel.wire.errors import WireError
+from godwitwheel.wire.http1 import ResponseReader
 from godwitwheel.wire.server import Request, Response
-from godwitwheel.wire.status import CONFLICT
+from godwitwheel.wire.status import CONFLICT, TEMPORARY_REDIRECT
 
 from .accounts import ACTIVATION_TIME_S, AccountBook
 from .databases import MAX_CONNECTIONS, SLOTS, SoakGroup, SoakTarget
@@ -23,6 +24,7 @@
 HEARTBEAT_INTERVAL_S = 0.6
 SOFTWARE_VERSION = "v1"
 CALL_TIMEOUT_S = 1.0
+MAX_REDIRECTS = 2
 PUBLISH_RETRY_PAUSE_S = 0.3
 READ_INTERVAL_S = 0.5
 STATEMENT_TIMEOUT_MS = 800
@@ -126,7 +128,6 @@
         "control_addresses",
         "promises",
         "rng",
-        "client",
         "version",
         "acknowledged",
         "documents",
@@ -145,7 +146,6 @@
         self.control_addresses = control_addresses
         self.promises = promises
         self.rng = rng
-        self.client = Client()
         self.version = 0
         self.acknowledged: list[tuple[int, float]] = []
         self.documents: dict[int, bytes] = {}
@@ -204,11 +204,22 @@
         return version
 
     def _call(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        """Calls a randomly chosen member, and follows its redirects to the leader.
+
+        :returns: status and body; status 0 if no response came in time.
+        """
         address = self.rng.choice(self.control_addresses)
         try:
-            return self.client.exchange(address, method, path, body, CALL_TIMEOUT_S)
+            for _ in range(MAX_REDIRECTS):
+                response = _exchange(address, method, path, body)
+                if response.status != TEMPORARY_REDIRECT:
+                    return response.status, response.body
+                location = response.headers["location"].removeprefix("http://")
+                address = location.partition("/")[0]
+            response = _exchange(address, method, path, body)
         except WireError:
             return 0, b""
+        return response.status, response.body
 
     def _document(self, version: int) -> bytes:
         routes = []
@@ -238,6 +249,15 @@
         return msgspec.json.encode(document)
 
 
+def _exchange(address: str, method: str, path: str, body: bytes) -> ResponseReader:
+    connection = HttpConnection(address)
+    connection.connect(CALL_TIMEOUT_S)
+    try:
+        return connection.request(method, path, body, CALL_TIMEOUT_S)
+    finally:
+        connection.close()
+
+
 def database_of(service: str, consistency: Consistency) -> str:
     """Returns the database name that routes to a service with one consistency."""
     return f"{service}-{consistency.value}"
