--- a/bench/soak/accounts.py
+++ b/bench/soak/accounts.py
@@ -130,7 +130,7 @@
             return ""
         sent = self.sent[account]
         sent.append(sent_at)
-        while sent[0] < now - QUOTA_WINDOW_S:
+        while sent and sent[0] < now - QUOTA_WINDOW_S:
             sent.popleft()
         rate_per_s, burst = limit
         allowed = (rate_per_s * QUOTA_WINDOW_S + burst) * (1 + QUOTA_OVERAGE)
--- a/tests/cover/test_soak_promises.py
+++ b/tests/cover/test_soak_promises.py
@@ -104,6 +104,12 @@
     assert quotas.record_run("tower", 5.5, 5.5) == ""
 
 
+def test_an_operation_that_runs_later_than_the_window_counts_for_none():
+    # The checker failed on it, which ended the connection that ran it.
+    quotas = QuotaChecker()
+    assert quotas.record_run("tower", 0.0, QUOTA_WINDOW_S + 0.1) == ""
+
+
 def test_finds_a_write_that_takes_effect_twice():
     checked = CheckedStatement("WRITE x d")
     checked.promises.check_commits(["q1"], checked.operation)
