Let statements of the texts' tests expire, and end with their test

A debugger showed the loop in a statement of tests/common/line_proxy.py, retried without a pause: left by an earlier test whose clock stands still, so that it never expired, and test_owner.py replaces the pause between tries by its own clock. It is not seen in runs of tests/adapter on a calmer machine, and which test left the statement isn't known.

The proxy of these tests has a real clock now, with limits below those of its callers, and its block ends once its sessions have: a statement that is left fails there. All checks stay.

--- a/tests/common/line_proxy.py
+++ b/tests/common/line_proxy.py
@@ -7,6 +7,8 @@
 from fleet.callers import LineCallerLink
 from fleet.targets import LineConnector
 from godwitwheel.directory.records import OwnerEntry
+from godwitwheel.internal.clock import BootClock
+from godwitwheel.internal.loop import sleep
 from godwitwheel.sessions.http_api import HttpSessions
 from godwitwheel.sessions.owning.owner import Owner
 from godwitwheel.sessions.owning.owner_calls import OwnerCalls
@@ -21,8 +23,11 @@
 from .fake_sessions import SERVICE, FakeGroup
 from .framing import MessageReader, Reply, read_reply
 from .line_target import EchoTarget
+from .processes import wait_until
 
 TIMEOUT_S = 10.0
+# Shorter than the callers wait, and far above what a statement takes.
+STATEMENT_TIMEOUT_MS = 8000
 
 
 class LineCaller:
@@ -94,16 +99,30 @@
         http = Server(sessions.routes(), errors.append)
         stack.enter_context(http.listening("127.0.0.1:0"))
         yield LineProxy(target, callers.address, http.address)
+        # A statement that is left would go on in the tests that follow.
+        wait_until(lambda: sleep(0.01) or not server.open_sessions, "sessions end")
     assert errors == []
 
 
 def group_with(target, version=2):
     """Returns a group of one target, which is reached over loopback."""
     group = FakeGroup()
+    # With the group's own clock, which stands still, no statement would ever expire.
+    group.board.clock = BootClock()
     group.board.connector = LineConnector()
     view = group.view(version)
-    entry = msgspec.structs.replace(view.targets["t1"], address=target.address)
-    group.board.apply_view(msgspec.structs.replace(view, targets={"t1": entry}))
+    replace = msgspec.structs.replace
+    routes = {
+        name: replace(
+            route,
+            statement_timeout_ms=STATEMENT_TIMEOUT_MS,
+            latency_objective_ms=STATEMENT_TIMEOUT_MS,
+        )
+        for name, route in view.table.routes.items()
+    }
+    table = replace(view.table, routes=routes)
+    entry = replace(view.targets["t1"], address=target.address)
+    group.board.apply_view(replace(view, table=table, targets={"t1": entry}))
     return group
 
 
