Say what each process runs, and where processes run different builds

Processes tell control's leader every 10 s; it records builds_changed and exports processes_by_build.

--- a/src/godwitwheel/cli/main.py
+++ b/src/godwitwheel/cli/main.py
@@ -5,11 +5,23 @@
 import sys
 from collections.abc import Mapping
 
+import msgspec
+
 from ..internal.errors import GodwitwheelError
 from ..internal.loop import patch_standard_library
 from .exit_status import EXIT_FAILED, EXIT_INVALID
 
 
+class PrintVersion(argparse.Action):
+    """Prints the version, the sources, and what runs them."""
+
+    def __call__(self, parser, namespace, values, option_string=None):
+        from ..observe.build import running_build
+
+        print(msgspec.json.encode(running_build().fields()).decode())
+        parser.exit()
+
+
 def _parse(commands: list, argv: list[str]) -> tuple[argparse.Namespace, list[str]]:
     parser = argparse.ArgumentParser(
         prog="godwitwheel",
@@ -17,6 +29,9 @@
         epilog="Every flag is also an environment variable; the flag wins.",
         allow_abbrev=False,
     )
+    parser.add_argument(
+        "--version", action=PrintVersion, nargs=0, help="print what would run"
+    )
     subparsers = parser.add_subparsers(dest="command", required=True)
     for command in commands:
         command.add_to(subparsers)
--- a/src/godwitwheel/control/process.py
+++ b/src/godwitwheel/control/process.py
@@ -11,7 +11,7 @@
 from ..internal.clock import BootClock
 from ..internal.loop import patch_standard_library, running_task, sleep
 from ..internal.requests import StopRequest
-from ..observe.events import EventName, record_event, record_failure
+from ..observe.events import EventName, record_event, record_failure, record_start
 from ..observe.health import observe_routes
 from ..observe.log import process_log
 from ..targets.http_target import HttpTargetAdmin
@@ -39,7 +39,7 @@
     with process_log(
         settings.log_file, settings.member_id, "control", settings.data_centre
     ):
-        record_event(EventName.process_started, address=settings.advertise)
+        record_start(address=settings.advertise)
         status = _run_member(settings, stop)
         record_event(EventName.process_stopped, status=status)
     return status
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -11,6 +11,7 @@
 from ..wire.codec import check_nesting
 from ..wire.errors import BadMessage
 from .assembly import AssemblyBudget
+from .builds import FleetBuilds
 from .commands import (
     DropEntry,
     EntryResult,
@@ -51,6 +52,7 @@
     :ivar view_changes: the changes between recent views.
     :ivar grants_leases: whether proxies rely on primaries under leases, because the
         platform doesn't stop a former primary itself.
+    :ivar builds: what the processes run that reported to this member as leader.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "chunks",
         "view_changes",
         "grants_leases",
+        "builds",
     )
 
     def __init__(
@@ -83,6 +86,7 @@
         self.chunks = TableChunks(directory.recent_tables, budget)
         self.view_changes = ViewChanges(directory.recent_views, budget)
         self.grants_leases = grants_leases
+        self.builds = FleetBuilds()
 
     # Requests.
 
@@ -96,6 +100,7 @@
         is_new = leadership.receive_report(report, received_at)
         if is_new:
             record_event(EventName.proxy_seen, proxy_id=report.proxy_id)
+        self.builds.record(report.proxy_id, report.build, received_at)
         leadership.leases.acknowledge(holder_name(report), report.drained_version)
         # Its callers may be waiting for a primary.
         lacks_view = report.view_version < self.state.directory.view.version
@@ -125,6 +130,14 @@
             rates,
         )
 
+    def record_build(self, process_id: str, build: str) -> None:
+        """Records what another member of control runs.
+
+        :raises NotLeading: if this member does not lead.
+        """
+        self.current_leadership()
+        self.builds.record(process_id, build, self.clock.now())
+
     def _answer_rates(
         self, report: ProxyReport, received_at: float
     ) -> RateReply | msgspec.UnsetType:
--- a/src/godwitwheel/directory/metrics.py
+++ b/src/godwitwheel/directory/metrics.py
@@ -1,13 +1,16 @@
 """Metrics of a directory member."""
 
-from ..observe.metrics import SampledMetrics
+from ..observe.metrics import SampledMetrics, label_value
 from .member import DirectoryMember
 
 
 class DirectoryMetrics(SampledMetrics):
-    """Samples a member's metrics when they are scraped."""
+    """Samples a member's metrics when they are scraped.
 
-    __slots__ = ("member",)
+    :ivar shown_builds: builds that have been rendered; one that is gone becomes 0.
+    """
+
+    __slots__ = ("member", "processes_by_build", "shown_builds")
 
     descriptions = {
         "leading": "1 while this member leads.",
@@ -24,6 +27,21 @@
     def __init__(self, member_id: str, member: DirectoryMember):
         super().__init__(member_id, "control")
         self.member = member
+        self.shown_builds: set[str] = set()
+        self.processes_by_build = self.gauge(
+            "processes_by_build", "Processes that run each build, at the leader."
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        found = {}
+        if self.member.leadership is not None:
+            found = self.member.builds.processes_by_build(self.member.clock.now())
+        self.shown_builds.update(found)
+        for build in self.shown_builds:
+            labels = {"build": label_value(build)}
+            self.processes_by_build.set(labels, len(found.get(build, [])))
+        return super().render()
 
     def values(self) -> dict[str, float]:
         member = self.member
--- a/src/godwitwheel/directory/process.py
+++ b/src/godwitwheel/directory/process.py
@@ -18,6 +18,7 @@
 from ..sessions.connections.connection import Connector
 from ..wire.client import Client
 from ..wire.server import Handler, Server
+from .build_reports import BuildReporter
 from .controllers import DirectoryControllers
 from .member import DirectoryMember
 from .metrics import DirectoryMetrics
@@ -149,6 +150,8 @@
             server = Server(routes, record_failure)
             stack.enter_context(server.listening(address))
         stack.enter_context(running_task(controllers.run, record_failure))
+        builds = BuildReporter(member, client, settings.member_id)
+        stack.enter_context(running_task(builds.run, record_failure))
         _wait(stop, log)
 
 
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -283,6 +283,7 @@
         others need no targets, primaries and fences.
     :ivar rates: set by runners where accounts have limits; otherwise left out of the
         message.
+    :ivar build: what the proxy runs, or empty in most reports.
     """
 
     proxy_id: str
@@ -297,6 +298,7 @@
     drained_version: Count = 0
     wants_targets: bool = True
     rates: RateReport | msgspec.UnsetType = msgspec.UNSET
+    build: str = ""
 
 
 class ProxyReply(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/godwitwheel/directory/report_timing.py
+++ b/src/godwitwheel/directory/report_timing.py
@@ -45,6 +45,11 @@
 # divided; until then it may still have its share open. In seconds.
 PROXY_EXPIRY_S = 3 * MAX_IDLE_INTERVAL_S
 
+# Interval at which a process tells the leader what it runs, and the time after which
+# the leader forgets it, in seconds.
+BUILD_REPORT_INTERVAL_S = 10.0
+BUILD_EXPIRY_S = 3 * BUILD_REPORT_INTERVAL_S
+
 
 def idle_interval_s(proxies: int, lease_s: float) -> float:
     """Returns the report interval of a process that wants no targets, in seconds.
--- a/src/godwitwheel/directory/routes.py
+++ b/src/godwitwheel/directory/routes.py
@@ -18,6 +18,7 @@
 
 ANNOUNCE_PATH = "/v1/directory/announce"
 REMOVE_PATH = "/v1/directory/remove"
+BUILD_PATH = "/v1/directory/build"
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -34,6 +35,13 @@
     started_at_ms: int | None = None
 
 
+class BuildReport(msgspec.Struct, frozen=True):
+    """What a member of control runs; proxies say it in their reports."""
+
+    process_id: str
+    build: str
+
+
 class Accepted(msgspec.Struct, frozen=True):
     """The leader's reply once a forwarded message has been processed."""
 
@@ -49,6 +57,11 @@
         member.announce(message.entry, message.sequence)
         return Response(Accepted())
 
+    def build(request: Request) -> Response:
+        message = decode(request.body, BuildReport)
+        member.record_build(message.process_id, message.build)
+        return Response(Accepted())
+
     def remove(request: Request) -> Response:
         message = decode(request.body, Removal)
         member.remove(message.target_id, message.started_at_ms)
@@ -71,6 +84,7 @@
         ("POST", REPORT_PATH): guarded(member, report),
         ("POST", ANNOUNCE_PATH): guarded(member, announce),
         ("POST", REMOVE_PATH): guarded(member, remove),
+        ("POST", BUILD_PATH): guarded(member, build),
     }
 
 
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -4,11 +4,14 @@
 
 from eliot import log_message
 
+from .build import running_build
+
 
 class EventName(enum.StrEnum):
     """Every event that a process records; OPERATORS.md explains each."""
 
     process_started = "process_started"
+    process_failed = "process_failed"
     process_stopping = "process_stopping"
     process_stopped = "process_stopped"
     handler_failed = "handler_failed"
@@ -71,6 +74,7 @@
     isolation_changed = "isolation_changed"
     proxy_lost = "proxy_lost"
     proxy_seen = "proxy_seen"
+    builds_changed = "builds_changed"
     table_in_force = "table_in_force"
     table_fetch_failed = "table_fetch_failed"
 
@@ -80,6 +84,11 @@
     record_event(EventName.handler_failed, error=repr(error))
 
 
+def record_start(**fields: object) -> None:
+    """Records that this process has started, and what it runs."""
+    record_event(EventName.process_started, **running_build().fields(), **fields)
+
+
 def record_event(event: EventName, **fields: object) -> None:
     """Records an event; the log's destination adds time and process."""
     log_message(message_type=event.value, **fields)
--- a/src/godwitwheel/observe/metrics.py
+++ b/src/godwitwheel/observe/metrics.py
@@ -6,6 +6,7 @@
 from abc import abstractmethod
 
 from ..internal.imports import without_module
+from .build import running_build
 
 # aioprometheus imports asyncio for its decorators and its server.
 with without_module("asyncio"):
@@ -53,6 +54,8 @@
             "processor_seconds_total", "Processor time used, in seconds."
         )
         self.resident_memory = self.gauge("resident_bytes", "Resident memory in bytes.")
+        build_info = self.gauge("build_info", "1, labelled with what the process runs.")
+        build_info.set(running_build().labels(), 1)
 
     def counter(self, name: str, doc: str) -> Counter:
         """Creates a counter; ``inc`` and ``add`` take a dict of labels first."""
--- a/src/godwitwheel/proxy/process.py
+++ b/src/godwitwheel/proxy/process.py
@@ -9,7 +9,7 @@
 from ..blackboard import Blackboard, ProxyIdentity
 from ..internal.clock import BootClock, Clock
 from ..internal.loop import Event, running_task, sleep
-from ..observe.events import EventName, record_event, record_failure
+from ..observe.events import EventName, record_event, record_failure, record_start
 from ..observe.health import observe_routes
 from ..observe.log import process_log
 from ..observe.metrics import ProcessMetrics
@@ -159,7 +159,7 @@
 
 def _serve(proxy: Proxy, wait_for_stop: Callable[[], None]) -> int:
     with proxy.running():
-        record_event(EventName.process_started, address=proxy.server.address)
+        record_start(address=proxy.server.address)
         wait_for_stop()
         record_event(EventName.process_stopping, in_flight=proxy.api.in_flight)
         is_drained = proxy.drain()
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -10,6 +10,7 @@
     ViewChange,
 )
 from ...directory.report_timing import (
+    BUILD_REPORT_INTERVAL_S,
     MAX_RETRY_PAUSE_S,
     REPORT_INTERVAL_S,
     REPORT_SPACING_S,
@@ -18,6 +19,7 @@
 )
 from ...directory.view_changes import apply_view_change
 from ...internal.loop import sleep
+from ...observe.build import running_build
 from ...observe.events import EventName, record_event
 from ...wire.client import Client
 from ...wire.codec import decode, encode
@@ -51,6 +53,8 @@
     :ivar answered_at: when a leader answered last, or ``None``.
     :ivar is_control_unreachable: whether a report has failed since control answered
         last.
+    :ivar build_known_at: when a leader was last told what this process runs, in seconds
+        of the clock, or ``None``.
     """
 
     __slots__ = (
@@ -68,6 +72,7 @@
         "owner_address",
         "answered_at",
         "is_control_unreachable",
+        "build_known_at",
     )
 
     def __init__(
@@ -92,6 +97,7 @@
         self.leaving = False
         self.answered_at: float | None = None
         self.is_control_unreachable = False
+        self.build_known_at: float | None = None
 
     def run(self) -> None:
         """Reports until the process stops."""
@@ -157,6 +163,8 @@
                 reply = decode(body, ProxyReply)
                 self._apply_reply(address, reply, now)
                 apply_rate_reply(self.board, report, reply, now)
+                if report.build:
+                    self.build_known_at = now
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
@@ -213,8 +221,16 @@
             board.authority.drained_version(now),
             wants_targets,
             rates=build_rate_report(board, now),
+            build=self._build_to_report(now),
         )
 
+    def _build_to_report(self, now: float) -> str:
+        """Returns what this process runs, or nothing if the leader knows it."""
+        known_at = self.build_known_at
+        if known_at is not None and now - known_at < BUILD_REPORT_INTERVAL_S:
+            return ""
+        return running_build().summary()
+
     def _has_searched(self, service: str, now: float) -> bool:
         """Whether this process has had time to find the service's primary."""
         known_primary = self.board.known_primary(service)
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -32,6 +32,8 @@
 class DirectConfirmer:
     """Confirms the leadership without the pause in which requests are gathered."""
 
+    rounds = 0
+
     def confirm(self, timeout_s, is_urgent=False):
         pass
 
--- a/tests/cover/test_command_line.py
+++ b/tests/cover/test_command_line.py
@@ -1,9 +1,12 @@
 """The command line starts nothing unless every setting is valid."""
 
+import json
+
 import pytest
 
 from godwitwheel.cli import processes
 from godwitwheel.cli.main import run_command
+from godwitwheel.observe.build import running_build
 
 CONTROL_FLAGS = ["--data-centre", "melilla", "--listen", "127.0.0.1:4"]
 CONTROL_FLAGS += ["--data-folder", "x"]
@@ -72,3 +75,12 @@
     message = capsys.readouterr().err
     for flag in ("--id", "--data-centre", "--listen", "--control"):
         assert f"{flag} or GODWITWHEEL_" in message
+
+
+def test_says_which_code_libraries_python_and_machine_would_run(capsys):
+    # Only the version of the package was known, which is the same for all commits.
+    with pytest.raises(SystemExit) as ended:
+        run_command(["--version"], {})
+    assert ended.value.code == 0
+    expected = running_build()
+    assert json.loads(capsys.readouterr().out) == expected.fields()
