--- a/src/godwitwheel/wire/streams.py
+++ b/src/godwitwheel/wire/streams.py
@@ -274,10 +274,16 @@
 
     @contextlib.contextmanager
     def listening(self, address: str) -> Iterator["StreamServer"]:
-        """Serves on ``IP:PORT`` (port 0 picks a free one) inside the block."""
-        self.listener = eventlet.listen(
-            split_address(address), backlog=LISTEN_BACKLOG, reuse_port=False
-        )
+        """Serves on ``IP:PORT`` (port 0 picks a free one) inside the block.
+
+        :raises OSError: if the address can't be used; the error names it.
+        """
+        try:
+            self.listener = eventlet.listen(
+                split_address(address), backlog=LISTEN_BACKLOG, reuse_port=False
+            )
+        except OSError as error:
+            raise OSError(error.errno, error.strerror, address) from error
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.task = spawn(self._accept)
