Let a primary step down before its replicas are compared

Cause: a promotion stops replicas from receiving, not the primary from committing. Change: right before the pause a primary that answers is told to step down, below the term of the pause, and the replicas get up to 0.5 s to receive the end of its log. A primary that is kept is told nothing, nor one on a platform without fences.

--- a/bench/soak/databases.py
+++ b/bench/soak/databases.py
@@ -18,6 +18,7 @@
     Rollback,
     Run,
     SetValue,
+    StepDown,
 )
 from godwitwheel.sessions.statements import (
     Answer,
@@ -51,6 +52,7 @@
     :ivar leaving: its heartbeats state that it is draining.
     :ivar started_at_ms: Unix time of its start.
     :ivar paused_below: term below which it receives nothing, 0 if it isn't paused.
+    :ivar has_stepped_down: whether it was the primary and was told to step down.
     """
 
     def __init__(
@@ -64,11 +66,15 @@
         self.leaving = False
         self.started_at_ms = int(time.time() * 1000)
         self.paused_below = 0
+        self.has_stepped_down = False
         self.sequence = 0
         self.slots = Semaphore(SLOTS)
         self.max_connections = MAX_CONNECTIONS
         self.streams: list[Stream] = []
 
+    def is_primary(self) -> bool:
+        return super().is_primary() and not self.has_stepped_down
+
     def serve(self, stream: Stream) -> None:
         """Serves one connection of a proxy."""
         self.streams.append(stream)
@@ -158,6 +164,10 @@
                 if command.term > target.group.term and not target.is_primary():
                     target.paused_below = command.term
                 return Answer(rows=[self._status()])
+            case StepDown():
+                if command.term > target.group.term and target.is_primary():
+                    target.has_stepped_down = True
+                return Answer(rows=[self._status()])
             case ResumeReceiving():
                 target.paused_below = 0
                 return Answer(rows=[self._status()])
@@ -354,6 +364,7 @@
         del self.committed_at[kept:]
         for other in self.targets.values():
             other.paused_below = 0
+            other.has_stepped_down = False
             del other.log[kept:]
 
 
@@ -372,6 +383,8 @@
             return AskStatus()
         case "PAUSE":
             return PauseReceiving(int(rest))
+        case "STEPDOWN":
+            return StepDown(int(rest))
         case "RESUME":
             return ResumeReceiving()
         case "DISCARD":
--- a/src/godwitwheel/directory/pausing.py
+++ b/src/godwitwheel/directory/pausing.py
@@ -42,6 +42,10 @@
         self.read_paused = read_paused
         self.commit = commit
 
+    def may_be_paused(self, service: str) -> bool:
+        """Whether the replicas of a service may be paused already."""
+        return service in self.read_paused()
+
     def candidate_of(self, service: str) -> str:
         """Returns the target that an unanswered order may promote, or ``""``."""
         paused = self.read_paused().get(service)
@@ -61,7 +65,7 @@
         :raises PromotionFailed: if another promotion has ended the pause.
         :raises ControlError: if this member does not lead.
         """
-        if service not in self.read_paused():
+        if not self.may_be_paused(service):
             self.commit(PauseReplicas(service))
         record_event(EventName.replicas_paused, service=service, below_term=term)
         command = PauseReceiving(term)
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -3,7 +3,9 @@
 from abc import ABC, abstractmethod
 
 from ..internal.clock import Clock
+from ..internal.loop import sleep
 from ..observe.events import EventName, record_event
+from ..sessions.connections.connection import StepDown
 from .candidates import Candidate, Replacement, rule_for
 from .commands import SetPrimary
 from .confirmation import COMMAND_TIMEOUT_S, confirm_leader
@@ -17,11 +19,15 @@
 from .fencing import PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
 from .pausing import ReplicaPauses
-from .records import DirectoryView
+from .records import DirectoryView, TargetEntry
 from .target_queries import TargetQueries
 
 # Delay before a retry of a failed promotion, in seconds.
 RETRY_DELAY_S = 0.15
+# How often, and how many times, replicas are asked whether one has received all that a
+# primary had when it stepped down. The end of its log may have reached none of them.
+CATCH_UP_POLL_S = 0.05
+CATCH_UP_POLLS = 10
 # Fencing tokens per term: a token of a later term is above all of an earlier one.
 TOKENS_PER_TERM = 1_000_000
 
@@ -157,11 +163,45 @@
         asked = rule.asked_after_fence(service, fenced, candidates)
         if rule.pauses_replicas:
             term = max(each.term for each in candidates) + 1
+            if fenced is view:
+                self._stop_primary(service, view, asked, term)
             candidates = self.pauses.pause(service, asked, term, observations)
         else:
             candidates = self.queries.ask_all(asked, observations)
         return self._select(service, fenced, candidates, observations, reason)
 
+    def _stop_primary(
+        self,
+        service: str,
+        view: DirectoryView,
+        replicas: list[list[TargetEntry]],
+        term: int,
+    ) -> None:
+        """Tells a primary that answers to step down, and lets the replicas catch up.
+
+        A replica that control doesn't know yet is neither paused nor asked. It would
+        go on acknowledging commits that the promoted target lacks.
+        """
+        primary = view.targets.get(view.primaries.get(service, ""))
+        if primary is None:
+            return
+        (stopped,) = self.queries.command_all([[primary]], StepDown(term), [])
+        record_event(
+            EventName.primary_stepped_down,
+            service=service,
+            target_id=primary.target_id,
+            below_term=term,
+            received=repr(stopped.received),
+        )
+        if stopped.received is None or self.pauses.may_be_paused(service):
+            return
+        for _ in range(CATCH_UP_POLLS):
+            answers = self.queries.ask_all(replicas, [])
+            numbers = [each.received.number for each in answers if each.received]
+            if stopped.received.number <= max(numbers, default=0):
+                return
+            sleep(CATCH_UP_POLL_S)
+
     def _confirm_leadership(self) -> None:
         """Returns if this member has led until just now.
 
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -63,6 +63,7 @@
     promotion_ordered = "promotion_ordered"
     promotion_answered = "promotion_answered"
     promotion_withheld = "promotion_withheld"
+    primary_stepped_down = "primary_stepped_down"
     replicas_paused = "replicas_paused"
     replicas_resumed = "replicas_resumed"
     settings_reloaded = "settings_reloaded"
--- a/src/godwitwheel/sessions/connections/connection.py
+++ b/src/godwitwheel/sessions/connections/connection.py
@@ -100,6 +100,15 @@
     __slots__ = ()
 
 
+class StepDown(Command):
+    """Makes a primary of a term below ``term`` a replica."""
+
+    __slots__ = ("term",)
+
+    def __init__(self, term: int):
+        self.term = term
+
+
 class ReplicaStatus:
     """The role and position that a target reports of itself.
 
@@ -164,8 +173,8 @@
     def read_status(self, answer: Answer) -> ReplicaStatus:
         """Decodes the answer to a command that asks for, or changes, receiving.
 
-        These are :class:`AskStatus`, :class:`PauseReceiving` and
-        :class:`ResumeReceiving`.
+        These are :class:`AskStatus`, :class:`PauseReceiving`,
+        :class:`ResumeReceiving` and :class:`StepDown`.
 
         :raises SessionsError: if the answer holds no status.
         """
--- a/tests/adapter/test_lines.py
+++ b/tests/adapter/test_lines.py
@@ -25,6 +25,7 @@
     ResumeReceiving,
     Run,
     SetValue,
+    StepDown,
 )
 from godwitwheel.sessions.statements import (
     Answer,
@@ -113,6 +114,7 @@
     assert format_command(Discard()) == "QUERY - DISCARD\r\n"
     assert format_command(PauseReceiving(4)) == "QUERY - PAUSE 4\r\n"
     assert format_command(ResumeReceiving()) == "QUERY - RESUME\r\n"
+    assert format_command(StepDown(4)) == "QUERY - STEPDOWN 4\r\n"
     prepare = Prepare("g0", Access.write, "q2c")
     assert format_command(prepare) == "QUERY - PREPARE g0 WRITE q2c\r\n"
 
--- a/tests/common/fake_sessions.py
+++ b/tests/common/fake_sessions.py
@@ -33,6 +33,7 @@
     Rollback,
     Run,
     SetValue,
+    StepDown,
 )
 from godwitwheel.sessions.context import SessionContext, SessionState
 from godwitwheel.sessions.errors import (
@@ -190,7 +191,7 @@
                 self.values.clear()
                 self.prepared.clear()
                 return Answer()
-            case AskStatus() | PauseReceiving() | ResumeReceiving():
+            case AskStatus() | PauseReceiving() | ResumeReceiving() | StepDown():
                 return Answer(rows=[self.target.target_id.encode()])
             case Run():
                 return self._run(command)
--- a/tests/common/sync_fleet.py
+++ b/tests/common/sync_fleet.py
@@ -162,7 +162,7 @@
     def _decide(self, now: float) -> None:
         leadership = self.member.current_leadership()
         primary = self.group.primary
-        is_confirmed = not primary.is_silent and not primary.has_ended
+        is_confirmed = self.group.is_led()
         named = self.state.directory.view.primaries[SERVICE]
         if is_confirmed:
             named = primary.target_id
--- a/tests/common/sync_group.py
+++ b/tests/common/sync_group.py
@@ -26,6 +26,7 @@
     PauseReceiving,
     ReplicaStatus,
     ResumeReceiving,
+    StepDown,
 )
 from godwitwheel.sessions.errors import ConnectFailed, ConnectionLost
 from godwitwheel.sessions.statements import Answer, Position
@@ -91,6 +92,8 @@
     :ivar orders: target and token of each order that has arrived.
     :ivar unanswered_orders: orders that are answered, and perhaps carried out, late.
     :ivar is_platform_down: whether orders arrive and are not answered.
+    :ivar has_stepped_down: whether the primary was told to step down; it commits
+        nothing until another target is promoted.
     :ivar before_command: called before a target gets a command.
     """
 
@@ -105,6 +108,7 @@
         self.orders: list[tuple[str, int]] = []
         self.unanswered_orders: list[tuple[str, int]] = []
         self.is_platform_down = False
+        self.has_stepped_down = False
         self.before_command: Callable = lambda target, command: None
 
     # Replication.
@@ -114,7 +118,7 @@
 
         :returns: whether it was acknowledged.
         """
-        if self.primary.has_ended or self.primary.is_silent:
+        if not self.is_led():
             return False
         self.primary.log.append(self.term)
         number = len(self.primary.log)
@@ -130,6 +134,12 @@
         self.acknowledged = number
         return True
 
+    def is_led(self) -> bool:
+        """Whether the primary commits writes."""
+        primary = self.primary
+        is_running = not primary.has_ended and not primary.is_silent
+        return is_running and not self.has_stepped_down
+
     def _receive(self, target: SyncTarget) -> None:
         receives = not target.has_ended and not target.is_deaf
         if receives and target.paused_below <= self.term:
@@ -151,6 +161,9 @@
                     target.paused_below = command.term
             case ResumeReceiving():
                 target.paused_below = 0
+            case StepDown():
+                if target is self.primary and command.term > self.term:
+                    self.has_stepped_down = True
             case _:
                 raise TypeError(command)
 
@@ -159,7 +172,8 @@
 
     def read_status(self, answer):
         target = self.targets[answer.rows[0].decode()]
-        return ReplicaStatus(target is self.primary, self.term, target.received())
+        is_primary = target is self.primary and not self.has_stepped_down
+        return ReplicaStatus(is_primary, self.term, target.received())
 
     # The platform.
 
@@ -187,6 +201,7 @@
         self.acknowledged = min(self.acknowledged, len(target.log))
         self.term += 1
         self.primary = target
+        self.has_stepped_down = False
         for other in self.targets.values():
             other.paused_below = 0
             del other.log[len(target.log) :]
--- a/tests/cover/test_synchronous_promotion.py
+++ b/tests/cover/test_synchronous_promotion.py
@@ -194,3 +194,34 @@
     replace(group, view)
     assert group.primary.target_id == "t2"
     assert group.lost == 0
+
+
+def test_a_replica_that_lags_behind_an_unknown_one_catches_up_before_it_is_promoted():
+    # The primary had stepped down; the end of its log was on its way to the replica.
+    group = SyncGroup()
+    group.targets["t2"].is_deaf = True
+    view = group.view(leaving=["t1"])
+    del view.targets["t3"]
+    asked_after_stepping_down = []
+
+    def catch_up_at_the_third_question(target, command):
+        if group.has_stepped_down:
+            asked_after_stepping_down.append(type(command).__name__)
+        if len(asked_after_stepping_down) == 3:
+            group.targets["t2"].log = list(group.primary.log)
+
+    group.before_command = catch_up_at_the_third_question
+    group.write()
+    replace(group, view)
+    assert asked_after_stepping_down[:3] == ["AskStatus"] * 3
+    assert group.primary.target_id == "t2"
+    assert group.acknowledged > 0
+    assert group.lost == 0
+
+
+def test_a_primary_that_goes_on_serving_is_not_told_to_step_down():
+    group = group_with_deaf_replica()
+    with pytest.raises(PromotionFailed):
+        replace(group, group.view(), proxies(10, 4, ["t1", "t2"]))
+    assert not group.has_stepped_down
+    assert group.write()
