Share a target's connections from its first count on if nobody had any

Callers of an isolated data centre were refused all reads for as long as it was cut off, if that was within 1 s after its target had registered. Cause: control gave no connection of a target away before the target's counts had spanned 1 s, which is needed where proxies may hold quotas of an earlier leader. At a target that registers later, and was not removed meanwhile, nobody holds one, so that the first count shows all connections there can be.

--- a/src/godwitwheel/control/member.py
+++ b/src/godwitwheel/control/member.py
@@ -228,7 +228,10 @@
         return leadership
 
     def _begin_leadership(self, since: float) -> None:
-        leadership = Leadership(since, self.options, self.make_token_key())
+        known_targets = self.state.cluster.view.targets
+        leadership = Leadership(
+            since, self.options, self.make_token_key(), known_targets
+        )
         self.leadership = leadership
         self.executor = Executor(
             leadership,
--- a/src/godwitwheel/decisions/leadership.py
+++ b/src/godwitwheel/decisions/leadership.py
@@ -1,5 +1,7 @@
 """The state and the controllers of one leader, from the time of its election."""
 
+from collections.abc import Collection
+
 from ..control.cluster import Cluster
 from ..control.commands import ChangeGroup, PutTarget, RemoveTarget, SetTokenKey
 from ..observe.events import EventName
@@ -62,6 +64,7 @@
     :ivar pending_subjects: subjects of the proposals that have not finished yet; a
         subject has at most one at a time.
     :ivar token_key: the key to propose if the cell has none yet.
+    :param known_targets: ids of the targets that were registered when it was elected.
     """
 
     __slots__ = (
@@ -76,12 +79,18 @@
         "token_key",
     )
 
-    def __init__(self, leader_since: float, options: LeadershipOptions, token_key: str):
+    def __init__(
+        self,
+        leader_since: float,
+        options: LeadershipOptions,
+        token_key: str,
+        known_targets: Collection[str],
+    ):
         self.leader_since = leader_since
         self.options = options
         self.leases = LeaseTable(leader_since, options.lease_s, options.clock_drift)
         self.observations = Observations(options.detection_s)
-        self.quotas = QuotaTable(leader_since + self.leases.max_lease_s)
+        self.quotas = QuotaTable(leader_since + self.leases.max_lease_s, known_targets)
         self.membership = MembershipController()
         self.groups: dict[str, GroupControllers] = {}
         self.pending_subjects: set[str] = set()
--- a/src/godwitwheel/decisions/quotas.py
+++ b/src/godwitwheel/decisions/quotas.py
@@ -5,9 +5,12 @@
 exceed the cap. A proxy whose lease expires opens no connection beyond those that it
 holds, so the target's own count of open connections shows when its share is free again.
 A new leader begins with the whole cap unaccounted and adopts what heartbeats report.
+At a target that registers later nobody has been granted a connection, so that its first
+count already shows all that there can be.
 """
 
 from collections import deque
+from collections.abc import Collection
 
 from ..wire.control import Heartbeat
 from .leases import HolderName
@@ -82,6 +85,9 @@
     :ivar fair_split: the last split; it is recomputed only every ``SPLIT_INTERVAL_S``,
         so that the cost of a heartbeat does not grow with the number of proxies.
     :ivar split_at: when it was computed, in seconds of the clock.
+    :ivar ungranted_since: for a target at which no process has had a quota that may
+        still be in force, when it registered, in seconds of the clock; ``None`` for
+        others, and once its first count has been used.
     """
 
     __slots__ = (
@@ -92,9 +98,16 @@
         "open_counts",
         "fair_split",
         "split_at",
+        "ungranted_since",
     )
 
-    def __init__(self, cap: int, unaccounted_grew_at: float):
+    def __init__(
+        self,
+        cap: int,
+        unaccounted_grew_at: float,
+        ungranted_since: float | None = None,
+    ):
+        self.ungranted_since = ungranted_since
         self.cap = cap
         self.unaccounted = cap
         self.unaccounted_grew_at = unaccounted_grew_at
@@ -143,6 +156,9 @@
         """Lowers ``unaccounted`` to the most that the target's own counts allow for."""
         if not self.unaccounted:
             return
+        if self.ungranted_since is not None:
+            self._reclaim_ungranted(self.ungranted_since)
+            return
         start = max(now - 2 * EVIDENCE_WINDOW_S, self.unaccounted_grew_at + SETTLE_S)
         counts = [sample for sample in self.open_counts if sample.time >= start]
         if not counts or counts[-1].time - counts[0].time < EVIDENCE_WINDOW_S:
@@ -154,6 +170,17 @@
         max_unaccounted = max(sample.count for sample in counts) - held_by_live
         self.unaccounted = min(self.unaccounted, max(max_unaccounted, 0))
 
+    def _reclaim_ungranted(self, since: float) -> None:
+        """Lowers ``unaccounted`` to the first count after the target has registered.
+
+        Nobody may open a connection there before, so that the count can only fall.
+        """
+        for sample in self.open_counts:
+            if sample.time >= since:
+                self.unaccounted = min(self.unaccounted, sample.count)
+                self.ungranted_since = None
+                return
+
     def quota(self, name: HolderName, now: float) -> int:
         """Returns the quota to send to a live proxy, and records it as granted."""
         share = self.shares[name]
@@ -183,24 +210,32 @@
 
     :param earlier_leases_expire_at: when the last lease of an earlier leader expires,
         in seconds of the clock.
+    :ivar known_before: targets that an earlier leader knew, or that were removed since;
+        proxies may hold quotas of them.
     """
 
-    __slots__ = ("earlier_leases_expire_at", "targets")
+    __slots__ = ("earlier_leases_expire_at", "targets", "known_before")
 
-    def __init__(self, earlier_leases_expire_at: float):
+    def __init__(
+        self, earlier_leases_expire_at: float, known_before: Collection[str] = ()
+    ):
         self.earlier_leases_expire_at = earlier_leases_expire_at
         self.targets: dict[str, TargetShares] = {}
+        self.known_before = set(known_before)
 
     def set_caps(self, caps: dict[str, int], now: float) -> None:
         """Sets the connection cap of every target; removes the other targets."""
         for target_id in list(self.targets):
             if target_id not in caps:
                 del self.targets[target_id]
+                self.known_before.add(target_id)
         for target_id, cap in caps.items():
             known = self.targets.get(target_id)
             if known is None:
                 start = max(now, self.earlier_leases_expire_at)
-                self.targets[target_id] = TargetShares(cap, start)
+                is_new = start == now and target_id not in self.known_before
+                ungranted_since = now if is_new else None
+                self.targets[target_id] = TargetShares(cap, start, ungranted_since)
             elif known.cap != cap:
                 known.cap = cap
 
--- a/tests/common/fake_group.py
+++ b/tests/common/fake_group.py
@@ -196,7 +196,9 @@
             snapshot = self.state.take_snapshot()
             self.state = ControlState()
             self.state.load_snapshot(snapshot)
-        self.leadership = Leadership(self.now, self.options, "ab")
+        self.leadership = Leadership(
+            self.now, self.options, "ab", self.state.cluster.view.targets
+        )
 
     def view(self):
         return self.state.cluster.view.groups.get(GROUP)
--- a/tests/cover/test_quotas.py
+++ b/tests/cover/test_quotas.py
@@ -53,7 +53,7 @@
         self.run(4.0)
 
     def elect(self):
-        self.table = QuotaTable(self.now + LEASE_S)
+        self.table = QuotaTable(self.now + LEASE_S, ["t"])
         self.table.set_caps({"t": CAP}, self.now)
         self.leases = {}
 
@@ -116,6 +116,12 @@
     def elect_another_leader(self):
         self.elect()
 
+    @rule()
+    def target_is_removed_and_registers_again(self):
+        """Proxies still hold their connections and quotas."""
+        self.table.set_caps({}, self.now)
+        self.table.set_caps({"t": CAP}, self.now)
+
     @rule()
     def whole_cap_is_used_again(self):
         """The whole cap is used once the target has closed stuck connections."""
@@ -133,6 +139,33 @@
     )
 
 
+def quotas_of_new_target(counts, seconds_since_election=10.0, known_before=()):
+    """Returns two proxies' quotas at a target of which counts have been sampled."""
+    table = QuotaTable(100.0 + LEASE_S, known_before)
+    now = 100.0 + seconds_since_election
+    table.set_caps({"t": CAP}, now)
+    for count in counts:
+        now += STEP_S
+        table.record_open_count("t", count, now)
+    names = [("p1", 1), ("p2", 1)]
+    for name in names:
+        table.record_heartbeat(Heartbeat(*name, "dc", "a:1", 0, 0), now)
+    return sum(table.quotas(name, now)["t"] for name in names)
+
+
+def test_a_target_that_registers_is_shared_from_its_first_count_on():
+    # A data centre that was cut off within 1 s could not read its own target.
+    assert quotas_of_new_target([]) == 0
+    assert quotas_of_new_target([0]) == CAP
+    assert quotas_of_new_target([4]) == CAP - 4
+
+
+def test_a_target_that_an_earlier_leader_knew_is_not_shared_at_its_first_count():
+    # Proxies may hold quotas of that leader, of which no connection is open yet.
+    assert quotas_of_new_target([0], seconds_since_election=0.0) == 0
+    assert quotas_of_new_target([0], known_before=["t"]) == 0
+
+
 def test_split_meets_small_demands_first_and_spreads_the_rest():
     demands = {("a", 1): 1, ("b", 1): 20, ("c", 1): 20}
     assert split(15, demands) == {("a", 1): 1, ("b", 1): 7, ("c", 1): 7}
