--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,6 +12,7 @@
 import tempfile  # noqa: E402
 from pathlib import Path  # noqa: E402
 
+from .deployed import DeployFile  # noqa: E402
 from .run import Soak, SoakOptions, Verdict  # noqa: E402
 
 
@@ -22,6 +23,8 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(os.EX_TEMPFAIL))
     if options.folder is not None:
         options.folder.mkdir(parents=True, exist_ok=True)
+    if options.deployed:
+        DeployFile().build()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.folder))
@@ -37,7 +40,12 @@
 def run_seed(options: argparse.Namespace, seed: int, folder: Path) -> Verdict:
     """Runs one seed."""
     soak_options = SoakOptions(
-        seed, options.seconds, options.fronts, options.cores, options.callers
+        seed,
+        options.seconds,
+        options.fronts,
+        options.cores,
+        options.callers,
+        options.deployed,
     )
     with Soak(soak_options, folder) as soak:
         return soak.run()
@@ -70,6 +78,12 @@
     parser.add_argument("--fronts", type=int, default=4, help="session proxies")
     parser.add_argument("--cores", type=int, default=3, help="control members")
     parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument(
+        "--deployed",
+        action="store_true",
+        help="builds and starts the programs as the deploy file says, so that faults "
+        "of links, clocks and disks have no effect",
+    )
     parser.add_argument(
         "--folder",
         type=Path,
--- a/bench/soak/fleet_processes.py
+++ b/bench/soak/fleet_processes.py
@@ -20,6 +20,7 @@
 from tests.common.processes import process_environment
 
 from .accounts import WITHDRAWAL_BOUND_S
+from .deployed import DeployFile
 from .mischief import InjectedFaults, write_injected_faults
 from .relay import Links, Relay
 
@@ -80,16 +81,44 @@
         self.is_paused = False
 
 
+class DeployedProcess(SoakProcess):
+    """A process started with the deploy file's own command, which nothing patches.
+
+    Faults of its links, its clock and its disk have no effect on it.
+    """
+
+    __slots__ = ("deploy_file",)
+
+    def __init__(self, role: str, name: str, host: str, folder: Path):
+        super().__init__(role, name, host, folder)
+        self.deploy_file = DeployFile()
+
+    def command(self) -> list[str]:
+        return self.deploy_file.command(self.role, self.host, INTERNAL_PORTS[0])
+
+    def environment(self) -> dict[str, str]:
+        return self.deploy_file.environment(self.role, self.folder / "settings.json")
+
+
 class FleetProcesses:
     """All hosts of the system, and the relays in front of them.
 
+    :ivar process_type: how processes are started.
+
     :ivar stop_requested_at: when the processes of a host were last asked to stop.
     :ivar network: first three octets of every address, drawn so that no other run is
         likely to use them.
     """
 
-    def __init__(self, folder: Path, fronts: int, cores: int):
+    def __init__(
+        self,
+        folder: Path,
+        fronts: int,
+        cores: int,
+        process_type: type[SoakProcess] = SoakProcess,
+    ):
         self.folder = folder
+        self.process_type = process_type
         # Not drawn from the seed: two runs of the same seed may overlap.
         rng = random.SystemRandom()
         self.network = f"127.{rng.randint(2, 250)}.{rng.randint(0, 250)}"
@@ -168,7 +197,7 @@
             name = f"{role}-{index + 1}"
             folder = self.folder / name
             (folder / "data").mkdir(parents=True)
-            process = SoakProcess(role, name, host, folder)
+            process = self.process_type(role, name, host, folder)
             self.processes.append(process)
             self._write_settings(process, first_start=True)
             write_injected_faults(folder / "mischief.json", InjectedFaults())
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -16,7 +16,13 @@
 from .calm import FaultTracker
 from .databases import SoakGroup, SoakTarget
 from .faults import Fault, FaultContext, Stopped, TableChanged, draw_fault
-from .fleet_processes import DATA_CENTRES, PLATFORM_CALLS_PORT, FleetProcesses
+from .fleet_processes import (
+    DATA_CENTRES,
+    PLATFORM_CALLS_PORT,
+    DeployedProcess,
+    FleetProcesses,
+    SoakProcess,
+)
 from .platform_calls import (
     HeartbeatSender,
     Operator,
@@ -44,13 +50,21 @@
     :ivar seconds: how long faults are injected.
     :ivar fronts: number of session proxies.
     :ivar cores: number of control members.
+    :ivar is_deployed: whether processes are started with the deploy file's commands.
     """
 
-    __slots__ = ("seed", "seconds", "fronts", "cores", "callers")
+    __slots__ = ("seed", "seconds", "fronts", "cores", "callers", "is_deployed")
 
     def __init__(
-        self, seed: int, seconds: float, fronts: int, cores: int, callers: int
+        self,
+        seed: int,
+        seconds: float,
+        fronts: int,
+        cores: int,
+        callers: int,
+        is_deployed: bool = False,
     ):
+        self.is_deployed = is_deployed
         self.seed = seed
         self.seconds = seconds
         self.fronts = fronts
@@ -93,7 +107,8 @@
         self.rng = random.Random(options.seed)
         self.promises = PromiseChecker()
         self.stack = contextlib.ExitStack()
-        self.fleet = FleetProcesses(folder, options.fronts, options.cores)
+        process_type = DeployedProcess if options.is_deployed else SoakProcess
+        self.fleet = FleetProcesses(folder, options.fronts, options.cores, process_type)
         self.successes = SuccessTimes()
         self.balancer = LoadBalancer(self.fleet.front_hosts)
         self.fault_tracker = FaultTracker(self.fleet, self.promises)
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -26,6 +26,19 @@
     assert finished.returncode == 0, finished.stdout + finished.stderr
 
 
+def test_no_promise_is_broken_by_the_programs_as_they_are_deployed(tmp_path):
+    # A library or a flag of the deploy file was in no test: the soak runs the programs
+    # with the libraries of the tests. The texts are drawn from all that is allowed.
+    command = [sys.executable, "-m", "bench.soak", "--deployed", "--seed", "1"]
+    command += ["--seconds", "6", "--fronts", "3", "--callers", "8"]
+    command += ["--folder", str(tmp_path)]
+    finished = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S
+    )
+    assert finished.returncode == 0, finished.stdout + finished.stderr
+    assert " 0 served" not in finished.stdout
+
+
 def test_the_folder_for_logs_is_created(tmp_path):
     # A folder that did not exist ended the soak with a traceback.
     folder = tmp_path / "new" / "logs"
