--- a/src/godwitwheel/sessions/context.py
+++ b/src/godwitwheel/sessions/context.py
@@ -1,9 +1,11 @@
 """The state of one session, and the context shared by all sessions of a proxy."""
 
 from ..directory.records import NO_ACCOUNT, Route
+from ..wire.errors import BadMessage
 from ..wire.service import Access
 from .board import SessionBoard
 from .connections.carrying import PreparedStatement
+from .errors import InvalidStatement
 from .events import StatementLog
 from .metrics import SessionMetrics
 from .queueing.presence import CallerPresence
@@ -85,3 +87,14 @@
     def route(self, database: str) -> Route | None:
         """Returns the active route of a database."""
         return self.board.view.table.routes.get(database)
+
+    def check_statement(self, statement: Statement) -> None:
+        """Checks a statement that came over HTTP, from a caller or a proxy.
+
+        :raises BadMessage: if a target could not be sent it as the one statement that
+            it is; nothing ran.
+        """
+        try:
+            self.board.connector.check_statement(statement)
+        except InvalidStatement as error:
+            raise BadMessage(f"not run: {error}") from error
--- a/src/godwitwheel/sessions/http_api.py
+++ b/src/godwitwheel/sessions/http_api.py
@@ -13,13 +13,11 @@
 from ..internal.loop import sleep
 from ..observe.events import EventName
 from ..wire.codec import decode
-from ..wire.errors import BadMessage
 from ..wire.server import Handler, Request, Response
 from ..wire.service import Access
 from ..wire.status import CONFLICT, NOT_FOUND, UNAUTHORIZED, UNAVAILABLE
 from .access import authorize
 from .context import SessionContext, SessionState
-from .errors import InvalidStatement
 from .running.runner import RunnerSelector
 from .session import Session
 from .statements import Answer, ErrorCode, Statement, StatementKind, TransactionState
@@ -143,7 +141,8 @@
 
     def run_statement(self, request: Request) -> Response:
         """Runs a statement of a session."""
-        statement = self._decode_statement(request.body)
+        statement = _to_statement(decode(request.body, StatementRequest))
+        self.context.check_statement(statement)
         held = self.open.get(request.parameters[0])
         if held is None:
             return _problem("no such session; open another", NOT_FOUND)
@@ -157,19 +156,6 @@
             held.used_at = self.context.now()
         return Response(_to_response(answer))
 
-    def _decode_statement(self, body: bytes) -> Statement:
-        """Decodes a statement.
-
-        :raises BadMessage: if a target could not be sent it as the one statement that
-            it is; nothing ran.
-        """
-        statement = _to_statement(decode(body, StatementRequest))
-        try:
-            self.context.board.connector.check_statement(statement)
-        except InvalidStatement as error:
-            raise BadMessage(f"not run: {error}") from error
-        return statement
-
     def end_session(self, request: Request) -> Response:
         """Ends a session and rolls back what is open."""
         held = self.open.get(request.parameters[0])
--- a/src/godwitwheel/sessions/owning/owner.py
+++ b/src/godwitwheel/sessions/owning/owner.py
@@ -11,11 +11,9 @@
 from ...internal.loop import sleep
 from ...observe.events import EventName
 from ...wire.codec import decode
-from ...wire.errors import BadMessage
 from ...wire.server import Handler, Request, Response
 from ...wire.status import MISDIRECTED
 from ..context import SessionContext, SessionState
-from ..errors import InvalidStatement
 from ..queueing.presence import CallerPresence
 from ..running.single import run_single
 from ..running.transaction import Transaction
@@ -93,7 +91,7 @@
 
         def run(request: Request) -> Response:
             message = decode(request.body, RunRequest)
-            self.check(message)
+            self.context.check_statement(statement_of(message))
             if not self.accepts(message):
                 return Response(NotOwner(), MISDIRECTED)
             return Response(self.run(message))
@@ -112,16 +110,6 @@
             ("POST", WITHDRAW_PATH): withdraw,
         }
 
-    def check(self, request: RunRequest) -> None:
-        """Checks that targets can be sent a statement as it is.
-
-        :raises BadMessage: if not; nothing ran.
-        """
-        try:
-            self.context.board.connector.check_statement(statement_of(request))
-        except InvalidStatement as error:
-            raise BadMessage(f"not run: {error}") from error
-
     def accepts(self, request: RunRequest) -> bool:
         """Whether to run a statement, rather than leave it to the service's owner.
 
