End the soak's faults with its run

Cause shown: a run that is ended early kills all processes, but a fault that is under way starts its own again when it is over, and nobody ends that one.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -172,15 +172,20 @@
     def _inject_faults(self) -> None:
         ends_at = time.monotonic() + self.options.seconds
         running = []
-        while time.monotonic() < ends_at:
-            running = [task for task in running if not task.dead]
-            if len(running) < MAX_CONCURRENT_FAULTS:
-                fault = draw_fault(self.fault_context)
-                duration_s = self.rng.uniform(*FAULT_DURATION_S)
-                running.append(spawn(self._run_fault, fault, duration_s))
-            sleep(self.rng.uniform(*FAULT_PAUSE_S))
-        for task in running:
-            task.wait()
+        try:
+            while time.monotonic() < ends_at:
+                running = [task for task in running if not task.dead]
+                if len(running) < MAX_CONCURRENT_FAULTS:
+                    fault = draw_fault(self.fault_context)
+                    duration_s = self.rng.uniform(*FAULT_DURATION_S)
+                    running.append(spawn(self._run_fault, fault, duration_s))
+                sleep(self.rng.uniform(*FAULT_PAUSE_S))
+            for task in running:
+                task.wait()
+        finally:
+            # The end of a fault starts processes, which nobody would end.
+            for task in running:
+                task.kill()
         self.fleet.links.heal()
 
     def _run_fault(self, fault: Fault, duration_s: float) -> None:
