Find the metadata of a superseded library by its folder

The build ended with an error once another version of a library with a dot in its name, such as zope.interface, had been installed over a former one: the name of the metadata's folder was derived again, in another spelling.

--- a/tests/adapter/test_install_libraries.py
+++ b/tests/adapter/test_install_libraries.py
@@ -25,7 +25,11 @@
 def write_wheel(folder, name, version, source="", requires=()):
     """Writes a wheel of one package, which an installer finds in the folder."""
     info = f"{name}-{version}.dist-info"
-    lines = ["Metadata-Version: 2.1", f"Name: {name}", f"Version: {version}"]
+    lines = [
+        "Metadata-Version: 2.1",
+        f"Name: {name.replace('_', '.')}",
+        f"Version: {version}",
+    ]
     lines += [f"Requires-Dist: {other}" for other in requires]
     files = {
         f"{name}/__init__.py": source,
@@ -72,7 +76,8 @@
         """Returns what changes if a distribution is installed again, by name."""
         names = ("alpha", "beta", "gamma")
         return {
-            name: (self.libraries / name / "part.py").stat().st_ino for name in names
+            name: (self.libraries / name / "part.py").stat().st_ctime_ns
+            for name in names
         }
 
     def make_foreign(self, name):
@@ -138,6 +143,17 @@
     assert build.stamps() == before
 
 
+def test_another_version_of_a_library_with_a_dot_in_its_name_is_replaced(build):
+    # Its metadata are in a folder of another spelling, which the build did not find.
+    for version in ("1.0", "2.0"):
+        write_wheel(build.index, "del_ta", version)
+        build.require("alpha==1.0", f"del.ta=={version}")
+        ended = build.run()
+        assert ended.returncode == 0, ended.stderr
+    (metadata,) = build.libraries.glob("del_ta-*.dist-info")
+    assert metadata.name == "del_ta-2.0.dist-info"
+
+
 def test_a_build_that_cannot_replace_a_library_fails_and_says_which(build):
     build.make_foreign("beta")
     ended = build.run(is_index_there=False)
--- a/tools/install_libraries.py
+++ b/tools/install_libraries.py
@@ -114,20 +114,13 @@
     The installer replaces a distribution's files in such a folder, but leaves the
     metadata of the former version.
     """
-    by_name: dict[str, list[importlib.metadata.Distribution]] = {}
-    for metadata in importlib.metadata.distributions(path=[str(folder)]):
-        name = normalized(metadata.metadata["Name"] or "")
-        by_name.setdefault(name, []).append(metadata)
-    for several in by_name.values():
-        several.sort(key=lambda metadata: Distribution(folder, metadata).is_complete())
-        for superseded in several[:-1]:
-            shutil.rmtree(superseded.locate_file(metadata_folder(superseded)))
-
-
-def metadata_folder(metadata: importlib.metadata.Distribution) -> str:
-    """Returns the name of the folder that holds a distribution's metadata."""
-    name = (metadata.metadata["Name"] or "").replace("-", "_")
-    return f"{name}-{metadata.version}.dist-info"
+    by_name: dict[str, list[tuple[bool, Path]]] = {}
+    for path in sorted(folder.glob("*.dist-info")):
+        each = Distribution(folder, importlib.metadata.Distribution.at(path))
+        by_name.setdefault(each.name, []).append((each.is_complete(), path))
+    for versions in by_name.values():
+        for _, superseded in sorted(versions)[:-1]:
+            shutil.rmtree(superseded)
 
 
 def installed(folder: Path) -> dict[str, Distribution]:
