Say in one line that no settings file is named

What operators saw: a process that is started without GODWITWHEEL_CONFIG ended with the traceback of a KeyError, and with no line of the log.

Cause: the variable was read with os.environ[...] outside of the errors that run.py turns into the event process_failed.

--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -119,6 +119,17 @@
     assert "No such file" in json.loads(line)["reason"]
 
 
+@pytest.mark.parametrize("environment", [{}, {"GODWITWHEEL_CONFIG": ""}])
+def test_a_process_says_in_one_line_that_no_settings_are_named(environment):
+    # It ended with the traceback of a KeyError.
+    ended = run_role(["core"], **environment)
+    assert (ended.returncode, ended.stderr) == (1, "")
+    (line,) = ended.stdout.splitlines()
+    event = json.loads(line)
+    assert (event["message_type"], event["role"]) == ("process_failed", "core")
+    assert "GODWITWHEEL_CONFIG" in event["reason"]
+
+
 def test_a_process_says_in_one_line_that_its_address_is_in_use(tmp_path):
     with socket.socket() as holder:
         holder.bind(("127.0.0.1", 0))
