Ask a leader without the route for builds once in ten seconds

What was wrong: in a rolling upgrade, a member of control told a leader of an earlier version what it runs once a second, and got 404 each time, until the leader was replaced.

Cause: only the status 200 counted as told. The rule "told 10 s ago" stood in the reports of members and in those of proxies.

Change: 404 counts as told; the leader's successor is told within 10 s. Both reporters use one BuildNotice.

Result: the new test failed before (two calls within 5 s) and passes.

--- a/src/godwitwheel/directory/build_reports.py
+++ b/src/godwitwheel/directory/build_reports.py
@@ -6,8 +6,10 @@
 from ..wire.client import Client
 from ..wire.codec import encode
 from ..wire.errors import WireError
+from ..wire.status import NOT_FOUND
+from .builds import BuildNotice
 from .member import DirectoryMember
-from .report_timing import BUILD_REPORT_INTERVAL_S, REPORT_TIMEOUT_S
+from .report_timing import REPORT_TIMEOUT_S
 from .routes import BUILD_PATH, BuildReport
 
 # Interval at which the leader compares the builds, in seconds.
@@ -19,17 +21,16 @@
 class BuildReporter:
     """Reports this member's build while it follows, and compares all while it leads.
 
-    :ivar reported_at: when the leader was last told, in seconds of the clock, or
-        ``None``.
+    :ivar notice: when the leader was last told what this member runs.
     """
 
-    __slots__ = ("member", "client", "process_id", "reported_at")
+    __slots__ = ("member", "client", "process_id", "notice")
 
     def __init__(self, member: DirectoryMember, client: Client, process_id: str):
         self.member = member
         self.client = client
         self.process_id = process_id
-        self.reported_at: float | None = None
+        self.notice = BuildNotice()
 
     def run(self) -> None:
         """Reports and compares until the process stops."""
@@ -42,13 +43,9 @@
         now = self.member.clock.now()
         if self.member.log.leader_since() is not None:
             self._compare(now)
-        elif self._is_due(now):
+        elif self.notice.is_due(now):
             self._report(now)
 
-    def _is_due(self, now: float) -> bool:
-        reported_at = self.reported_at
-        return reported_at is None or now - reported_at >= BUILD_REPORT_INTERVAL_S
-
     def _compare(self, now: float) -> None:
         builds = self.member.builds
         builds.record(self.process_id, running_build().summary(), now)
@@ -75,5 +72,6 @@
         except WireError:
             # The link to the leader is watched by the replicated log.
             return
-        if status == 200:
-            self.reported_at = now
+        # A leader of an earlier version has no such route.
+        if status in (200, NOT_FOUND):
+            self.notice.record(now)
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -2,6 +2,7 @@
 
 import random
 
+from ...directory.builds import BuildNotice
 from ...directory.records import (
     PrimaryReport,
     ProxyReply,
@@ -10,7 +11,6 @@
     ViewChange,
 )
 from ...directory.report_timing import (
-    BUILD_REPORT_INTERVAL_S,
     MAX_RETRY_PAUSE_S,
     REPORT_INTERVAL_S,
     REPORT_SPACING_S,
@@ -53,8 +53,7 @@
     :ivar answered_at: when a leader answered last, or ``None``.
     :ivar is_control_unreachable: whether a report has failed since control answered
         last.
-    :ivar build_known_at: when a leader was last told what this process runs, in seconds
-        of the clock, or ``None``.
+    :ivar build_notice: when a leader was last told what this process runs.
     """
 
     __slots__ = (
@@ -72,7 +71,7 @@
         "owner_address",
         "answered_at",
         "is_control_unreachable",
-        "build_known_at",
+        "build_notice",
     )
 
     def __init__(
@@ -97,7 +96,7 @@
         self.leaving = False
         self.answered_at: float | None = None
         self.is_control_unreachable = False
-        self.build_known_at: float | None = None
+        self.build_notice = BuildNotice()
 
     def run(self) -> None:
         """Reports until the process stops."""
@@ -164,7 +163,7 @@
                 self._apply_reply(address, reply, now)
                 apply_rate_reply(self.board, report, reply, now)
                 if report.build:
-                    self.build_known_at = now
+                    self.build_notice.record(now)
                 return True
             self.members.leader = ""
             if status == MISDIRECTED:
@@ -226,10 +225,7 @@
 
     def _build_to_report(self, now: float) -> str:
         """Returns what this process runs, or nothing if the leader knows it."""
-        known_at = self.build_known_at
-        if known_at is not None and now - known_at < BUILD_REPORT_INTERVAL_S:
-            return ""
-        return running_build().summary()
+        return running_build().summary() if self.build_notice.is_due(now) else ""
 
     def _has_searched(self, service: str, now: float) -> bool:
         """Whether this process has had time to find the service's primary."""
--- a/tests/cover/test_builds.py
+++ b/tests/cover/test_builds.py
@@ -22,6 +22,7 @@
 from godwitwheel.observe.events import record_start
 from godwitwheel.observe.log import process_log
 from godwitwheel.observe.metrics import ProcessMetrics
+from godwitwheel.wire.status import NOT_FOUND
 from tests.common.fleet import ADDRESSES, Fleet
 
 
@@ -113,7 +114,33 @@
     now = fleet.clock.now()
     (ids,) = fleet.leader.member.builds.processes_by_build(now).values()
     assert ids == ["member-2"]
-    assert reporter.reported_at == now
+    assert reporter.notice.given_at == now
+
+
+def test_a_leader_without_the_route_is_not_asked_each_second():
+    # A member of this version asked a leader of an earlier one again each second.
+    fleet = Fleet(7)
+    follower = fleet.members[ADDRESSES[1]].member
+    earlier_leader = EarlierLeader()
+    reporter = BuildReporter(follower, earlier_leader, "member-2")
+    reporter.step()
+    fleet.clock.advance(BUILD_REPORT_INTERVAL_S / 2)
+    reporter.step()
+    assert earlier_leader.calls == 1
+    fleet.clock.advance(BUILD_REPORT_INTERVAL_S / 2)
+    reporter.step()
+    assert earlier_leader.calls == 2
+
+
+class EarlierLeader:
+    """A client whose peer knows no route for builds."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def exchange(self, address, method, path, body, timeout_s):
+        self.calls += 1
+        return NOT_FOUND, b""
 
 
 def test_reports_name_the_build_only_at_times():
