Share targets at their first count under the first leader, too

Cause: all targets register within 0.1 s after the first leader was elected, while it waits 0.6 s for the leases of an earlier leader that there never was. None of them counted as new, so that each needed counts over 0.5 s, from 0.5 s after those leases on. A near target that was paused meanwhile got no quota, while the primary had one and took the booking.

Change: a leader that is elected before the first change of the cluster's state waits for no quota of an earlier one, since quotas are granted for registered targets only. Later leaders wait as before; a test holds both.

--- a/src/godwitwheel/control/member.py
+++ b/src/godwitwheel/control/member.py
@@ -228,10 +228,8 @@
         return leadership
 
     def _begin_leadership(self, since: float) -> None:
-        known_targets = self.state.cluster.view.targets
-        leadership = Leadership(
-            since, self.options, self.make_token_key(), known_targets
-        )
+        view = self.state.cluster.view
+        leadership = Leadership(since, self.options, self.make_token_key(), view)
         self.leadership = leadership
         self.executor = Executor(
             leadership,
--- a/src/godwitwheel/decisions/leadership.py
+++ b/src/godwitwheel/decisions/leadership.py
@@ -1,7 +1,5 @@
 """The state and the controllers of one leader, from the time of its election."""
 
-from collections.abc import Collection
-
 from ..control.cluster import Cluster
 from ..control.commands import ChangeGroup, PutTarget, RemoveTarget, SetTokenKey
 from ..observe.events import EventName
@@ -64,7 +62,7 @@
     :ivar pending_subjects: subjects of the proposals that have not finished yet; a
         subject has at most one at a time.
     :ivar token_key: the key to propose if the cell has none yet.
-    :param known_targets: ids of the targets that were registered when it was elected.
+    :param view: the committed state when it was elected.
     """
 
     __slots__ = (
@@ -84,18 +82,28 @@
         leader_since: float,
         options: LeadershipOptions,
         token_key: str,
-        known_targets: Collection[str],
+        view: ClusterView,
     ):
         self.leader_since = leader_since
         self.options = options
         self.leases = LeaseTable(leader_since, options.lease_s, options.clock_drift)
         self.observations = Observations(options.detection_s)
-        self.quotas = QuotaTable(leader_since + self.leases.max_lease_s, known_targets)
+        self.quotas = QuotaTable(self._quotas_expire_at(view), view.targets)
         self.membership = MembershipController()
         self.groups: dict[str, GroupControllers] = {}
         self.pending_subjects: set[str] = set()
         self.token_key = token_key
 
+    def _quotas_expire_at(self, view: ClusterView) -> float:
+        """Returns when the last quota of an earlier leader expires, by the clock.
+
+        :param view: the committed state when this leader was elected; before its first
+            change no target was registered, so that no quota has been granted.
+        """
+        if not view.version:
+            return self.leader_since
+        return self.leader_since + self.leases.max_lease_s
+
     def receive(self, heartbeat: Heartbeat, view: ClusterView, now: float) -> bool:
         """Processes a heartbeat's report; this does not grant a lease yet.
 
--- a/src/godwitwheel/decisions/quotas.py
+++ b/src/godwitwheel/decisions/quotas.py
@@ -5,8 +5,8 @@
 exceed the cap. A proxy whose lease expires opens no connection beyond those that it
 holds, so the target's own count of open connections shows when its share is free again.
 A new leader begins with the whole cap unaccounted and adopts what heartbeats report.
-At a target that registers later nobody has been granted a connection, so that its first
-count already shows all that there can be.
+At a target that registers later, or under the first leader, nobody has been granted a
+connection, so that its first count already shows all that there can be.
 """
 
 from collections import deque
@@ -208,8 +208,8 @@
 class QuotaTable:
     """The shares of all targets.
 
-    :param earlier_leases_expire_at: when the last lease of an earlier leader expires,
-        in seconds of the clock.
+    :param earlier_leases_expire_at: when the last lease of an earlier leader that came
+        with quotas expires, in seconds of the clock.
     :ivar known_before: targets that an earlier leader knew, or that were removed since;
         proxies may hold quotas of them.
     """
--- a/tests/common/fake_group.py
+++ b/tests/common/fake_group.py
@@ -197,7 +197,7 @@
             self.state = ControlState()
             self.state.load_snapshot(snapshot)
         self.leadership = Leadership(
-            self.now, self.options, "ab", self.state.cluster.view.targets
+            self.now, self.options, "ab", self.state.cluster.view
         )
 
     def view(self):
--- a/tests/cover/test_quotas.py
+++ b/tests/cover/test_quotas.py
@@ -11,8 +11,15 @@
     run_state_machine_as_test,
 )
 
+from godwitwheel.decisions.leadership import Leadership, LeadershipOptions
 from godwitwheel.decisions.quotas import QuotaTable, split
-from godwitwheel.wire.control import Heartbeat
+from godwitwheel.wire.control import (
+    ClusterView,
+    Heartbeat,
+    TargetObservation,
+    TargetRecord,
+)
+from godwitwheel.wire.target import Role, TargetStatus
 
 CAP = 15
 LEASE_S = 0.6
@@ -166,6 +173,36 @@
     assert quotas_of_new_target([0], known_before=["t"]) == 0
 
 
+def quotas_of_leader(view_at_election, registers_after_s):
+    """Returns a proxy's quota at a target that registers after an election."""
+    options = LeadershipOptions(LEASE_S, 0.01, 0.3, 0.4)
+    leadership = Leadership(100.0, options, "ab", view_at_election)
+    targets = {"t": TargetRecord("t", "g", "dc", "a:2", 1, CAP)}
+    view = ClusterView(version=9, targets=targets)
+    now = 100.0 + registers_after_s
+    for _ in range(2):
+        now += STEP_S
+        status = TargetStatus("t", "g", "dc", "a:2", Role.replica, 1, 5, 1, 2, CAP)
+        observations = [TargetObservation("t", 0, status)]
+        heartbeat = Heartbeat("p1", 1, "dc", "a:1", 9, 0, observations=observations)
+        leadership.receive(heartbeat, view, now)
+        quotas = leadership.grant(heartbeat, now, view, now)
+    return quotas["t"]
+
+
+def test_the_first_leader_shares_targets_that_register_at_once():
+    # A data centre that was cut off within 2 s of the start could not read its own
+    # target: the leader waited for the leases of an earlier one that there never was.
+    assert quotas_of_leader(ClusterView(), registers_after_s=0.1) == CAP
+
+
+def test_a_later_leader_waits_for_the_quotas_of_an_earlier_one():
+    # An earlier leader may have granted quotas of a target that was removed since.
+    view = ClusterView(version=5)
+    assert quotas_of_leader(view, registers_after_s=0.1) == 0
+    assert quotas_of_leader(view, registers_after_s=2 * LEASE_S) == CAP
+
+
 def test_split_meets_small_demands_first_and_spreads_the_rest():
     demands = {("a", 1): 1, ("b", 1): 20, ("c", 1): 20}
     assert split(15, demands) == {("a", 1): 1, ("b", 1): 7, ("c", 1): 7}
