Don't let two faults of the soak start one process twice

Cause: the soak patches subprocess, so that starting a process yields to other tasks before it counts as running.

Change: faults start a process with start_again, which does nothing while another task is starting it.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -86,11 +86,6 @@
         self.process: SoakProcess = context.rng.choice(context.fleet.of_role(role))
         self.what = self.process.process_id
 
-    def restart(self) -> None:
-        """Starts the process unless another fault has restarted it already."""
-        if not self.process.is_running():
-            self.process.start()
-
 
 class Killed(ProcessFault):
     """The process is killed and started again."""
@@ -101,7 +96,7 @@
         self.process.kill()
 
     def end(self) -> None:
-        self.restart()
+        self.process.start_again()
 
 
 class KilledInSeries(Killed):
@@ -110,9 +105,9 @@
     __slots__ = ()
 
     def end(self) -> None:
-        self.restart()
+        self.process.start_again()
         self.process.kill()
-        self.restart()
+        self.process.start_again()
 
 
 class Stopped(ProcessFault):
@@ -127,7 +122,7 @@
     def end(self) -> None:
         self.process.resume()
         self.process.wait_or_kill(STOP_TIMEOUT_S)
-        self.restart()
+        self.process.start_again()
 
 
 class Frozen(ProcessFault):
@@ -161,7 +156,7 @@
 
     def end(self) -> None:
         self.context.disk_lost_at = time.monotonic()
-        self.restart()
+        self.process.start_again()
 
 
 class AllControlKilled(Fault):
@@ -175,8 +170,7 @@
 
     def end(self) -> None:
         for process in self.context.fleet.of_role("core"):
-            if not process.is_running():
-                process.start()
+            process.start_again()
 
 
 class HostFault(Fault):
--- a/bench/soak/fleet_processes.py
+++ b/bench/soak/fleet_processes.py
@@ -39,9 +39,10 @@
     :ivar host: IP address of its host.
     :ivar folder: holds its settings, the faults to inject (``mischief.json``), its log
         and its data.
+    :ivar is_starting: whether a task is starting it.
     """
 
-    __slots__ = ("role", "host", "folder", "is_paused")
+    __slots__ = ("role", "host", "folder", "is_paused", "is_starting")
 
     def __init__(self, role: str, name: str, host: str, folder: Path):
         arguments = [host, str(folder / "mischief.json"), role]
@@ -51,6 +52,7 @@
         self.host = host
         self.folder = folder
         self.is_paused = False
+        self.is_starting = False
 
     def environment(self) -> dict[str, str]:
         settings = str(self.folder / "settings.json")
@@ -61,9 +63,21 @@
         }
 
     def start(self) -> None:
-        super().start()
+        self.is_starting = True
+        try:
+            super().start()
+        finally:
+            self.is_starting = False
         self.is_paused = False
 
+    def start_again(self) -> None:
+        """Starts the process unless another fault has done so, or is about to.
+
+        Starting a process yields to other tasks before it counts as running.
+        """
+        if not self.is_starting and not self.is_running():
+            self.start()
+
     def pause(self) -> None:
         super().pause()
         self.is_paused = True
