Don't count proxies that name another target against a primary

Reads at a new primary lacked commits that were acknowledged at the former one, and that came back later.

Change: only a proxy that names the primary counts against a primary that others confirm. The choice of the candidate counts them in this way already.

Result: the new test failed before and passes.

--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -168,6 +168,9 @@
 ) -> Assessment:
     """Decides whether to keep, replace or adopt a service's primary.
 
+    A proxy that names another target hasn't heard of the primary yet, so that only those
+    that name it can count against a primary that others confirm.
+
     :param proxies: number of known proxies, including those without a recent report.
     :param led_for_s: time since this member became leader, in seconds.
     :param may_adopt: whether a target that proxies confirmed as primary is the primary;
@@ -207,7 +210,8 @@
     unconfirmed = [
         observation
         for observation in observations
-        if not observation.is_confirmed
+        if observation.target_id == primary_id
+        and not observation.is_confirmed
         and observation.confirmation_age_ms >= PARTIAL_CONFIRMATION_TIMEOUT_MS
     ]
     if len(unconfirmed) >= MIN_UNCONFIRMED_SHARE * len(observations):
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -89,6 +89,14 @@
     assert verdict(observations) is Verdict.keep
 
 
+def test_proxies_that_name_the_former_primary_do_not_count_against_the_new_one():
+    # They had just come back from a cut. The former primary replaced the new one, and
+    # commits that the first promotion had rolled back came back.
+    observations = [observation(f"p{n}", False, 4100, "t2") for n in range(3)]
+    observations += [observation(f"q{n}") for n in range(3)]
+    assert verdict(observations) is Verdict.keep
+
+
 def test_a_leaving_primary_is_replaced():
     assert verdict([observation("p1")], leaving=True) is Verdict.replace
 
