Count a primary as unconfirmed only since a proxy knows of it

With the reply to its first report a proxy learns of the new primary and reports again at once. It names that now, but the age of its last confirmation was that of the former primary's: 4 s after a cut of 7 s, where 1.2 s count against a primary.

Change: the age is counted from the last confirmation or, if that is later, from when the proxy was told that the target is the primary.

Result: the new test failed before (4000 ms in place of 0) and passes.

--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -157,7 +157,8 @@
 
     :ivar target_id: target that the proxy considers the primary, or empty.
     :ivar is_proven: whether the last query confirmed that it is the primary.
-    :ivar proof_age_ms: time since it was last confirmed, in milliseconds.
+    :ivar proof_age_ms: time since it was last confirmed or, if that is later, since the
+        proxy was told that it is the primary, in milliseconds.
     """
 
     service: str
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -345,4 +345,5 @@
             expected_s = EXPECTED_FIRST_ANSWER_S if is_first else EXPECTED_PROMOTION_S
             known_primary.target_id = target_id
             known_primary.confirmed_at = None
-            known_primary.expected_at = self.clock.now() + expected_s
+            known_primary.named_at = self.clock.now()
+            known_primary.expected_at = known_primary.named_at + expected_s
--- a/src/godwitwheel/sessions/observed.py
+++ b/src/godwitwheel/sessions/observed.py
@@ -48,6 +48,7 @@
         seconds of the clock; ``None`` while it is not confirmed.
     :ivar last_confirmed_at: the same for the latest confirmation of any target; kept
         when ``confirmed_at`` becomes ``None``.
+    :ivar named_at: when control named the target as primary, in seconds of the clock.
     :ivar expected_at: when a target with a promotion order should be the primary, in
         seconds of the clock.
     :ivar search_started_at: when this process began to search for the primary, in
@@ -59,6 +60,7 @@
         "term",
         "confirmed_at",
         "last_confirmed_at",
+        "named_at",
         "expected_at",
         "search_started_at",
     )
@@ -68,9 +70,20 @@
         self.term = term
         self.confirmed_at: float | None = None
         self.last_confirmed_at = -math.inf
+        self.named_at = -math.inf
         self.expected_at = -math.inf
         self.search_started_at: float | None = None
 
+    def unconfirmed_since(self) -> float:
+        """Returns since when this target could be confirmed, and was not.
+
+        A target that control has just named was not tried before, however long ago
+        the former primary was confirmed.
+
+        :returns: seconds of the clock.
+        """
+        return max(self.last_confirmed_at, self.named_at)
+
     def confirm(self, sent_at: float) -> None:
         """Records a confirmation of the target as primary.
 
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -194,7 +194,7 @@
             if not self._has_searched(service, now) or self._is_refused(service, now):
                 continue
             age_ms = round(
-                min(1000 * (now - known_primary.last_confirmed_at), MAX_AGE_MS)
+                min(1000 * (now - known_primary.unconfirmed_since()), MAX_AGE_MS)
             )
             is_proven = known_primary.confirmed_at is not None
             reports.append(
--- a/tests/cover/test_isolation.py
+++ b/tests/cover/test_isolation.py
@@ -1,6 +1,7 @@
 """When a proxy counts as isolated and ends its idle sessions."""
 
 import math
+import random
 
 from godwitwheel.sessions.reporting.authority import LeasedAuthority
 from godwitwheel.sessions.reporting.isolation import (
@@ -10,6 +11,8 @@
     Isolation,
     primary_usable_at,
 )
+from godwitwheel.sessions.reporting.members import ControlMembers
+from godwitwheel.sessions.reporting.reporting import INITIAL_SEARCH_S, Reporter
 from tests.common.fake_sessions import SERVICE, FakeGroup
 
 NOW = 100.0
@@ -62,3 +65,28 @@
     board.authority = LeasedAuthority()
     assert primary_usable_at(board, SERVICE, NOW - 5.0) == NOW - 5.0
     assert primary_usable_at(board, SERVICE, None) == -math.inf
+
+
+def reported_age_ms(reporter):
+    (report,) = reporter.build().primaries
+    assert not report.is_proven
+    return report.proof_age_ms
+
+
+def test_a_primary_is_not_older_unconfirmed_than_it_is_known():
+    # A proxy that came back from a cut had not tried the new primary, but told control
+    # that it had been without a confirmation for as long as the cut had lasted.
+    group = FakeGroup()
+    members = ControlMembers(["10.0.0.9:1"], random.Random(1))
+    reporter = Reporter(group.board, members, None, "p1")
+    known_primary = group.board.known_primary(SERVICE)
+    known_primary.search_started_at = group.clock.now()
+    known_primary.confirm(group.clock.now())
+    known_primary.confirmed_at = None
+    group.clock.advance(4.0)
+    assert reported_age_ms(reporter) == 4000
+    group.promote("t2")
+    group.board.apply_view(group.view(2))
+    assert reported_age_ms(reporter) == 0
+    group.clock.advance(INITIAL_SEARCH_S)
+    assert reported_age_ms(reporter) == round(1000 * INITIAL_SEARCH_S)
