--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -168,8 +168,8 @@
 ) -> Assessment:
     """Decides whether to keep, replace or adopt a service's primary.
 
-    A proxy that names another target hasn't heard of the primary yet, so that only those
-    that name it can count against a primary that others confirm.
+    A proxy that names another target hasn't heard of the primary yet. Only those that
+    name it can count against a primary that others confirm.
 
     :param proxies: number of known proxies, including those without a recent report.
     :param led_for_s: time since this member became leader, in seconds.
