--- a/src/godwitwheel/decisions/leadership.py
+++ b/src/godwitwheel/decisions/leadership.py
@@ -95,10 +95,11 @@
         self.token_key = token_key
 
     def _quotas_expire_at(self, view: ClusterView) -> float:
-        """Returns when the last quota of an earlier leader expires, by the clock.
+        """Returns when the last quota of an earlier leader expires.
 
         :param view: the committed state when this leader was elected; before its first
             change no target was registered, so that no quota has been granted.
+        :returns: seconds of the clock.
         """
         if not view.version:
             return self.leader_since
--- a/src/godwitwheel/sessions/observed.py
+++ b/src/godwitwheel/sessions/observed.py
@@ -75,7 +75,7 @@
         self.search_started_at: float | None = None
 
     def unconfirmed_since(self) -> float:
-        """Returns since when this target could be confirmed, and was not.
+        """Returns when a target was last confirmed or, if later, this one was named.
 
         A target that control has just named was not tried before, however long ago
         the former primary was confirmed.
