--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -234,7 +234,7 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def config(version, routes, services, max_connections=41):
+def config(version, routes, services, max_connections=41, sync_replicas=0):
     """Returns a configuration; ``routes`` maps databases to (type, service)."""
     return {
         "version": version,
@@ -260,7 +260,7 @@
                 "max_connections": max_connections,
                 "protocol": "h1",
                 "tls": False,
-                "sync_replicas": 0,
+                "sync_replicas": sync_replicas,
             }
             for name in services
         ],
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -15,6 +15,7 @@
 PROMOTE_S = 0.6
 REPLICATION_S = 0.02
 STATEMENT_S = 0.004
+SMALL_S = 0.001
 HEARTBEAT_S = 1.2
 
 
@@ -98,9 +99,12 @@
         self.log = []
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.slots = 3
         self.state = "ready"
         self.drain_acked_at = None
         self.is_up = False
+        # How late it receives a commit, in seconds.
+        self.lag_s = REPLICATION_S
         self.server = None
         self.writers = set()
         self.heartbeat_task = None
@@ -147,7 +151,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
-            "slots": 3,
+            "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
             "db_role": "primary" if self.is_primary else "replica",
@@ -233,12 +237,15 @@
             position = self.position()
             row = f"{role} {self.term} {position} {self.term} 0 0 {len(self.writers)}"
             return f"DATAROW {row}\r\nCOMPLETE -\r\n"
-        await asyncio.sleep(STATEMENT_S)
+        self.service.passed_on.add(request_id)
+        # Only reads, writes and commits take a slot, and time.
+        has_work = word in ("READ", "WRITE", "EXECUTE", "COMMIT")
+        await asyncio.sleep(STATEMENT_S if has_work else SMALL_S)
         if floor is not None and floor > (self.term, len(self.log)):
             return "ERROR LAGGING -\r\n"
-        return self._run_now(session, request_id, word, rest)
+        return await self._run_now(session, request_id, word, rest)
 
-    def _run_now(self, session, request_id, word, rest):
+    async def _run_now(self, session, request_id, word, rest):
         record = self.service.record
         signature = f"COMPLETE {self.target_id}.{request_id}\r\n"
         if word == "BEGIN":
@@ -263,7 +270,7 @@
             word = session.prepared[name]
         if word == "COMMIT":
             for item, data in session.writes:
-                self._commit(item, data, request_id)
+                await self._commit(item, data, request_id)
             session.state, session.writes = "I", []
             record.write("run", target=self.target_id, id=request_id, what="COMMIT")
             return signature
@@ -279,29 +286,40 @@
             if session.state == "T":
                 session.writes.append((item, data))
             else:
-                self._commit(item, data, request_id)
+                await self._commit(item, data, request_id)
             return signature
         return "ERROR MALFORMED -\r\n"
 
-    def _commit(self, item, data, request_id):
+    async def _commit(self, item, data, request_id):
         commit = Commit(self.term, len(self.log) + 1, item, data, request_id)
         self.log.append(commit)
         self.service.record.write(
             "commit", target=self.target_id, id=request_id, position=self.position()
         )
-        self.service.replicate(self, commit)
+        received = self.service.replicate(self, commit)
+        if self.service.sync_replicas:
+            await received.wait()
 
 
 class Service:
     """A service of one primary and its replicas.
 
-    :ivar follows_at_once: whether a former primary that is up stops at a promotion.
+    :ivar sync_replicas: replicas that hold a commit before it is acknowledged, 0 or 1.
+    :ivar passed_on: ids of the statements that reached a target.
+    :ivar acknowledged: ids of the commits that were acknowledged to callers.
+    :ivar lacks: acknowledged commits that a promoted target did not have.
     """
 
-    def __init__(self, record, name, hosts, control_addresses, port=9000):
+    def __init__(
+        self, record, name, hosts, control_addresses, port=9000, sync_replicas=0
+    ):
+        self.sync_replicas = sync_replicas
         self.record = record
         self.name = name
         self.control_addresses = control_addresses
+        self.passed_on = set()
+        self.acknowledged = []
+        self.lacks = []
         self.targets = {}
         for number, (host, zone) in enumerate(hosts):
             target_id = f"i-{name}{number}"
@@ -317,16 +335,28 @@
             await target.start()
 
     def replicate(self, primary, commit):
+        """Sends a commit to the replicas.
+
+        :returns: an event that is set once one of them has received it.
+        """
+        received = asyncio.Event()
         loop = asyncio.get_running_loop()
         for target in self.targets.values():
             if target is not primary:
-                loop.call_later(REPLICATION_S, self._receive, primary, target, commit)
+                loop.call_later(
+                    target.lag_s, self._receive, primary, target, commit, received
+                )
+        return received
 
-    def _receive(self, primary, target, commit):
-        if target.is_up and primary.is_primary and not target.is_primary:
-            if len(target.log) == commit.number - 1:
-                target.log.append(commit)
-                target.term = primary.term
+    def _receive(self, primary, target, commit, received):
+        if not primary.is_up or not primary.is_primary or target.is_primary:
+            return
+        if not target.is_up:
+            return
+        # It also receives what it has missed.
+        target.log += primary.log[len(target.log) : commit.number]
+        target.term = primary.term
+        received.set()
 
     def promote(self, target_id):
         target = self.targets[target_id]
@@ -341,7 +371,10 @@
             if each is not target and each.is_up:
                 each.log = list(target.log)
                 each.term = term
-        self.record.write("promoted", target=target_id, term=term)
+        ids = {commit.request_id for commit in target.log}
+        lacks = [each for each in self.acknowledged if each not in ids]
+        self.lacks += lacks
+        self.record.write("promoted", target=target_id, term=term, lacks=lacks)
         for each in self.targets.values():
             each.beats_now.set()
 
