Show that a forgotten synchronous replica costs acknowledged commits

Cause: a silent replica leaves the directory after 12 s, and a promotion then no longer counts it among those that did not answer.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -133,6 +133,14 @@
             writer.transport.abort()
         self.service.record.write("crash", target=self.target_id)
 
+    def follow(self, primary):
+        """Becomes a replica, and rolls back what the primary does not have."""
+        self.is_primary = False
+        if self.is_up:
+            self.log = list(primary.log)
+            self.term = primary.term
+        self.beats_now.set()
+
     async def leave(self):
         """Deregisters and exits, as after a planned shutdown."""
         path = f"/api/instances/{self.target_id}/deregister"
@@ -294,7 +302,11 @@
         commit = Commit(self.term, len(self.log) + 1, item, data, request_id)
         self.log.append(commit)
         self.service.record.write(
-            "commit", target=self.target_id, id=request_id, position=self.position()
+            "commit",
+            target=self.target_id,
+            id=request_id,
+            position=self.position(),
+            leads=self is self.service.leader,
         )
         received = self.service.replicate(self, commit)
         if self.service.sync_replicas:
@@ -304,6 +316,9 @@
 class Service:
     """A service of one primary and its replicas.
 
+    :ivar leader: the target that leads by the platform's last word.
+    :ivar goes_on_s: how long a former primary goes on after a promotion; 0 where the
+        platform stops it.
     :ivar sync_replicas: replicas that hold a commit before it is acknowledged, 0 or 1.
     :ivar passed_on: ids of the statements that reached a target.
     :ivar acknowledged: ids of the commits that were acknowledged to callers.
@@ -311,8 +326,16 @@
     """
 
     def __init__(
-        self, record, name, hosts, control_addresses, port=9000, sync_replicas=0
+        self,
+        record,
+        name,
+        hosts,
+        control_addresses,
+        port=9000,
+        sync_replicas=0,
+        goes_on_s=0.0,
     ):
+        self.goes_on_s = goes_on_s
         self.sync_replicas = sync_replicas
         self.record = record
         self.name = name
@@ -326,9 +349,10 @@
             self.targets[target_id] = Target(
                 self, target_id, host, port, zone, is_primary=number == 0
             )
+        self.leader = next(iter(self.targets.values()))
 
     def primary(self):
-        return next(each for each in self.targets.values() if each.is_primary)
+        return self.leader
 
     async def start(self):
         for target in self.targets.values():
@@ -349,7 +373,7 @@
         return received
 
     def _receive(self, primary, target, commit, received):
-        if not primary.is_up or not primary.is_primary or target.is_primary:
+        if not primary.is_up or primary is not self.leader or target.is_primary:
             return
         if not target.is_up:
             return
@@ -360,31 +384,37 @@
 
     def promote(self, target_id):
         target = self.targets[target_id]
-        if target.is_primary:
+        if target is self.leader:
             return
+        former, self.leader = self.leader, target
         term = max(each.term for each in self.targets.values()) + 1
-        for each in self.targets.values():
-            each.is_primary = False
         target.is_primary = True
         target.term = term
-        for each in self.targets.values():
-            if each is not target and each.is_up:
-                each.log = list(target.log)
-                each.term = term
         ids = {commit.request_id for commit in target.log}
         lacks = [each for each in self.acknowledged if each not in ids]
         self.lacks += lacks
         self.record.write("promoted", target=target_id, term=term, lacks=lacks)
         for each in self.targets.values():
-            each.beats_now.set()
+            if each not in (target, former):
+                each.follow(target)
+        if self.goes_on_s and former.is_up:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.goes_on_s, self._end_lead, former)
+        else:
+            former.follow(target)
+        target.beats_now.set()
+
+    def _end_lead(self, former):
+        if former is not self.leader:
+            former.follow(self.leader)
+            self.record.write("lost_lead", target=former.target_id)
 
 
 class Platform:
     """Receives orders to promote.
 
     :ivar checks_fences: whether it refuses a token below one that it has seen.
-    :ivar mode: ``up``, ``down`` (connections are refused) or ``cut_off`` (connections
-        hang, as to a machine behind a partition).
+    :ivar late_s: how late the next order is carried out, without an answer; 0 for none.
     """
 
     def __init__(self, record, host, services, checks_fences, promote_s=PROMOTE_S):
@@ -394,9 +424,8 @@
         self.checks_fences = checks_fences
         self.promote_s = promote_s
         self.highest = {}
-        self.lower_tokens = []
+        self.late_s = 0.0
         self.server = None
-        self.fillers = []
 
     @property
     def address(self):
@@ -420,25 +449,6 @@
             self.server = None
         self.record.write("platform", mode="down")
 
-    def cut_off(self):
-        """Lets connections hang: the queue of new connections is full."""
-        self.go_down()
-        self.hanging = self._listener(0)
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((self.host, self.port))
-            self.fillers.append(filler)
-        self.record.write("platform", mode="cut off")
-
-    async def end_cut(self):
-        for filler in self.fillers:
-            filler.close()
-        self.fillers = []
-        self.hanging.listen(64)
-        self.server = await asyncio.start_server(self._serve, sock=self.hanging)
-        self.record.write("platform", mode="up")
-
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -446,6 +456,13 @@
                 if request is None:
                     return
                 line, headers, body = request
+                if self.late_s:
+                    late_s, self.late_s = self.late_s, 0.0
+                    self.record.write("order_without_answer", carried_out_in_s=late_s)
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(late_s, self._order, headers, json.loads(body))
+                    await reader.read()
+                    return
                 status = self._order(headers, json.loads(body))
                 writer.write(http_head(f"HTTP/1.1 {status} -", b"{}"))
                 await writer.drain()
@@ -462,10 +479,8 @@
         self.record.write(
             "order", holder=holder, token=token, highest=highest, target=target_id
         )
-        if token < highest:
-            self.lower_tokens.append((holder, token, highest))
-            if self.checks_fences:
-                return 409
+        if token < highest and self.checks_fences:
+            return 409
         self.highest[service] = max(highest, token)
         if not self.services[service].targets[target_id].is_up:
             return 409
