--- a/review/6/case.py
+++ b/review/6/case.py
@@ -54,7 +54,6 @@
         table = config(7, {DATABASE: ("primary", SERVICE)}, [SERVICE], sync_replicas=1)
         await put_config(record, fleet.control_addresses, table)
         await wait_served(record, fleet, DATABASE)
-        primary, sound, deaf = service.targets.values()
         writing = [
             asyncio.create_task(
                 write_steadily(record, service, address, ended, f"{prefix}{n}x")
@@ -63,6 +62,8 @@
             for n in range(SESSIONS_PER_FRONT)
         ]
         await asyncio.sleep(5.0)
+        primary = service.primary()
+        sound, deaf = (t for t in service.targets.values() if t is not primary)
         if trouble:
             deaf.is_deaf = True
             record.write("deaf", target=deaf.target_id)
