Bring the cases of the second review into the house's format

Cause: formatter and linter cover review/, and the record was opened without a context. Change: formatting, names of errors, strict zips; the record is written by descriptor.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,9 +8,10 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib2"))
 
-from fleet import Fleet, config, wait_served  # noqa: E402
 from standins import Caller, Platform, Service, put_config, run_case  # noqa: E402
 
+from fleet import Fleet, config, wait_served  # noqa: E402
+
 DATABASE, SERVICE = "kits", "svc"
 # For how long one of the replicas receives nothing before the other two crash.
 DEAF_S = 3.0
@@ -31,7 +32,7 @@
             if outcome.startswith("COMPLETE"):
                 service.acknowledged.append(request_id)
             caller.close()
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+        except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
             record.write("not_answered", id=request_id, reason=type(error).__name__)
         await asyncio.sleep(0.05)
 
@@ -42,9 +43,7 @@
         (f"{fleet.network}.{60 + n}", zone)
         for n, zone in enumerate(["carrasco", "melilla", "laguna"])
     ]
-    service = Service(
-        record, SERVICE, hosts, fleet.control_addresses, sync_replicas=1
-    )
+    service = Service(record, SERVICE, hosts, fleet.control_addresses, sync_replicas=1)
     platform = Platform(record, f"{fleet.network}.90", {SERVICE: service}, True)
     ended = asyncio.Event()
     try:
@@ -58,7 +57,7 @@
             asyncio.create_task(
                 write_steadily(record, service, address, ended, f"{prefix}{n}x")
             )
-            for prefix, address in zip("abc", fleet.front_addresses)
+            for prefix, address in zip("abc", fleet.front_addresses, strict=True)
             for n in range(SESSIONS_PER_FRONT)
         ]
         await asyncio.sleep(5.0)
@@ -80,7 +79,9 @@
         ended.set()
         await asyncio.gather(*writing)
         record.write("result", lost=len(service.lacks), ids=service.lacks)
-        print(f"acknowledged commits that the promoted target lacks: {len(service.lacks)}")
+        print(
+            f"acknowledged commits that the promoted target lacks: {len(service.lacks)}"
+        )
         if not service.acknowledged:
             return 2
         return 1 if service.lacks else 0
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,9 +9,10 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib2"))
 
-from fleet import Fleet, config, wait_served  # noqa: E402
 from standins import Platform, Service, http_call, put_config, run_case  # noqa: E402
 
+from fleet import Fleet, config, wait_served  # noqa: E402
+
 DATABASE, SERVICE = "hangars", "svc"
 QUOTED_ROUTES = 700
 CONTACT_S = 4.0
@@ -34,7 +35,7 @@
         call = http_call(address, "POST", "/api/config/put", body)
         status, _ = await asyncio.wait_for(call, limit_s)
         return status
-    except (OSError, asyncio.TimeoutError, ValueError):
+    except (TimeoutError, OSError, ValueError):
         return None
 
 
@@ -46,7 +47,7 @@
             try:
                 call = http_call(address, "GET", "/api/config/get")
                 status, document = await asyncio.wait_for(call, 1.0)
-            except (OSError, asyncio.TimeoutError, ValueError):
+            except (TimeoutError, OSError, ValueError):
                 record.write("read", node=address, status=None)
                 continue
             record.write("read", node=address, status=status)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,9 +9,10 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib2"))
 
-from fleet import Fleet, config, wait_served  # noqa: E402
 from standins import Caller, Platform, Service, put_config, run_case  # noqa: E402
 
+from fleet import Fleet, config, wait_served  # noqa: E402
+
 DATABASE, SERVICE = "dispatch", "svc"
 PROMOTE_S = 1.0
 # A former primary goes on for a second after it can reach the new one.
@@ -33,7 +34,7 @@
             if outcome.startswith("COMPLETE"):
                 service.acknowledged.append(request_id)
             caller.close()
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+        except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
             record.write("not_answered", id=request_id, reason=type(error).__name__)
         await asyncio.sleep(0.03)
 
@@ -44,9 +45,10 @@
     found = []
     for line in (HERE / "record.txt").read_text().splitlines():
         event = json.loads(line)
-        if event["event"] == "commit" and not event["leads"]:
-            if event["id"] in acknowledged:
-                found.append((event["id"], event["target"]))
+        if event["event"] != "commit" or event["leads"]:
+            continue
+        if event["id"] in acknowledged:
+            found.append((event["id"], event["target"]))
     return found
 
 
@@ -79,10 +81,8 @@
         await put_config(record, fleet.control_addresses, table)
         await wait_served(record, fleet, DATABASE)
         writing = [
-            asyncio.create_task(
-                write_steadily(record, service, address, ended, prefix)
-            )
-            for prefix, address in zip("abc", fleet.front_addresses)
+            asyncio.create_task(write_steadily(record, service, address, ended, prefix))
+            for prefix, address in zip("abc", fleet.front_addresses, strict=True)
         ]
         await asyncio.sleep(5.0)
         first = service.primary()
@@ -90,7 +90,9 @@
         if trouble:
             platform.late_s = LATE_S
             first.crash()
-            await until_true(lambda: service.primary() is not first, 15.0, "no promotion")
+            await until_true(
+                lambda: service.primary() is not first, 15.0, "no promotion"
+            )
         second = service.primary()
         await asyncio.sleep(crashed_at + RELEASE_AFTER_S - time.monotonic())
         second.announce("draining")
@@ -101,7 +103,9 @@
         found = commits_by_former_primaries(service)
         record.write("result", commits=found, lost=service.lacks)
         print(f"acknowledged commits of a former primary: {len(found)}, {found[:2]}")
-        print(f"acknowledged commits that a promotion rolled back: {len(service.lacks)}")
+        print(
+            f"acknowledged commits that a promotion rolled back: {len(service.lacks)}"
+        )
         return 1 if found else 0
     finally:
         fleet.end()
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -287,7 +287,7 @@
                 caller.close()
                 if outcome.startswith("COMPLETE"):
                     break
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            except (TimeoutError, OSError, asyncio.IncompleteReadError):
                 pass
             if time.monotonic() > until:
                 raise TimeoutError(f"{address} serves nothing")
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -23,7 +23,7 @@
     """Writes what was sent, answered and run, one JSON line an event."""
 
     def __init__(self, path):
-        self.file = open(path, "w", buffering=1)
+        self.descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
         self.started_at = time.monotonic()
 
     def now(self):
@@ -31,7 +31,8 @@
 
     def write(self, event, **fields):
         now = self.now()
-        self.file.write(json.dumps({"t": now, "event": event, **fields}) + "\n")
+        line = json.dumps({"t": now, "event": event, **fields}) + "\n"
+        os.write(self.descriptor, line.encode())
         return now
 
 
@@ -53,7 +54,6 @@
 
     async def run_and_leave():
         status = await run()
-        record.file.flush()
         sys.stdout.flush()
         # The stand-ins' tasks end with the process.
         os._exit(status)
@@ -180,7 +180,7 @@
                     status, answer = await asyncio.wait_for(
                         http_call(address, "POST", path, body), 1.0
                     )
-                except (OSError, asyncio.TimeoutError, ValueError):
+                except (TimeoutError, OSError, ValueError):
                     endpoint = ""
                     continue
                 if 200 <= status < 300:
@@ -266,8 +266,10 @@
             session.state, session.writes = "I", []
             return signature
         has_lost_lead = not self.is_primary and not session.read_only
-        if session.state == "T" and has_lost_lead and (
-            word != "COMMIT" or session.writes
+        if (
+            session.state == "T"
+            and has_lost_lead
+            and (word != "COMMIT" or session.writes)
         ):
             session.state = "E"
             return f"ERROR READONLY {self.target_id}\r\n"
@@ -519,7 +521,9 @@
             data = body or b""
             if not isinstance(data, bytes):
                 data = json.dumps(body).encode()
-            writer.write(http_head(f"{method} {path} HTTP/1.1\r\nHost: {address}", data))
+            writer.write(
+                http_head(f"{method} {path} HTTP/1.1\r\nHost: {address}", data)
+            )
             answer = await read_http(reader)
         finally:
             writer.close()
@@ -542,7 +546,7 @@
             try:
                 call = http_call(address, "POST", "/api/config/put", config)
                 status, _ = await asyncio.wait_for(call, 1.0)
-            except (OSError, asyncio.TimeoutError, ValueError):
+            except (TimeoutError, OSError, ValueError):
                 continue
             if status == 200:
                 return record.write("config_acknowledged", version=config["version"])
