Hand in the lost commits behind a reused address as case 6

Cause: an announcement removes every other target at its address, also a synchronous replica of another service, which a promotion then no longer asks.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,22 +1,25 @@
-"""Control forgets a silent synchronous replica and promotes one that lacks commits."""
+"""Another service takes a lost replica's address, and control stops waiting for it."""
 
 import asyncio
+import os
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib2"))
 
-from standins import Caller, Platform, Service, put_config, run_case  # noqa: E402
+from standins import Caller, Platform, Service, Target, put_config, run_case  # noqa: E402
 
 from fleet import Fleet, config, wait_served  # noqa: E402
 
-DATABASE, SERVICE = "kits", "svc"
+DATABASE, SERVICE, OTHER = "kits", "svc", "fresh"
 # For how long one of the replicas receives nothing before the other two crash.
 DEAF_S = 3.0
 SESSIONS_PER_FRONT = 2
-DOWN_S = 25.0
+# How long the primary is away.
+DOWN_S = 6.5
+# From the loss of a backend until its address is used again; ``reuse_after_s`` is 2.
+REUSE_AFTER_S = 2.5
 
 
 async def write_steadily(record, service, address, ended, prefix):
@@ -44,13 +47,20 @@
         for n, zone in enumerate(["carrasco", "melilla", "laguna"])
     ]
     service = Service(record, SERVICE, hosts, fleet.control_addresses, sync_replicas=1)
-    platform = Platform(record, f"{fleet.network}.90", {SERVICE: service}, True)
+    other_hosts = [(f"{fleet.network}.{70 + n}", hosts[n][1]) for n in range(2)]
+    other = Service(
+        record, OTHER, other_hosts, fleet.control_addresses, sync_replicas=1
+    )
+    services = {SERVICE: service, OTHER: other}
+    platform = Platform(record, f"{fleet.network}.90", services, True)
     ended = asyncio.Event()
     try:
         await platform.go_up()
         fleet.start()
         await service.start()
-        table = config(7, {DATABASE: ("primary", SERVICE)}, [SERVICE], sync_replicas=1)
+        await other.start()
+        routes = {DATABASE: ("primary", SERVICE), "new": ("primary", OTHER)}
+        table = config(7, routes, [SERVICE, OTHER], sync_replicas=1)
         await put_config(record, fleet.control_addresses, table)
         await wait_served(record, fleet, DATABASE)
         writing = [
@@ -70,9 +80,17 @@
             sound.crash()
             primary.crash()
             deaf.is_deaf = False
-        until = time.monotonic() + DOWN_S
-        while time.monotonic() < until and not service.lacks:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(REUSE_AFTER_S)
+            # A further replica of another service gets the address of the lost one.
+            newcomer = Target(other, "i-newcomer", sound.host, 9000, sound.zone, False)
+            other.targets[newcomer.target_id] = newcomer
+            await newcomer.start()
+            record.write("address_used_again", address=newcomer.address)
+            await asyncio.sleep(DOWN_S - REUSE_AFTER_S)
+            record.write("primary_returns", is_leader=service.leader is primary)
+            if service.leader is primary:
+                await primary.start()
+        await asyncio.sleep(4.0)
         lengths = {each.target_id: len(each.log) for each in service.targets.values()}
         record.write("logs", lengths=lengths)
         await asyncio.sleep(1.0)
@@ -90,4 +108,4 @@
 
 
 if __name__ == "__main__":
-    run_case(HERE, play)
+    run_case(HERE, play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -36,13 +36,13 @@
         return now
 
 
-def run_case(folder, play, limit_s=110):
+def run_case(folder, play, trouble, limit_s=110):
     """Plays a case and ends the process with its exit status.
 
-    :param play: coroutine function of a record; whether there is trouble.
+    :param play: coroutine function of a record, and of whether there is trouble.
+    :param trouble: whether to bring about the disruption.
     """
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
         try:
@@ -319,8 +319,6 @@
     """A service of one primary and its replicas.
 
     :ivar leader: the target that leads by the platform's last word.
-    :ivar goes_on_s: how long a former primary goes on after a promotion; 0 where the
-        platform stops it.
     :ivar sync_replicas: replicas that hold a commit before it is acknowledged, 0 or 1.
     :ivar passed_on: ids of the statements that reached a target.
     :ivar acknowledged: ids of the commits that were acknowledged to callers.
@@ -335,9 +333,7 @@
         control_addresses,
         port=9000,
         sync_replicas=0,
-        goes_on_s=0.0,
     ):
-        self.goes_on_s = goes_on_s
         self.sync_replicas = sync_replicas
         self.record = record
         self.name = name
@@ -399,24 +395,14 @@
         for each in self.targets.values():
             if each not in (target, former):
                 each.follow(target)
-        if self.goes_on_s and former.is_up:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.goes_on_s, self._end_lead, former)
-        else:
-            former.follow(target)
+        former.follow(target)
         target.beats_now.set()
 
-    def _end_lead(self, former):
-        if former is not self.leader:
-            former.follow(self.leader)
-            self.record.write("lost_lead", target=former.target_id)
-
 
 class Platform:
     """Receives orders to promote.
 
     :ivar checks_fences: whether it refuses a token below one that it has seen.
-    :ivar late_s: how late the next order is carried out, without an answer; 0 for none.
     """
 
     def __init__(self, record, host, services, checks_fences, promote_s=PROMOTE_S):
@@ -426,7 +412,6 @@
         self.checks_fences = checks_fences
         self.promote_s = promote_s
         self.highest = {}
-        self.late_s = 0.0
         self.server = None
 
     @property
@@ -458,13 +443,6 @@
                 if request is None:
                     return
                 line, headers, body = request
-                if self.late_s:
-                    late_s, self.late_s = self.late_s, 0.0
-                    self.record.write("order_without_answer", carried_out_in_s=late_s)
-                    loop = asyncio.get_running_loop()
-                    loop.call_later(late_s, self._order, headers, json.loads(body))
-                    await reader.read()
-                    return
                 status = self._order(headers, json.loads(body))
                 writer.write(http_head(f"HTTP/1.1 {status} -", b"{}"))
                 await writer.drain()
