Count a leaving primary's grace period from its announcement

Callers: a proxy that restarted gave a leaving primary requests until 9.7 s after the announcement was acknowledged, while no other could be promoted; the target may end after 7 s, and what it has not answered then is lost.

Cause: each proxy counted the period from when it first saw the mark in a view, so that each start, and each reconnection after a cut, began a new one.

Change: control's replies carry how long ago the announcement was received, and reports carry it to a new leader. The longest age holds; unknown counts as over. Refusals name the age. The test of the grace period now gives the age as control does.

--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -3,6 +3,7 @@
 from ..accounts.rate_shares import RateShares, RunnersInUse
 from ..decisions.leases import HolderName, LeaseTable
 from .failover import ReceivedReport
+from .leaving import LeavingTimes
 from .ownership import OWNER_MIN_PROXIES, needs_owner
 from .records import DirectoryView, ProxyReport, TargetEntry
 from .report_timing import (
@@ -64,6 +65,8 @@
         seconds of the clock.
     :ivar leases: leases under which proxies rely on primaries; unused on a platform
         that stops a former primary itself.
+    :ivar leaving: since when targets have been leaving, as far as this leader or a
+        proxy that reports to it has received the announcement.
     :ivar rate_shares: division of the accounts' rate limits among the runners.
     """
 
@@ -78,6 +81,7 @@
         "orders_issued",
         "resume_at",
         "leases",
+        "leaving",
         "rate_shares",
     )
 
@@ -92,6 +96,7 @@
         self.orders_issued = 0
         self.resume_at: dict[str, float] = {}
         self.leases = LeaseTable(since, PRIMARY_LEASE_S, CLOCK_DRIFT)
+        self.leaving = LeavingTimes()
         self.rate_shares = RateShares(since, term, CLOCK_DRIFT)
 
     def receive_report(self, report: ProxyReport, now: float) -> bool:
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -102,6 +102,7 @@
             record_event(EventName.proxy_seen, proxy_id=report.proxy_id)
         self.builds.record(report.proxy_id, report.build, received_at)
         leadership.leases.acknowledge(holder_name(report), report.drained_version)
+        leadership.leaving.learn(report.leaving_ages, received_at)
         # Its callers may be waiting for a primary.
         lacks_view = report.view_version < self.state.directory.view.version
         self.confirm(is_urgent=lacks_view)
@@ -119,6 +120,9 @@
             leadership = self.current_leadership()
             leadership.grant_lease(report, view.version, received_at)
         rates = self._answer_rates(report, received_at)
+        leaving_ages = []
+        if report.wants_targets:
+            leaving_ages = leadership.leaving.ages(view.primary_entries(), now)
         return ProxyReply(
             view.version,
             proxies,
@@ -128,6 +132,7 @@
             len(leadership.live_owners(now)),
             change,
             rates,
+            leaving_ages,
         )
 
     def record_build(self, process_id: str, build: str) -> None:
@@ -206,7 +211,8 @@
         :raises CommitOutcomeUnknown: if a change may or may not be committed.
         """
         leadership = self.current_leadership()
-        is_newest = leadership.receive_announcement(entry, sequence, self.clock.now())
+        now = self.clock.now()
+        is_newest = leadership.receive_announcement(entry, sequence, now)
         directory = self.state.directory
         if directory.would_displace_configured(entry):
             self.confirm()
@@ -218,6 +224,7 @@
         if not is_newest or known == entry or directory.is_outdated(entry):
             self.confirm()
             return
+        self._record_leaving(leadership, entry, known, now)
         if self.commit_entry(PutEntry(entry)):
             record_event(
                 EventName.target_changed,
@@ -230,6 +237,26 @@
                 started_at_ms=entry.started_at_ms,
             )
 
+    def _record_leaving(
+        self,
+        leadership: DirectoryLeadership,
+        entry: TargetEntry,
+        known: TargetEntry | None,
+        now: float,
+    ) -> None:
+        """Records when a target began to leave, before that is acknowledged.
+
+        :param known: the target as it announced itself before, if it did.
+        """
+        incarnation = entry.incarnation()
+        if not entry.leaving:
+            leadership.leaving.forget(incarnation)
+        elif known is None or not known.leaving or known.incarnation() != incarnation:
+            leadership.leaving.retain(
+                [*self.state.directory.view.targets.values(), entry]
+            )
+            leadership.leaving.record(incarnation, now)
+
     def remove(self, target_id: str, started_at_ms: int | None) -> None:
         """Removes a target that has left.
 
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -94,6 +94,17 @@
     accounts: dict[str, AccountPolicy] = {}
 
 
+class Incarnation(msgspec.Struct, frozen=True):
+    """One run of a target, from its start to its end.
+
+    :ivar started_at_ms: Unix time at which it started; a later one under the same id
+        knows nothing of it.
+    """
+
+    target_id: str
+    started_at_ms: int
+
+
 class TargetEntry(msgspec.Struct, frozen=True):
     """A target as it announced itself.
 
@@ -112,6 +123,10 @@
     leaving: bool = False
     claims_lead: bool = False
 
+    def incarnation(self) -> Incarnation:
+        """Returns which run of the target announced itself."""
+        return Incarnation(self.target_id, self.started_at_ms)
+
 
 class OwnerEntry(msgspec.Struct, frozen=True):
     """The process that holds the connections to a service's targets."""
@@ -151,6 +166,24 @@
     owners: dict[str, OwnerEntry] = {}
     fences: dict[str, str] = {}
 
+    def primary_entries(self) -> list[TargetEntry]:
+        """Returns the primaries that are listed as targets."""
+        return [
+            self.targets[target_id]
+            for target_id in self.primaries.values()
+            if target_id in self.targets
+        ]
+
+
+class LeavingAge(msgspec.Struct, frozen=True):
+    """How long ago a target announced that it leaves.
+
+    :ivar age_ms: time since control received the announcement, in milliseconds.
+    """
+
+    incarnation: Incarnation
+    age_ms: Count
+
 
 class PrimaryReport(msgspec.Struct, frozen=True):
     """What a proxy has observed of a service's primary.
@@ -285,6 +318,7 @@
     :ivar rates: set by runners where accounts have limits; otherwise left out of the
         message.
     :ivar build: what the proxy runs, or empty in most reports.
+    :ivar leaving_ages: for the primaries that are leaving, as far as known.
     """
 
     proxy_id: str
@@ -300,6 +334,7 @@
     wants_targets: bool = True
     rates: RateReport | msgspec.UnsetType = msgspec.UNSET
     build: str = ""
+    leaving_ages: list[LeavingAge] = []
 
 
 class ProxyReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -314,6 +349,8 @@
     :ivar view_change: leads to the active view; ``None`` if the proxy holds that, or is
         to ask again because the leader is busy with the views of others.
     :ivar rates: set if the report's are; otherwise left out of the message.
+    :ivar leaving_ages: for the primaries of the active view that are leaving, as far as
+        known, if the proxy wants targets.
     """
 
     view_version: Count
@@ -324,6 +361,7 @@
     owners: int = 0
     view_change: ViewChange | None = None
     rates: RateReply | msgspec.UnsetType = msgspec.UNSET
+    leaving_ages: list[LeavingAge] = []
 
 
 class Redirect(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -7,6 +7,7 @@
 from ..accounts.limiter import AccountLimiter
 from ..decisions.outliers import Members, OutlierDetector
 from ..decisions.retry_budget import WindowedRetryBudget
+from ..directory.leaving import LeavingTimes
 from ..directory.ownership import needs_owner
 from ..directory.records import DirectoryView, RoutingTable, TargetEntry
 from ..internal.clock import Clock
@@ -25,7 +26,7 @@
 from .reporting.authority import PlatformFencing, PrimaryAuthority
 from .running.floors import PositionHistory
 
-# How long a primary that has announced that it is leaving still gets new work, in
+# How long after its announcement a primary that is leaving still gets new work, in
 # seconds. Targets keep running for longer than this after the announcement.
 LEAVING_GRACE_S = 5.0
 # Longest time after the start in which statements wait for the first view, in seconds.
@@ -57,9 +58,9 @@
     :ivar has_targets: whether the view includes targets, primaries and fences.
     :ivar proxies: how many proxies share the targets' connections.
     :ivar owners: how many processes may become owners of connections.
-    :ivar leaving_grace_s: how long a primary that is leaving may get new work while
-        another target is promoted, in seconds.
-    :ivar leaving_since: when the view first listed a target as leaving, by target id.
+    :ivar leaving_grace_s: how long after its announcement a primary that is leaving may
+        get new work while another target is promoted, in seconds.
+    :ivar leaving: since when primaries have been leaving, as control has told.
     :ivar changed: notified when a primary or the view changes, or a report to control
         is to be sent at once.
     """
@@ -88,7 +89,7 @@
         "known_primaries",
         "histories",
         "leaving_grace_s",
-        "leaving_since",
+        "leaving",
         "changed",
     )
 
@@ -123,7 +124,7 @@
         self.known_primaries: dict[str, KnownPrimary] = {}
         self.histories: dict[str, PositionHistory] = {}
         self.leaving_grace_s = LEAVING_GRACE_S
-        self.leaving_since: dict[str, float] = {}
+        self.leaving = LeavingTimes()
         self.changed = ChangeSignal()
 
     def targets_of(self, service: str) -> list[TargetEntry]:
@@ -279,7 +280,7 @@
                 self.pools.pop(target_id).close()
                 self.statuses.pop(target_id, None)
                 self.limiters.pop(target_id, None)
-        self._update_leaving()
+        self.leaving.retain(view.targets.values())
         self._close_unused_pools()
         for service in view.fences:
             self.known_primary(service).confirmed_at = None
@@ -311,18 +312,15 @@
         self.changed.notify()
         return True
 
-    def _update_leaving(self) -> None:
-        now = self.clock.now()
-        self.leaving_since = {
-            target_id: self.leaving_since.get(target_id, now)
-            for target_id, entry in self.view.targets.items()
-            if entry.leaving
-        }
-
-    def is_past_leaving_grace(self, target_id: str, now: float) -> bool:
-        """Whether a leaving target's grace period for new work is over."""
-        since = self.leaving_since.get(target_id)
-        return since is not None and now - since >= self.leaving_grace_s
+    def is_past_leaving_grace(self, target: TargetEntry, now: float) -> bool:
+        """Whether a leaving target's grace period for new work is over.
+
+        It counts as over if nobody has told this process when it began.
+        """
+        if not target.leaving:
+            return False
+        age_s = self.leaving.age_s(target, now)
+        return age_s is None or age_s >= self.leaving_grace_s
 
     def _close_unused_pools(self) -> None:
         for target_id, pool in list(self.pools.items()):
--- a/src/godwitwheel/sessions/queueing/choosing.py
+++ b/src/godwitwheel/sessions/queueing/choosing.py
@@ -43,8 +43,11 @@
     target = board.view.targets.get(target_id)
     if target is None:
         return Refusal(NoTarget.no_primary, "control names none")
-    if board.is_past_leaving_grace(target_id, now):
-        return Refusal(NoTarget.no_primary, f"{target_id} leaves")
+    if board.is_past_leaving_grace(target, now):
+        age_s = board.leaving.age_s(target, now)
+        since = "unknown" if age_s is None else f"{age_s:.1f} s ago"
+        detail = f"{target_id} leaves, announced: {since}"
+        return Refusal(NoTarget.no_primary, detail)
     if not board.authority.may_use(service, target_id, now):
         return Refusal(NoTarget.no_primary, f"no lease on {target_id}")
     status = board.status(target_id)
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -221,6 +221,7 @@
             wants_targets,
             rates=build_rate_report(board, now),
             build=self._build_to_report(now),
+            leaving_ages=board.leaving.ages(board.view.primary_entries(), now),
         )
 
     def _build_to_report(self, now: float) -> str:
@@ -264,6 +265,7 @@
         self.tables.advertise(reply.table_version)
         if reply.view_change is not None:
             self._apply_change(reply.view_change)
+        board.leaving.learn(reply.leaving_ages, sent_at)
         is_refused = reply.view_change is None and board.lacks_targets()
         self.is_postponed = board.view.version < reply.view_version or is_refused
         if reply.table_version == board.view.table.version:
--- a/tests/cover/test_sessions.py
+++ b/tests/cover/test_sessions.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from godwitwheel.directory.records import NO_ACCOUNT, ServicePolicy
+from godwitwheel.directory.records import NO_ACCOUNT, LeavingAge, ServicePolicy
 from godwitwheel.internal.loop import sleep, spawn
 from godwitwheel.sessions.connections.limits import (
     STALE_CONNECTIONS_S,
@@ -300,6 +300,8 @@
     group.board.apply_view(
         msgspec.structs.replace(group.board.view, version=2, targets=entries)
     )
+    age = LeavingAge(entries["t1"].incarnation(), 0)
+    group.board.leaving.learn([age], group.clock.now())
     group.clock.advance(5.0)
     assert session.execute(write("w1")).error is None
     group.clock.advance(1.5)
