Remember lost targets that may hold acknowledged commits

Callers: of a service with sync_replicas 1, some 200 acknowledged commits were gone after a promotion, while the primary that had them all was back 4 s later.

Cause: a promotion counted as silent only the replicas that the directory lists. Any announcement at the address of a lost replica, or under its id, took it off the list, and so did its departure and expiry.

Change: the incarnation is remembered in the replicated state and counts as silent until the primary answers that it leads and enough listed replicas have received all that it had. Whoever answers at its address or under its id doesn't speak for it, nor does a target that starts again under the primary's id count as the fenced primary.

--- a/src/godwitwheel/control/commands.py
+++ b/src/godwitwheel/control/commands.py
@@ -5,6 +5,7 @@
 from ..directory.commands import (
     DropEntry,
     FencePrimary,
+    ForgetLost,
     PauseReplicas,
     PutEntry,
     PutTable,
@@ -103,6 +104,7 @@
     | SetOwners
     | PauseReplicas
     | ResumeReplicas
+    | ForgetLost
 )
 
 
--- a/src/godwitwheel/control/state.py
+++ b/src/godwitwheel/control/state.py
@@ -9,6 +9,7 @@
 from ..directory.commands import (
     DropEntry,
     FencePrimary,
+    ForgetLost,
     PauseReplicas,
     PutEntry,
     PutTable,
@@ -88,6 +89,7 @@
             SetOwners: self.directory.set_owners,
             PauseReplicas: self.directory.pause_replicas,
             ResumeReplicas: self.directory.resume_replicas,
+            ForgetLost: self.directory.forget_lost,
         }
 
     def apply(self, index: int, command: bytes) -> bytes:
--- a/src/godwitwheel/directory/candidates.py
+++ b/src/godwitwheel/directory/candidates.py
@@ -1,10 +1,12 @@
 """Decides which target replaces a primary, by what control has asked the targets."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
 from ..sessions.statements import Position
 from .failover import Observation, is_confirmed_by_some
-from .records import DirectoryView, TargetEntry
+from .lost_targets import LostTarget
+from .records import DirectoryView, Incarnation, TargetEntry
 
 
 class Candidate:
@@ -36,9 +38,17 @@
     :ivar ordered_id: target that an earlier order may still promote, or empty.
     :ivar may_stay: whether the primary may go on as primary: it neither leaves nor is
         fenced.
+    :ivar lost: targets of the service that are gone and may hold acknowledged commits.
     """
 
-    __slots__ = ("candidates", "observations", "primary_id", "ordered_id", "may_stay")
+    __slots__ = (
+        "candidates",
+        "observations",
+        "primary_id",
+        "ordered_id",
+        "may_stay",
+        "lost",
+    )
 
     def __init__(
         self,
@@ -47,12 +57,14 @@
         primary_id: str,
         ordered_id: str = "",
         may_stay: bool = True,
+        lost: Sequence[LostTarget] = (),
     ):
         self.candidates = candidates
         self.observations = observations
         self.primary_id = primary_id
         self.ordered_id = ordered_id
         self.may_stay = may_stay
+        self.lost = lost
 
     def responsive(self) -> list[Candidate]:
         """Returns the candidates that answered."""
@@ -66,6 +78,18 @@
             if observation.target_id == self.primary_id and not observation.is_confirmed
         )
 
+    def lost_replicas(self) -> set[Incarnation]:
+        """Returns the lost incarnations that may alone hold a commit.
+
+        The primary's commits are acknowledged by others.
+        """
+        return {each.incarnation for each in self.lost if not each.has_led}
+
+    def is_primary(self, entry: TargetEntry) -> bool:
+        """Whether an entry is the primary's, and not a later target's of its id."""
+        has_lost_primary = any(each.has_led for each in self.lost)
+        return entry.target_id == self.primary_id and not has_lost_primary
+
     def serves(self) -> bool:
         """Whether the primary may stay, and some proxy has confirmed it."""
         return self.may_stay and is_confirmed_by_some(
@@ -158,8 +182,9 @@
     Every replica counts towards the acknowledgement until it ends, also one that
     leaves, so that each is asked and stops receiving. Each acknowledged commit is held
     by ``synchronous_replicas`` of them at least: if fewer did not answer, one of the
-    others holds it, and too few are left for the primary to acknowledge another. The
-    promoted target is one that has received all that any of them has.
+    others holds it, and too few are left for the primary to acknowledge another. A
+    lost target did not answer either. The promoted target is one that has received all
+    that any of them has.
 
     :ivar synchronous_replicas: replicas that hold a commit before it is acknowledged.
     """
@@ -194,15 +219,17 @@
         replica can be: it was given up for a reason.
         """
         replicas, primary = [], None
-        silent_count = 0
+        # Whoever answers for a lost target is another one.
+        silent = replacement.lost_replicas()
         for each in replacement.candidates:
-            if each.entry.target_id == replacement.primary_id:
+            incarnation = each.entry.incarnation()
+            if replacement.is_primary(each.entry):
                 primary = each if each.received is not None else None
             elif each.received is None:
-                silent_count += 1
-            else:
+                silent.add(incarnation)
+            elif incarnation not in silent:
                 replicas.append(each)
-        if silent_count >= self.synchronous_replicas or not replicas:
+        if len(silent) >= self.synchronous_replicas or not replicas:
             return primary
         best = max(
             replicas,
--- a/src/godwitwheel/directory/commands.py
+++ b/src/godwitwheel/directory/commands.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .records import OwnerEntry, TargetEntry
+from .records import Incarnation, OwnerEntry, TargetEntry
 
 
 class PutTable(msgspec.Struct, frozen=True, tag="put_table"):
@@ -75,6 +75,13 @@
     paused_at: int
 
 
+class ForgetLost(msgspec.Struct, frozen=True, tag="forget_lost"):
+    """Records that lost targets hold nothing that enough others don't hold."""
+
+    service: str
+    incarnations: list[Incarnation]
+
+
 class SetOwners(msgspec.Struct, frozen=True, tag="set_owners"):
     """Replaces the owners of the services that need one."""
 
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -20,6 +20,7 @@
 )
 from .fencing import LeaseFence, PlatformFence, PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
+from .lost_target_checks import LostTargetChecks
 from .member import DirectoryMember
 from .ownership import assign_owners, replaced_owners
 from .pausing import ReplicaPauses
@@ -55,7 +56,7 @@
 class DirectoryControllers:
     """Replaces primaries, assigns owners, and removes expired targets and proxies."""
 
-    __slots__ = ("member", "promoter", "pauses")
+    __slots__ = ("member", "promoter", "pauses", "lost_target_checks")
 
     def __init__(
         self,
@@ -77,6 +78,10 @@
             confirm,
             fence_for(member),
             self.pauses,
+            lambda service: member.state.directory.lost.of(service),
+        )
+        self.lost_target_checks = LostTargetChecks(
+            member.state.directory, queries, member.commit_entry, member.clock
         )
 
     def run(self) -> None:
@@ -104,6 +109,7 @@
                 self._decide_service(leadership, service, observations, now)
         self._decide_owners(leadership, now)
         self._remove_expired_target(leadership, now)
+        self.lost_target_checks.decide(now)
 
     def _decide_owners(self, leadership: DirectoryLeadership, now: float) -> None:
         if (
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -16,6 +16,7 @@
     DropEntry,
     EntryResult,
     FencePrimary,
+    ForgetLost,
     PauseReplicas,
     PutEntry,
     PutTable,
@@ -320,6 +321,7 @@
             | SetOwners
             | PauseReplicas
             | ResumeReplicas
+            | ForgetLost
         ),
     ) -> bool:
         """Commits a change to the directory.
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -1,6 +1,7 @@
 """Carries out the replacement of a primary."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from ..internal.clock import Clock
 from ..internal.loop import sleep
@@ -18,6 +19,7 @@
 from .failover import PROMOTION_GRACE_S, Observation
 from .fencing import PrimaryFence
 from .leadership import DirectoryLeadership, PromotionOrder
+from .lost_targets import LostTarget
 from .pausing import ReplicaPauses
 from .records import DirectoryView, TargetEntry
 from .target_queries import TargetQueries
@@ -65,6 +67,7 @@
     :ivar confirm: returns once a quorum has confirmed this leader, or raises.
     :ivar fence: ends the use of the former primary.
     :ivar pauses: records the pauses of synchronous replicas.
+    :ivar read_lost: returns the lost targets of a service.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         "confirm",
         "fence",
         "pauses",
+        "read_lost",
     )
 
     def __init__(
@@ -86,6 +90,7 @@
         confirm,
         fence: PrimaryFence,
         pauses: ReplicaPauses,
+        read_lost: Callable[[str], list[LostTarget]],
     ):
         self.queries = queries
         self.promotion_client = promotion_client
@@ -94,6 +99,7 @@
         self.confirm = confirm
         self.fence = fence
         self.pauses = pauses
+        self.read_lost = read_lost
 
     def replace(
         self,
@@ -255,6 +261,7 @@
         primary_id = view.primaries.get(service, "")
         pending_id = self.pauses.candidate_of(service)
         primary = view.targets.get(primary_id)
+        lost = self.read_lost(service)
         may_stay = (
             primary is not None
             and not primary.leaving
@@ -263,7 +270,9 @@
         )
         ordered_id = view.fences.get(service, pending_id)
         candidate = rule_for(service, view).choose(
-            Replacement(candidates, observations, primary_id, ordered_id, may_stay)
+            Replacement(
+                candidates, observations, primary_id, ordered_id, may_stay, lost
+            )
         )
         if candidate is None:
             record_event(
@@ -275,6 +284,7 @@
                 silent=[
                     each.entry.target_id for each in candidates if each.received is None
                 ],
+                lost=[each.incarnation.target_id for each in lost],
             )
             raise PromotionWithheld("no candidate")
         return candidate
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -7,6 +7,7 @@
     DropEntry,
     EntryResult,
     FencePrimary,
+    ForgetLost,
     PauseReplicas,
     PutEntry,
     PutTable,
@@ -17,6 +18,7 @@
 )
 from .documents import unpack_document
 from .errors import InvalidTable
+from .lost_targets import LostTargets, LostTargetsSnapshot
 from .records import (
     DirectoryView,
     OwnerEntry,
@@ -43,6 +45,7 @@
     owners: dict[str, OwnerEntry] = {}
     fences: dict[str, str] = {}
     paused: dict[str, PausedReplicas] = {}
+    lost: LostTargetsSnapshot = LostTargetsSnapshot()
 
 
 class Directory:
@@ -55,6 +58,7 @@
     :ivar recent_views: the views that were active recently.
     :ivar departed: start times of targets that left, by id, in order of departure.
     :ivar paused: services whose replicas may be paused for a promotion.
+    :ivar lost: targets that are gone and may hold acknowledged commits.
     """
 
     __slots__ = (
@@ -64,6 +68,7 @@
         "tokens",
         "departed",
         "paused",
+        "lost",
         "recent_tables",
         "recent_views",
     )
@@ -75,6 +80,7 @@
         self.tokens: dict[str, int] = {}
         self.departed: dict[str, int] = {}
         self.paused: dict[str, PausedReplicas] = {}
+        self.lost = LostTargets()
         self.recent_tables = RecentTables()
         self.recent_views = RecentViews()
 
@@ -87,6 +93,7 @@
             return TableResult(False, self.view.table.version)
         self.document = command.document
         self._update_view(index, table=table)
+        self.lost.apply_table(table, self.view.targets)
         self.recent_tables.add(table)
         return TableResult(True, table.version)
 
@@ -96,13 +103,16 @@
         known = self.view.targets.get(entry.target_id)
         if known == entry or self.is_outdated(entry):
             return EntryResult(False)
-        targets = {
-            target_id: other
-            for target_id, other in self.view.targets.items()
-            if other.address != entry.address or target_id == entry.target_id
-        }
+        targets = dict(self.view.targets)
+        for other in self._replaced_by(entry):
+            del targets[other.target_id]
+            self._record_loss(other)
         targets[entry.target_id] = entry
+        # It answers for itself.
+        self.lost.forget(entry.service, [entry.incarnation()])
         primaries = self._primaries_after(entry, known)
+        if primaries != self.view.primaries:
+            self.lost.name_primary(entry.service)
         self._update_view(index, targets=targets, primaries=primaries)
         return EntryResult(True)
 
@@ -140,6 +150,7 @@
             self._record_departure(command)
         targets = dict(self.view.targets)
         del targets[command.target_id]
+        self._record_loss(known)
         self._update_view(index, targets=targets)
         return EntryResult(True)
 
@@ -152,6 +163,7 @@
             # The platform has answered the order, so that it isn't carried out late.
             self._forget_candidate(command.service)
         primaries = {**self.view.primaries, command.service: command.target_id}
+        self.lost.name_primary(command.service)
         fences = dict(self.view.fences)
         fences.pop(command.service, None)
         if primaries != self.view.primaries or fences != self.view.fences:
@@ -179,6 +191,10 @@
         del self.paused[command.service]
         return EntryResult(True)
 
+    def forget_lost(self, index: int, command: ForgetLost) -> EntryResult:
+        """Forgets lost targets whose commits enough others hold."""
+        return EntryResult(self.lost.forget(command.service, command.incarnations))
+
     def set_owners(self, index: int, command: SetOwners) -> EntryResult:
         """Replaces the owners of services."""
         if command.owners == self.view.owners:
@@ -199,6 +215,7 @@
             view.owners,
             view.fences,
             dict(self.paused),
+            self.lost.snapshot(),
         )
 
     def restore(self, snapshot: DirectorySnapshot) -> None:
@@ -221,6 +238,9 @@
         self.tokens = dict(snapshot.tokens)
         self.departed = dict(snapshot.gone)
         self.paused = dict(snapshot.paused)
+        self.lost.restore(snapshot.lost)
+        # Snapshots of earlier versions don't name the synchronous services.
+        self.lost.apply_table(table, snapshot.targets)
 
     def _decode(self, stored: bytes) -> RoutingTable | None:
         """Decodes a stored document.
@@ -239,6 +259,19 @@
         if paused is not None:
             self.paused[service] = PausedReplicas(paused.index)
 
+    def _replaced_by(self, entry: TargetEntry) -> list[TargetEntry]:
+        """Returns the targets that have ended, as an announcement shows."""
+        return [
+            other
+            for other in self.view.targets.values()
+            if other.address == entry.address or other.target_id == entry.target_id
+            if other.incarnation() != entry.incarnation()
+        ]
+
+    def _record_loss(self, entry: TargetEntry) -> None:
+        has_led = self.view.primaries.get(entry.service) == entry.target_id
+        self.lost.record(entry, has_led)
+
     def _record_departure(self, command: DropEntry) -> None:
         self.departed.pop(command.target_id, None)
         self.departed[command.target_id] = command.started_at_ms
--- a/src/godwitwheel/directory/target_queries.py
+++ b/src/godwitwheel/directory/target_queries.py
@@ -46,6 +46,11 @@
             candidates += candidates_of(entries, asking, observations)
         return candidates
 
+    def ask_statuses(self, entries: list[TargetEntry]) -> list[ReplicaStatus | None]:
+        """Asks all targets for their status; ``None`` stands for no answer."""
+        asking = [spawn(self._ask, entry) for entry in entries]
+        return [task.wait() for task in asking]
+
     def command_all(
         self,
         groups: list[list[TargetEntry]],
--- a/tests/common/promoters.py
+++ b/tests/common/promoters.py
@@ -32,4 +32,5 @@
         lambda: None,
         fence or PlatformFence(),
         ReplicaPauses(queries, lambda: pauses.paused, commit_any),
+        lambda service: [],
     )
--- a/tests/common/sync_fleet.py
+++ b/tests/common/sync_fleet.py
@@ -11,7 +11,9 @@
 from godwitwheel.control.errors import NotLeading
 from godwitwheel.control.state import ControlState
 from godwitwheel.directory.commands import (
+    DropEntry,
     FencePrimary,
+    ForgetLost,
     PauseReplicas,
     PutEntry,
     ResumeReplicas,
@@ -97,6 +99,8 @@
             FencePrimary: directory.fence_primary,
             PauseReplicas: directory.pause_replicas,
             ResumeReplicas: directory.resume_replicas,
+            DropEntry: directory.drop_entry,
+            ForgetLost: directory.forget_lost,
         }[type(command)]
         self.fleet.index += 1
         return apply(self.fleet.index, command).applied
