--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -79,6 +79,8 @@
         json.dumps(SETTINGS).encode()[:-20],
         b"\xff\xfe",
         b"[]",
+        # Deeper than the decoder's own stack.
+        b'{"node_name": "n", "unknown": ' + b"[" * 100_000,
         json.dumps({**SETTINGS, "seeds": 7}).encode(),
         json.dumps({**SETTINGS, "internal_port_range": []}).encode(),
     ],
