--- a/tests/adapter/test_lines.py
+++ b/tests/adapter/test_lines.py
@@ -94,7 +94,23 @@
         assert parse_statement("id", text).text == text
 
 
-@pytest.mark.parametrize("text", ["3", "3.", ".4", "a.b", "3.4.5", "3.x", "²3.1"])
+MANY_DIGITS = "9" * 5000
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "3",
+        "3.",
+        ".4",
+        "a.b",
+        "3.4.5",
+        "3.x",
+        "²3.1",
+        f"3.{MANY_DIGITS}",
+        f"{MANY_DIGITS}.3",
+    ],
+)
 def test_malformed_positions_are_refused(text):
     with pytest.raises(ProtocolViolation):
         parse_position(text)
