Search a primary only once a target of its service is known

Callers: writes were refused for some 0.6 s shortly after a start, since control replaced a sound primary 34 ms after its first announcement.

Cause: proxies counted the 0.5 s of their search from when they had the table, and told control that they had confirmed no primary, though no target was known.

The new test failed before.

--- a/src/godwitwheel/sessions/reporting/sampler.py
+++ b/src/godwitwheel/sessions/reporting/sampler.py
@@ -72,6 +72,10 @@
         """
         board = self.context.board
         known_primary = board.known_primary(service)
+        if known_primary.confirmed_at is None and not board.targets_of(service):
+            # There is no target to search among, so that the search has not begun.
+            known_primary.search_started_at = None
+            return SEARCH_INTERVAL_S
         if known_primary.search_started_at is None:
             known_primary.search_started_at = board.clock.now()
         age_s = None
--- a/tests/cover/test_isolation.py
+++ b/tests/cover/test_isolation.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+import msgspec
+
 from godwitwheel.sessions.reporting.authority import LeasedAuthority
 from godwitwheel.sessions.reporting.isolation import (
     BALANCER_DELAY_S,
@@ -13,6 +15,7 @@
 )
 from godwitwheel.sessions.reporting.members import ControlMembers
 from godwitwheel.sessions.reporting.reporting import INITIAL_SEARCH_S, Reporter
+from godwitwheel.sessions.reporting.sampler import Sampler
 from tests.common.fake_sessions import SERVICE, FakeGroup
 
 NOW = 100.0
@@ -90,3 +93,26 @@
     assert reported_age_ms(reporter) == 0
     group.clock.advance(INITIAL_SEARCH_S)
     assert reported_age_ms(reporter) == round(1000 * INITIAL_SEARCH_S)
+
+
+def test_a_primary_is_not_searched_before_there_is_a_target():
+    # When a fleet started, the proxies had the table for half a second before the first
+    # target announced itself. Control took their reports for those of proxies that had
+    # tried its primary, and replaced that 34 ms after it had announced itself.
+    group = FakeGroup()
+    board = group.board
+    without_targets = msgspec.structs.replace(group.view(2), targets={}, primaries={})
+    board.apply_view(without_targets)
+    board.known_primaries.clear()
+    sampler = Sampler(group.context)
+    members = ControlMembers(["10.0.0.9:1"], random.Random(1))
+    reporter = Reporter(board, members, None, "p1")
+    group.primary.is_unresponsive = True
+    for _ in range(20):
+        group.clock.advance(sampler.sample(SERVICE))
+        assert reporter.build().primaries == []
+    board.apply_view(group.view(3))
+    sampler.sample(SERVICE)
+    assert reporter.build().primaries == []
+    group.clock.advance(INITIAL_SEARCH_S)
+    assert reported_age_ms(reporter) == round(1000 * INITIAL_SEARCH_S)
