Sync a log that was read before anything relies on it

Operators: a member that was killed while it synced could vote and acknowledge with a batch that a loss of power would still have taken.

Change: one fsync at each start; so far only after a torn end was cut off. Evidence: the new test of test_consensus_files.py failed before.

--- a/src/godwitwheel/consensus/file_storage.py
+++ b/src/godwitwheel/consensus/file_storage.py
@@ -167,7 +167,9 @@
         self._open_log(intact_bytes)
         if intact_bytes < len(data):
             os.ftruncate(self.log_fd, intact_bytes)
-            os.fsync(self.log_fd)
+        # A process that was killed while it synced may have left its last batch in
+        # memory, and what was read counts as synced from now on.
+        os.fsync(self.log_fd)
         if conflicts_with_snapshot(saved):
             reset_to_snapshot(saved)
             start = LogStart(saved.base_index, saved.base_term)
--- a/tests/cover/test_consensus_files.py
+++ b/tests/cover/test_consensus_files.py
@@ -125,3 +125,23 @@
         storage.load()
         with pytest.raises(StorageError), FileStorage(tmp_path):
             pass
+
+
+def test_a_log_that_was_read_is_synced_before_anything_relies_on_it(
+    tmp_path, monkeypatch
+):
+    """A process that was killed while it synced leaves a batch that a power loss ends.
+
+    Its next run votes and acknowledges with what it has read.
+    """
+    fill(tmp_path, [[entry(1)]])
+    synced = []
+    fsync = os.fsync
+
+    def record_sync(fd):
+        synced.append(os.readlink(f"/proc/self/fd/{fd}"))
+        fsync(fd)
+
+    monkeypatch.setattr(os, "fsync", record_sync)
+    load(tmp_path)
+    assert str(tmp_path / "log") in synced
