Recognize a late announcement also after a change of leader

Cause: the number of a target's last announcement was known to its leader only. The next one took a late announcement for the newest, so that the target was ready again, and the next true one counted as a new departure.

Change: an entry keeps the number of the announcement that changed it last; one that is not above it, of the same incarnation, changes nothing. Evidence: test_a_late_announcement_does_not_take_back_that_a_target_leaves failed before.

--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -221,8 +221,19 @@
         if self.grants_leases and entry.service in directory.view.primaries:
             # A former primary continues to claim the lead until it hears of the other.
             entry = msgspec.structs.replace(entry, claims_lead=False)
+        entry = msgspec.structs.replace(entry, sequence=sequence)
         known = directory.view.targets.get(entry.target_id)
-        if not is_newest or known == entry or directory.is_outdated(entry):
+        if not is_newest or directory.is_outdated(entry) or is_known(entry, known):
+            self.confirm()
+            return
+        if is_late(entry, known):
+            # Another leader has received a later one.
+            record_event(
+                EventName.announcement_late,
+                target_id=entry.target_id,
+                sequence=sequence,
+                known_sequence=known.sequence,
+            )
             self.confirm()
             return
         self._record_leaving(leadership, entry, known, now)
@@ -340,3 +351,20 @@
         except (BadMessage, InvalidTable) as error:
             record_event(EventName.table_refused, reason=str(error))
             raise InvalidTable(str(error)) from error
+
+
+def is_known(entry: TargetEntry, known: TargetEntry | None) -> bool:
+    """Whether an announcement says nothing new."""
+    if known is None:
+        return False
+    return msgspec.structs.replace(entry, sequence=known.sequence) == known
+
+
+def is_late(entry: TargetEntry, known: TargetEntry | None) -> bool:
+    """Whether an incarnation has announced something else after an announcement.
+
+    A leader may not have received that itself.
+    """
+    if known is None or known.incarnation() != entry.incarnation():
+        return False
+    return entry.sequence <= known.sequence
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -112,6 +112,8 @@
     :ivar slots: number of statements that it runs concurrently.
     :ivar leaving: it is draining and accepts no new work.
     :ivar claims_lead: it reports that it is the primary.
+    :ivar sequence: number of the announcement, within its incarnation, that changed the
+        entry last; 0 if it is not known.
     """
 
     target_id: str
@@ -122,6 +124,7 @@
     started_at_ms: int
     leaving: bool = False
     claims_lead: bool = False
+    sequence: int = 0
 
     def incarnation(self) -> Incarnation:
         """Returns which run of the target announced itself."""
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -62,6 +62,7 @@
     table_published = "table_published"
     table_refused = "table_refused"
     target_changed = "target_changed"
+    announcement_late = "announcement_late"
     primary_fenced = "primary_fenced"
     promotion_ordered = "promotion_ordered"
     promotion_answered = "promotion_answered"
--- a/tests/cover/test_leaving.py
+++ b/tests/cover/test_leaving.py
@@ -58,7 +58,7 @@
         self.announce("t2")
         self.member.member.commit_entry(SetPrimary(SERVICE, "t1"))
 
-    def announce(self, target_id, leaving=False, started_at_ms=10):
+    def announce(self, target_id, leaving=False, started_at_ms=10, sequence=None):
         self.sequence += 1
         entry = TargetEntry(
             target_id,
@@ -69,7 +69,7 @@
             started_at_ms,
             leaving,
         )
-        self.member.member.announce(entry, self.sequence)
+        self.member.member.announce(entry, sequence or self.sequence)
 
     def restart_control(self):
         self.member.restart(self.clock)
@@ -159,3 +159,27 @@
     assert proxy.uses("t1")
     fleet.clock.advance(1.0)
     assert not proxy.uses("t1")
+
+
+def test_a_late_announcement_does_not_take_back_that_a_target_leaves(fleet):
+    """A new leader took it for the newest one, and the next began another period."""
+    proxy = fleet.start_proxy("p1")
+    late = fleet.sequence
+    fleet.announce("t1", leaving=True)
+    proxy.report()
+    fleet.clock.advance(4.0)
+    fleet.restart_control()
+    fleet.announce("t1", sequence=late)
+    assert fleet.member.state.directory.view.targets["t1"].leaving
+    fleet.announce("t1", leaving=True)
+    proxy.report()
+    fleet.clock.advance(GRACE_S - 4.0)
+    proxy.report()
+    assert not proxy.uses("t1")
+
+
+def test_an_announcement_whose_number_a_new_leader_does_not_know_counts(fleet):
+    fleet.announce("t1", leaving=True)
+    fleet.restart_control()
+    fleet.announce("t2", leaving=True)
+    assert fleet.member.state.directory.view.targets["t2"].leaving
