Remove silent targets of services that no table names

Operators: such a target stayed listed for good if it ended without a word, since the removal waits for proxies that report it as out of reach, and none uses it.

Change: silence alone removes it; its next announcement adds it again. Evidence: the new case of test_lost_targets.py failed before.

--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -34,8 +34,8 @@
 UNEXPECTED_RETRY_S = 0.5
 # Delay before replicas that did not answer are told again to resume, in seconds.
 RESUME_RETRY_S = 1.0
-# A target that has not announced itself for this long, and that no proxy can reach,
-# is removed; its next announcement adds it again.
+# A target that has not announced itself for this long is removed, unless a proxy can
+# reach it; its next announcement adds it again.
 TARGET_EXPIRY_S = 12.0
 # Key for a change of the owners in ``DirectoryLeadership.in_progress``, next to service
 # names; no service has an empty name.
@@ -263,7 +263,9 @@
         for target_id, entry in view.targets.items():
             if leadership.announcement_age_s(target_id, now) < TARGET_EXPIRY_S:
                 continue
-            if not leadership.is_unreachable_from_all(entry, now):
+            # Nobody connects to the targets of a service that no table names.
+            is_used = entry.service in view.table.services
+            if is_used and not leadership.is_unreachable_from_all(entry, now):
                 continue
             # Restarts the timeout, so that a failed commit is not retried at once.
             leadership.reset_announcement_age(target_id, now)
@@ -273,8 +275,6 @@
     def _try_drop(self, target_id: str, started_at_ms: int) -> None:
         try:
             command = DropEntry(target_id, started_at_ms, may_return=True)
-            self.member.drop(
-                command, "no announcement, and unreachable from every proxy"
-            )
+            self.member.drop(command, "no announcement, and no proxy reaches it")
         except ControlError as error:
             record_failure(error)
--- a/tests/cover/test_lost_targets.py
+++ b/tests/cover/test_lost_targets.py
@@ -11,6 +11,7 @@
     PutTable,
     SetPrimary,
 )
+from godwitwheel.directory.controllers import TARGET_EXPIRY_S
 from godwitwheel.directory.lost_targets import MAX_LOST_PER_SERVICE, LostTarget
 from godwitwheel.directory.records import Incarnation, RoutingTable, ServicePolicy
 from godwitwheel.directory.state import Directory
@@ -258,3 +259,13 @@
     for started_at_ms in range(1, 2 * MAX_LOST_PER_SERVICE):
         directory.put_entry(9, PutEntry(entry("t2", 2, started_at_ms)))
     assert len(directory.lost.of(SERVICE)) == MAX_LOST_PER_SERVICE
+
+
+@pytest.mark.parametrize("service", [SERVICE, OTHER_SERVICE])
+def test_a_silent_target_of_a_service_that_no_table_names_is_removed(service):
+    """Nobody reports about it, so that it was listed for good."""
+    fleet = synchronous_fleet()
+    fleet.member.commit_entry(PutEntry(entry("n1", 9, service=service)))
+    fleet.run(TARGET_EXPIRY_S + 1.0)
+    is_listed = "n1" in fleet.state.directory.view.targets
+    assert is_listed is (service == SERVICE)
