--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -150,3 +151,19 @@
     event = json.loads(ended.stdout.splitlines()[-1])
     assert event["message_type"] == "process_failed"
     assert str(port) in event["reason"]
+
+
+def test_a_reload_signal_during_the_start_does_not_end_the_process(tmp_path):
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{unused.getsockname()[1]}"
+        command = [sys.executable, str(ROOT / "platform" / "run.py"), "front"]
+        # It waits here for the other process, long enough for the signal to come.
+        starting = subprocess.Popen(
+            [*command, "--start-after", address],
+            env={**os.environ, "GODWITWHEEL_CONFIG": str(tmp_path / "none.json")},
+            stdout=subprocess.DEVNULL,
+        )
+        time.sleep(1.0)
+        starting.send_signal(signal.SIGHUP)
+        assert starting.wait(30.0) == 1
