Roll back idle transactions side by side when a process stops

Callers: with targets that take 0.1 s for a rollback, and 60 or more open transactions, a front that stopped had to be killed, with the statements that it served.

Cause: the transactions that were left at half of the grace period were rolled back one after the other.

--- a/src/godwitwheel/sessions/serving.py
+++ b/src/godwitwheel/sessions/serving.py
@@ -3,9 +3,9 @@
 from abc import ABC, abstractmethod
 
 from ..internal.clock import Clock
-from ..internal.loop import sleep
+from ..internal.loop import sleep, spawn
 from ..internal.signals import ChangeSignal
-from ..observe.events import EventName, record_event
+from ..observe.events import EventName, record_event, record_failure
 from ..wire.streams import ProtocolError, StreamClosed, StreamTimeout
 from .access import authorize
 from .context import SessionContext, SessionState
@@ -194,11 +194,21 @@
                 presence.leave()
 
     def expire_transactions(self) -> None:
-        """Fails idle transactions, and ends every session that serves no statement."""
+        """Fails idle transactions, and ends every session that serves no statement.
+
+        Each in its own task: a slow target holds up no other session's end.
+        """
         for record in list(self.open_sessions):
             if not record.is_busy:
-                record.session.expire()
-                record.end()
+                spawn(self._expire, record)
+
+    def _expire(self, record: OpenSession) -> None:
+        try:
+            record.session.expire()
+        except Exception as error:
+            record_failure(error)
+        finally:
+            record.end()
 
     def _may_open(self, link: CallerLink, state: SessionState) -> bool:
         self._await_first_view()
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -10,9 +10,13 @@
 from fleet.callers import LineCallerLink
 from godwitwheel.directory.records import DirectoryView
 from godwitwheel.internal.clock import BootClock
-from godwitwheel.internal.loop import sleep
+from godwitwheel.internal.loop import Event, sleep
 from godwitwheel.sessions.running.runner import RunnerSelector
-from godwitwheel.sessions.serving import FIRST_VIEW_WAIT_S, SessionServer
+from godwitwheel.sessions.serving import (
+    FIRST_VIEW_WAIT_S,
+    OpenSession,
+    SessionServer,
+)
 from godwitwheel.wire.streams import StreamClosed, StreamServer, open_stream
 from tests.common.fake_sessions import FakeGroup, KeyedGroup
 from tests.common.framing import MessageReader
@@ -300,3 +304,40 @@
     assert idle.is_closed()
     assert busy.query("c", "COMMIT")[0] == "COMPLETE sig-c"
     assert busy.is_closed()
+
+
+class SlowSession:
+    """A session whose idle transaction takes long to be rolled back.
+
+    :ivar rolled_back: sent when it is.
+    """
+
+    def __init__(self):
+        self.transaction = object()
+        self.rolled_back = Event()
+
+    def expire(self):
+        self.rolled_back.wait()
+
+
+class NoLink:
+    """A connection that only ends."""
+
+    def end(self):
+        pass
+
+
+def test_a_slow_rollback_holds_up_no_other_session_of_a_process_that_stops():
+    """The process had to be killed while it rolled back one after the other."""
+    context = FakeGroup().context
+    server = SessionServer(context, RunnerSelector(context))
+    records = [OpenSession(NoLink(), SlowSession()) for _ in range(3)]
+    server.open_sessions.update(records)
+    server.expire_transactions()
+    sleep()
+    for record in records[1:]:
+        record.session.rolled_back.send()
+    for _ in range(3):
+        sleep()
+    assert [record.is_ended for record in records] == [False, True, True]
+    records[0].session.rolled_back.send()
