Tell proxies the age of every leaving target, not of primaries alone

Callers: a proxy that heard in one reply that a primary leaves and which target replaces it would have refused writes until that target led, though the leaving one still did.

Cause: ages went with leaving primaries only, and by then another target was named. Change: ages of all leaving targets go with changes of the view. Otherwise they are sent on request: by the leader to a proxy that lacks one, by proxies to a new leader.

--- a/src/godwitwheel/directory/leaving.py
+++ b/src/godwitwheel/directory/leaving.py
@@ -64,11 +64,15 @@
         since = self.since.get(target.incarnation())
         return None if since is None else now - since
 
+    def lacks_any(self, targets: Iterable[TargetEntry]) -> bool:
+        """Whether it is not known since when one of these targets is leaving."""
+        return any(target.incarnation() not in self.since for target in targets)
+
     def ages(self, targets: Iterable[TargetEntry], now: float) -> list[LeavingAge]:
-        """Returns the known ages of those targets that are leaving."""
+        """Returns the known ages of leaving targets."""
         known = []
         for target in targets:
-            age_s = self.age_s(target, now) if target.leaving else None
+            age_s = self.age_s(target, now)
             if age_s is not None:
                 age_ms = max(round(1000 * age_s), 0)
                 known.append(LeavingAge(target.incarnation(), age_ms))
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -121,9 +121,9 @@
             leadership = self.current_leadership()
             leadership.grant_lease(report, view.version, received_at)
         rates = self._answer_rates(report, received_at)
-        leaving_ages = []
-        if report.wants_targets:
-            leaving_ages = leadership.leaving.ages(view.primary_entries(), now)
+        leaving = view.leaving_targets() if report.wants_targets else []
+        gets_ages = change is not None or report.wants_leaving_ages
+        leaving_ages = leadership.leaving.ages(leaving, now) if gets_ages else []
         return ProxyReply(
             view.version,
             proxies,
@@ -133,6 +133,7 @@
             len(leadership.live_owners(now)),
             change,
             rates,
+            leadership.leaving.lacks_any(leaving),
             leaving_ages,
         )
 
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -169,13 +169,9 @@
     owners: dict[str, OwnerEntry] = {}
     fences: dict[str, str] = {}
 
-    def primary_entries(self) -> list[TargetEntry]:
-        """Returns the primaries that are listed as targets."""
-        return [
-            self.targets[target_id]
-            for target_id in self.primaries.values()
-            if target_id in self.targets
-        ]
+    def leaving_targets(self) -> list[TargetEntry]:
+        """Returns the targets that are leaving."""
+        return [target for target in self.targets.values() if target.leaving]
 
 
 class LeavingAge(msgspec.Struct, frozen=True):
@@ -321,7 +317,9 @@
     :ivar rates: set by runners where accounts have limits; otherwise left out of the
         message.
     :ivar build: what the proxy runs, or empty in most reports.
-    :ivar leaving_ages: for the primaries that are leaving, as far as known.
+    :ivar wants_leaving_ages: whether it does not know the age of a leaving target.
+    :ivar leaving_ages: of the leaving targets, as far as known, if the leader has asked
+        for them.
     """
 
     proxy_id: str
@@ -337,6 +335,7 @@
     wants_targets: bool = True
     rates: RateReport | msgspec.UnsetType = msgspec.UNSET
     build: str = ""
+    wants_leaving_ages: bool = False
     leaving_ages: list[LeavingAge] = []
 
 
@@ -352,8 +351,10 @@
     :ivar view_change: leads to the active view; ``None`` if the proxy holds that, or is
         to ask again because the leader is busy with the views of others.
     :ivar rates: set if the report's are; otherwise left out of the message.
-    :ivar leaving_ages: for the primaries of the active view that are leaving, as far as
-        known, if the proxy wants targets.
+    :ivar wants_leaving_ages: whether the leader does not know the age of a leaving
+        target.
+    :ivar leaving_ages: of the leaving targets, as far as known, with a change of the
+        view and if the proxy has asked for them.
     """
 
     view_version: Count
@@ -364,6 +365,7 @@
     owners: int = 0
     view_change: ViewChange | None = None
     rates: RateReply | msgspec.UnsetType = msgspec.UNSET
+    wants_leaving_ages: bool = False
     leaving_ages: list[LeavingAge] = []
 
 
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -60,7 +60,7 @@
     :ivar owners: how many processes may become owners of connections.
     :ivar leaving_grace_s: how long after its announcement a primary that is leaving may
         get new work while another target is promoted, in seconds.
-    :ivar leaving: since when primaries have been leaving, as control has told.
+    :ivar leaving: since when targets have been leaving, as control has told.
     :ivar changed: notified when a primary or the view changes, or a report to control
         is to be sent at once.
     """
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -51,6 +51,8 @@
     :ivar failures: reports in a row that no leader answered.
     :ivar redirects: redirects to a leader since a leader answered last.
     :ivar answered_at: when a leader answered last, or ``None``.
+    :ivar is_asked_for_ages: whether the leader has asked since when targets are
+        leaving.
     :ivar is_control_unreachable: whether a report has failed since control answered
         last.
     :ivar build_notice: when a leader was last told what this process runs.
@@ -70,6 +72,7 @@
         "leaving",
         "owner_address",
         "answered_at",
+        "is_asked_for_ages",
         "is_control_unreachable",
         "build_notice",
     )
@@ -95,6 +98,7 @@
         self.redirects = 0
         self.leaving = False
         self.answered_at: float | None = None
+        self.is_asked_for_ages = False
         self.is_control_unreachable = False
         self.build_notice = BuildNotice()
 
@@ -207,6 +211,8 @@
         ]
         wants_targets = board.wants_targets()
         self.asked_targets = wants_targets
+        leaving = board.view.leaving_targets()
+        ages = board.leaving.ages(leaving, now) if self.is_asked_for_ages else []
         return ProxyReport(
             self.proxy_id,
             board.data_centre,
@@ -221,7 +227,8 @@
             wants_targets,
             rates=build_rate_report(board, now),
             build=self._build_to_report(now),
-            leaving_ages=board.leaving.ages(board.view.primary_entries(), now),
+            wants_leaving_ages=board.leaving.lacks_any(leaving),
+            leaving_ages=ages,
         )
 
     def _build_to_report(self, now: float) -> str:
@@ -266,6 +273,7 @@
         if reply.view_change is not None:
             self._apply_change(reply.view_change)
         board.leaving.learn(reply.leaving_ages, sent_at)
+        self.is_asked_for_ages = reply.wants_leaving_ages
         is_refused = reply.view_change is None and board.lacks_targets()
         self.is_postponed = board.view.version < reply.view_version or is_refused
         if reply.table_version == board.view.table.version:
--- a/tests/cover/test_leaving.py
+++ b/tests/cover/test_leaving.py
@@ -126,6 +126,7 @@
     restarted = fleet.start_proxy("p2")
     # Nobody has told it yet when the target began to leave.
     assert not restarted.uses("t1")
+    # The leader asks the first one, whose next report tells it.
     staying.report()
     restarted.report()
     assert staying.uses("t1") and restarted.uses("t1")
@@ -178,6 +179,18 @@
     assert not proxy.uses("t1")
 
 
+def test_a_leaving_primary_is_used_until_its_replacement_leads(fleet):
+    """A proxy that hears of both at once goes on with the target that still leads."""
+    proxy = fleet.start_proxy("p1")
+    fleet.announce("t1", leaving=True)
+    fleet.member.member.commit_entry(SetPrimary(SERVICE, "t2", 1))
+    proxy.report()
+    proxy.board.known_primary(SERVICE).target_id = "t1"
+    assert proxy.uses("t1")
+    fleet.clock.advance(GRACE_S)
+    assert not proxy.uses("t1")
+
+
 def test_an_announcement_whose_number_a_new_leader_does_not_know_counts(fleet):
     fleet.announce("t1", leaving=True)
     fleet.restart_control()
