Let a new leader ask more than once since when targets leave

A new leader counts from when it received a proxy's report, and a delayed one made it count less than the proxy does.

Change: it asks for as long as processes report to it for the first time; the longest age holds. Evidence: the new test of test_leaving.py failed before, by 0.6 s of delay.

--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -8,6 +8,7 @@
 from .records import DirectoryView, ProxyReport, TargetEntry
 from .report_timing import (
     MAX_REPORT_AGE_S,
+    NEW_LEADER_GRACE_S,
     OWNER_TIMEOUT_S,
     PRIMARY_LEASE_S,
     PROXY_EXPIRY_S,
@@ -126,6 +127,11 @@
             holder_name(report), report.drained_version, carried_version, received_at
         )
 
+    def wants_leaving_ages(self, leaving: list[TargetEntry], now: float) -> bool:
+        """Whether processes are to tell since when these targets are leaving."""
+        is_new = now - self.leader_since < NEW_LEADER_GRACE_S
+        return is_new or self.leaving.lacks_any(leaving)
+
     def expire_proxies(self, now: float) -> list[str]:
         """Removes the proxies that have stopped reporting, and returns their ids."""
         expired = [
--- a/src/godwitwheel/directory/leaving.py
+++ b/src/godwitwheel/directory/leaving.py
@@ -4,8 +4,9 @@
 of the announcement late, must not begin a period of its own. Processes carry the time
 that has passed, since their clocks have different origins. Of several ages the longest
 one holds. A proxy counts from when it sent the request that brought the age, so that
-its count is never behind control's. Control counts from when it received a report, and
-is corrected by the next one if that report was delayed.
+its count is never behind control's. A new leader counts from when it received a report.
+Since that may have been delayed, it asks again for as long as processes report to it
+for the first time.
 """
 
 from collections.abc import Iterable
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -124,6 +124,7 @@
         leaving = view.leaving_targets() if report.wants_targets else []
         gets_ages = change is not None or report.wants_leaving_ages
         leaving_ages = leadership.leaving.ages(leaving, now) if gets_ages else []
+        wants_ages = bool(leaving) and leadership.wants_leaving_ages(leaving, now)
         return ProxyReply(
             view.version,
             proxies,
@@ -133,7 +134,7 @@
             len(leadership.live_owners(now)),
             change,
             rates,
-            leadership.leaving.lacks_any(leaving),
+            wants_ages,
             leaving_ages,
         )
 
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -351,8 +351,7 @@
     :ivar view_change: leads to the active view; ``None`` if the proxy holds that, or is
         to ask again because the leader is busy with the views of others.
     :ivar rates: set if the report's are; otherwise left out of the message.
-    :ivar wants_leaving_ages: whether the leader does not know the age of a leaving
-        target.
+    :ivar wants_leaving_ages: whether the leader asks for the ages of leaving targets.
     :ivar leaving_ages: of the leaving targets, as far as known, with a change of the
         view and if the proxy has asked for them.
     """
--- a/tests/cover/test_leaving.py
+++ b/tests/cover/test_leaving.py
@@ -74,6 +74,11 @@
     def restart_control(self):
         self.member.restart(self.clock)
 
+    def elect(self):
+        """Lets the member have become leader just now."""
+        since = self.clock.now()
+        self.member.log.leader_since = lambda: since
+
     def start_proxy(self, name):
         proxy = Proxy(self, name)
         proxy.report()
@@ -137,6 +142,28 @@
     assert not restarted.uses("t1")
 
 
+def test_a_new_leader_asks_again_as_its_first_report_may_have_been_delayed(fleet):
+    """It would otherwise count less than the proxy that has told it."""
+    staying = fleet.start_proxy("p1")
+    fleet.announce("t1", leaving=True)
+    staying.report()
+    fleet.restart_control()
+    fleet.elect()
+    staying.report()
+    delayed = staying.reporter.build()
+    assert delayed.leaving_ages
+    fleet.clock.advance(0.6)
+    fleet.restart_control()
+    fleet.elect()
+    # It was read 0.6 s after it had been sent.
+    fleet.member.member.report(delayed)
+    staying.report()
+    restarted = fleet.start_proxy("p2")
+    fleet.clock.advance(GRACE_S - 0.6)
+    assert not staying.uses("t1")
+    assert not restarted.uses("t1")
+
+
 def test_an_announcement_that_a_new_leader_receives_again_is_not_new(fleet):
     fleet.announce("t1", leaving=True)
     fleet.clock.advance(3.0)
