Let unknown operations leave the window at their own rate

Callers: an account could run more operations than its limit after an election, if a runner restarted at once: 142 of 141 in a window of 5 s.

Cause: the operations of a run that has ended are unknown to a new leader, which took them to leave the window at the whole rate of the account, though only a part of the operations had run there.

Change: they leave at their part of the rate.

--- a/src/godwitwheel/accounts/rate_shares.py
+++ b/src/godwitwheel/accounts/rate_shares.py
@@ -403,7 +403,8 @@
         A former leader granted no more than the limit; what the runners have introduced
         is a part of that. Once all former owners have reported, or the leases have
         ended, only operations of the past count, such as those of a process that has
-        restarted. They leave the window at the account's rate; its burst, at the end.
+        restarted. They leave the window at their part of the account's rate; their
+        part of its burst, at the end.
         """
         is_former = self.former_accounts is None or policy.name in self.former_accounts
         past_s = now - self._unknown_from()
@@ -414,8 +415,10 @@
             for run in [*self.runners.values(), *self.replaced]
             if run.introduced is not None
         ]
-        left_window = max(past_s, 0.0) * policy.rate_per_s
-        return max(most_operations(policy) - sum(introduced) - left_window, 0.0)
+        most = most_operations(policy)
+        unknown = max(most - sum(introduced), 0.0)
+        left_window = max(past_s, 0.0) * policy.rate_per_s * unknown / most
+        return max(unknown - left_window, 0.0)
 
 
 def share_of(whole: float, index: int, used: list[int], demands: list[float]) -> float:
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -157,6 +157,16 @@
     )
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_the_limit_holds_if_a_runner_restarts_right_after_an_election(seed):
+    """What its former run had used was taken to leave the window too soon."""
+    machine = LimitMachine()
+    machine.start(seed=seed, limit=(20.0, 10.0), loss=0.0, late=0.0)
+    machine.elect_another_leader()
+    machine.restart(name="o1")
+    machine.limit_is_used_again()
+
+
 class Load:
     """A load on four services, each of which has one owner.
 
