--- a/src/godwitwheel/directory/candidates.py
+++ b/src/godwitwheel/directory/candidates.py
@@ -261,6 +261,18 @@
     A fenced primary is one of them: it takes over again if no other target can.
     """
     excluded_id = "" if service in view.fences else view.primaries.get(service, "")
+    return targets_without(excluded_id, service, view)
+
+
+def replicas_of(service: str, view: DirectoryView) -> list[TargetEntry]:
+    """Returns all targets of a service but its primary, also if that is fenced."""
+    return targets_without(view.primaries.get(service, ""), service, view)
+
+
+def targets_without(
+    excluded_id: str, service: str, view: DirectoryView
+) -> list[TargetEntry]:
+    """Returns all targets of a service but one."""
     return [
         entry
         for entry in view.targets.values()
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -78,10 +78,14 @@
             confirm,
             fence_for(member),
             self.pauses,
-            lambda service: member.state.directory.lost.of(service),
+            member.state.directory.lost.of,
         )
         self.lost_target_checks = LostTargetChecks(
-            member.state.directory, queries, member.commit_entry, member.clock
+            member.state.directory,
+            queries,
+            self.pauses,
+            member.commit_entry,
+            member.clock,
         )
 
     def run(self) -> None:
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -130,7 +130,7 @@
     def wants_leaving_ages(self, leaving: list[TargetEntry], now: float) -> bool:
         """Whether processes are to tell since when these targets are leaving."""
         is_new = now - self.leader_since < NEW_LEADER_GRACE_S
-        return is_new or self.leaving.lacks_any(leaving)
+        return bool(leaving) and (is_new or self.leaving.lacks_any(leaving))
 
     def expire_proxies(self, now: float) -> list[str]:
         """Removes the proxies that have stopped reporting, and returns their ids."""
--- a/src/godwitwheel/directory/lost_target_checks.py
+++ b/src/godwitwheel/directory/lost_target_checks.py
@@ -7,7 +7,9 @@
 from ..internal.loop import spawn
 from ..observe.events import EventName, record_event, record_failure
 from ..sessions.connections.connection import ReplicaStatus
+from .candidates import replicas_of
 from .commands import ForgetLost
+from .pausing import ReplicaPauses
 from .records import TargetEntry
 from .state import Directory
 from .target_queries import TargetQueries
@@ -23,22 +25,33 @@
     received all that it has, a target that was lost before holds nothing that they
     don't hold, and can't acknowledge anything more.
 
+    :ivar pauses: tells which orders may be carried out late.
     :ivar commit: commits a command and returns whether it changed anything.
     :ivar in_progress: services that are being checked.
     :ivar next_at: by service, when it is checked next, in seconds of the clock.
     """
 
-    __slots__ = ("directory", "queries", "commit", "clock", "in_progress", "next_at")
+    __slots__ = (
+        "directory",
+        "queries",
+        "pauses",
+        "commit",
+        "clock",
+        "in_progress",
+        "next_at",
+    )
 
     def __init__(
         self,
         directory: Directory,
         queries: TargetQueries,
+        pauses: ReplicaPauses,
         commit: Callable,
         clock: Clock,
     ):
         self.directory = directory
         self.queries = queries
+        self.pauses = pauses
         self.commit = commit
         self.clock = clock
         self.in_progress: set[str] = set()
@@ -60,8 +73,7 @@
 
     def _is_replaced(self, service: str) -> bool:
         """Whether another target may become the primary without control's knowledge."""
-        paused = self.directory.paused.get(service)
-        has_candidate = paused is not None and bool(paused.candidate)
+        has_candidate = bool(self.pauses.candidate_of(service))
         return has_candidate or service in self.directory.view.fences
 
     def _check(self, service: str) -> None:
@@ -88,12 +100,7 @@
         (led,) = self.queries.ask_statuses([primary])
         if led is None or not led.is_primary:
             return
-        replicas = [
-            entry
-            for entry in view.targets.values()
-            if entry.service == service and entry.target_id != primary.target_id
-        ]
-        holders = self._holders(replicas, led)
+        holders = self._holders(replicas_of(service, view), led)
         if len(holders) >= needed and self.commit(ForgetLost(service, lost)):
             record_event(
                 EventName.lost_targets_forgotten,
--- a/src/godwitwheel/directory/member.py
+++ b/src/godwitwheel/directory/member.py
@@ -124,7 +124,7 @@
         leaving = view.leaving_targets() if report.wants_targets else []
         gets_ages = change is not None or report.wants_leaving_ages
         leaving_ages = leadership.leaving.ages(leaving, now) if gets_ages else []
-        wants_ages = bool(leaving) and leadership.wants_leaving_ages(leaving, now)
+        wants_ages = leadership.wants_leaving_ages(leaving, now)
         return ProxyReply(
             view.version,
             proxies,
@@ -223,12 +223,11 @@
         if self.grants_leases and entry.service in directory.view.primaries:
             # A former primary continues to claim the lead until it hears of the other.
             entry = msgspec.structs.replace(entry, claims_lead=False)
-        entry = msgspec.structs.replace(entry, sequence=sequence)
         known = directory.view.targets.get(entry.target_id)
         if not is_newest or directory.is_outdated(entry) or is_known(entry, known):
             self.confirm()
             return
-        if is_late(entry, known):
+        if is_late(entry, sequence, known):
             # Another leader has received a later one.
             record_event(
                 EventName.announcement_late,
@@ -238,6 +237,7 @@
             )
             self.confirm()
             return
+        entry = msgspec.structs.replace(entry, sequence=sequence)
         self._record_leaving(leadership, entry, known, now)
         if self.commit_entry(PutEntry(entry)):
             record_event(
@@ -362,11 +362,13 @@
     return msgspec.structs.replace(entry, sequence=known.sequence) == known
 
 
-def is_late(entry: TargetEntry, known: TargetEntry | None) -> bool:
+def is_late(entry: TargetEntry, sequence: int, known: TargetEntry | None) -> bool:
     """Whether an incarnation has announced something else after an announcement.
 
     A leader may not have received that itself.
+
+    :param sequence: number of the announcement.
     """
     if known is None or known.incarnation() != entry.incarnation():
         return False
-    return entry.sequence <= known.sequence
+    return sequence <= known.sequence
--- a/src/godwitwheel/directory/pausing.py
+++ b/src/godwitwheel/directory/pausing.py
@@ -15,7 +15,7 @@
 
 from ..observe.events import EventName, record_event
 from ..sessions.connections.connection import PauseReceiving, ResumeReceiving
-from .candidates import Candidate
+from .candidates import Candidate, replicas_of
 from .commands import PauseReplicas, ResumeReplicas
 from .errors import PromotionFailed, ResumeFailed
 from .failover import Observation
@@ -91,12 +91,7 @@
         :raises ControlError: if this member does not lead.
         """
         paused = self.read_paused()[service]
-        entries = [
-            entry
-            for entry in view.targets.values()
-            if entry.service == service
-            and entry.target_id != view.primaries.get(service)
-        ]
+        entries = replicas_of(service, view)
         answers = self.queries.command_all([entries], ResumeReceiving(), [])
         still_paused = [
             each.entry.target_id for each in answers if each.received is None
--- a/src/godwitwheel/directory/target_queries.py
+++ b/src/godwitwheel/directory/target_queries.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ..internal.clock import Clock
-from ..internal.loop import Task, spawn
+from ..internal.loop import spawn
 from ..observe.events import EventName, record_event, record_failure
 from ..sessions.connections.connection import (
     AskStatus,
@@ -42,8 +42,8 @@
         """
         candidates = []
         for entries in groups:
-            asking = [spawn(self._ask, entry) for entry in entries]
-            candidates += candidates_of(entries, asking, observations)
+            statuses = self.ask_statuses(entries)
+            candidates += candidates_of(entries, statuses, observations)
         return candidates
 
     def ask_statuses(self, entries: list[TargetEntry]) -> list[ReplicaStatus | None]:
@@ -75,7 +75,8 @@
                     spawn(self._exchange, entry, connection, command, send_before)
                     for entry, connection in zip(entries, connections, strict=True)
                 ]
-                candidates += candidates_of(entries, sending, observations)
+                statuses = [task.wait() for task in sending]
+                candidates += candidates_of(entries, statuses, observations)
             finally:
                 close_all(connections)
         return candidates
@@ -123,12 +124,13 @@
 
 
 def candidates_of(
-    entries: list[TargetEntry], tasks: list[Task], observations: list[Observation]
+    entries: list[TargetEntry],
+    statuses: list[ReplicaStatus | None],
+    observations: list[Observation],
 ) -> list[Candidate]:
-    """Waits for the targets' answers, and returns them with their positions."""
+    """Returns targets with the positions that they have answered."""
     candidates = []
-    for entry, task in zip(entries, tasks, strict=True):
-        status = task.wait()
+    for entry, status in zip(entries, statuses, strict=True):
         received = None if status is None else status.received
         term = 0 if status is None else status.term
         unreachable_from = count_unreachable_from(entry.target_id, observations)
