Time decoders with the measurement that the other slopes use

Cause: decoder_slopes had its own loop over repeats beside fit.processor_us. Test limits and bodies are as before.

--- a/bench/slopes/decoder_slopes.py
+++ b/bench/slopes/decoder_slopes.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import time
 from collections.abc import Callable
 
 from fleet.control_api import Departure, Heartbeat
@@ -29,30 +28,18 @@
 from godwitwheel.wire.http1 import HEAD_END, ResponseReader, parse_request_head
 from godwitwheel.wire.server import MAX_HEAD_BYTES, HttpProtocol, RouteTable
 
+from .fit import processor_us
 from .odd_bodies import configurations, invalid_bodies
 
 # Bodies that the platform's operator and targets may send at most.
 MAX_BODY_BYTES = 256 * 1024
 SIZES = [size * 1024 for size in (16, 32, 64, 128, 256)]
-REPEATS = 3
 # Bytes that end a target or a header, or that the parser refuses at once.
 UNUSABLE_IN_HEADS = bytes([*range(33), 127])
 
 Decoder = Callable[[bytes], object]
 
 
-def tolerant(decoder: Decoder) -> Decoder:
-    """Returns a decoder that ends quietly on bodies that it refuses."""
-
-    def decode_tolerantly(body: bytes) -> None:
-        with contextlib.suppress(
-            WireError, InvalidTable, InvalidSettingsFile, UnicodeDecodeError
-        ):
-            decoder(body)
-
-    return decode_tolerantly
-
-
 def decode_configuration(body: bytes) -> RoutingTable:
     """Checks and decodes a configuration as control does when it receives one."""
     check_nesting(body)
@@ -137,14 +124,15 @@
 
 
 def processor_s(decoder: Decoder, body: bytes) -> float:
-    """Returns the least processor time of some calls, in seconds."""
-    read = tolerant(decoder)
-    times = []
-    for _ in range(REPEATS):
-        start = time.process_time()
-        read(body)
-        times.append(time.process_time() - start)
-    return min(times)
+    """Returns the processor time of reading or refusing a body, in seconds."""
+
+    def read() -> None:
+        with contextlib.suppress(
+            WireError, InvalidTable, InvalidSettingsFile, UnicodeDecodeError
+        ):
+            decoder(body)
+
+    return processor_us(read, 1) / 1e6
 
 
 def slowest_bodies(size: int) -> dict[str, tuple[str, float]]:
