--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import os
-import sys
 import tempfile
 from pathlib import Path
 
@@ -24,7 +23,9 @@
     # Half of the six fronts are cut off; the limit is a share of 0.65.
     names = {"replicas", "core", "core-1/core", "core-2/core", "core-3/core"}
     first.cut(names | {f"front-{number}/front" for number in (1, 2, 3)})
-    asyncio.create_task(later(7.0, lambda: (first.heal(), cut_until.append(now(deployment)))))
+    asyncio.create_task(
+        later(7.0, lambda: (first.heal(), cut_until.append(now(deployment))))
+    )
     for pause_s in (3.2, 3.2):
         await asyncio.sleep(pause_s)
         successor = deployment.group.leader()
@@ -93,7 +94,10 @@
         found = violations(deployment, clients, cut_until)
         for write, commit in found:
             record.add(
-                "ONE", write.request_id, "by", f"front-{write.front + 1}:",
+                "ONE",
+                write.request_id,
+                "by",
+                f"front-{write.front + 1}:",
                 f"committed at {commit.at:.4f} by {commit.backend.id} in term",
                 f"{commit.term}, which ended at {commit.newer_term_since:.4f};",
                 f"acknowledged at {write.answered_at:.4f}",
