--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import os
+import shutil
+import signal
 import tempfile
 from pathlib import Path
 
@@ -33,7 +35,7 @@
             deployment.record.add("no promotion to disturb")
             return
         successor.go_dark()
-        asyncio.create_task(later(7.0, successor.come_back))
+        asyncio.create_task(later(6.8, successor.come_back))
     await asyncio.sleep(5.0)
 
 
@@ -87,6 +89,10 @@
         if served < 50:
             record.add("only", served, "writes were served before the trouble")
             return COULD_NOT_RUN
+        fronts = {f"front-{number}/front" for number in range(1, 7)}
+        if not fronts <= deployment.group.peers:
+            record.add("the fronts' connections could not be told apart")
+            return COULD_NOT_RUN
         if has_trouble:
             await cause_trouble(deployment, cut_until)
         else:
@@ -108,7 +114,17 @@
         deployment.stop()
 
 
+def end_by_signal(signal_number, frame):
+    """Ends all child processes; the signal may come twice."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    for deployment in Deployment.started:
+        deployment.stop()
+        shutil.rmtree(deployment.folder, ignore_errors=True)
+    os._exit(COULD_NOT_RUN)
+
+
 def main():
+    signal.signal(signal.SIGTERM, end_by_signal)
     record = Record(HERE / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as folder:
