Name a promoted target once it is seen to lead, not once its order is answered

What callers saw: acknowledged writes that were lost. After two promotions a former primary, which still led its first term, was ordered to take over.

Cause: Promoter.replace committed SetPrimary, which ends the fence, as soon as the platform had answered. Processes then took the target for the primary by its id alone.

Change: where processes need leases, the target of an order is named once its own status shows that it leads in a term above all that control knew before the first sending of that order. That bound is committed with the candidate, so that a new leader, or a retry after a lost answer, compares with the same one; either first looks whether the promotion has taken effect. A former primary that is named again counts as named anew.

--- a/src/godwitwheel/directory/candidates.py
+++ b/src/godwitwheel/directory/candidates.py
@@ -13,10 +13,12 @@
     """A target that was asked for its position before a promotion.
 
     :ivar received: last log position that it received; ``None`` if it did not answer.
+    :ivar term: newest term that it knows; 0 if it did not answer.
     :ivar unreachable_from: number of proxies that can't reach it.
+    :ivar is_primary: whether it leads a term, which may have ended.
     """
 
-    __slots__ = ("entry", "received", "term", "unreachable_from")
+    __slots__ = ("entry", "received", "term", "unreachable_from", "is_primary")
 
     def __init__(
         self,
@@ -24,11 +26,13 @@
         received: Position | None,
         term: int,
         unreachable_from: int,
+        is_primary: bool = False,
     ):
         self.entry = entry
         self.received = received
         self.term = term
         self.unreachable_from = unreachable_from
+        self.is_primary = is_primary
 
 
 class Replacement:
--- a/src/godwitwheel/directory/commands.py
+++ b/src/godwitwheel/directory/commands.py
@@ -36,11 +36,13 @@
     """Sets a service's primary, or the target that was ordered to become it.
 
     :ivar token: fencing token of the order; 0 if the target was already primary.
+    :ivar term: term in which the target was seen to lead; 0 if it is not known yet.
     """
 
     service: str
     target_id: str
     token: int = 0
+    term: int = 0
 
 
 class FencePrimary(msgspec.Struct, frozen=True, tag="fence_primary"):
@@ -48,10 +50,13 @@
 
     :ivar candidate: target that is about to be ordered to take over; empty if none is
         chosen yet.
+    :ivar above_term: the promotion of the candidate has taken effect once it leads in a
+        term above this one; read before the first order for it was sent.
     """
 
     service: str
     candidate: str = ""
+    above_term: int = 0
 
 
 class PauseReplicas(msgspec.Struct, frozen=True, tag="pause_replicas"):
--- a/src/godwitwheel/directory/controllers.py
+++ b/src/godwitwheel/directory/controllers.py
@@ -8,6 +8,7 @@
 from ..observe.events import EventName, record_event, record_failure
 from ..sessions.connections.connection import Connector
 from .commands import DropEntry, SetOwners, SetPrimary
+from .effects import PromotionEffects
 from .errors import PromotionFailed, PromotionWithheld, ResumeFailed
 from .failover import (
     Assessment,
@@ -42,7 +43,7 @@
 OWNERS_KEY = ""
 
 
-def fence_for(member: DirectoryMember) -> PrimaryFence:
+def fence_for(member: DirectoryMember, queries: TargetQueries) -> PrimaryFence:
     """Returns the fence that the platform requires."""
     if not member.grants_leases:
         return PlatformFence()
@@ -50,7 +51,8 @@
     def read_view() -> DirectoryView:
         return member.state.directory.view
 
-    return LeaseFence(read_view, member.commit_entry, member.clock)
+    effects = PromotionEffects(queries, lambda: member.state.directory, member.clock)
+    return LeaseFence(read_view, member.commit_entry, member.clock, effects)
 
 
 class DirectoryControllers:
@@ -76,7 +78,7 @@
             member.clock,
             member.commit_entry,
             confirm,
-            fence_for(member),
+            fence_for(member, queries),
             self.pauses,
             member.state.directory.lost.of,
         )
--- a/src/godwitwheel/directory/errors.py
+++ b/src/godwitwheel/directory/errors.py
@@ -27,6 +27,10 @@
     """No target can be promoted at present, and no order was sent."""
 
 
+class PromotionNotInEffect(PromotionFailed):
+    """The target of an answered order was not seen to lead in a new term."""
+
+
 class ResumeFailed(DirectoryError):
     """A replica that may be paused did not confirm that it receives again."""
 
--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -49,6 +49,19 @@
         """
 
 
+class Choice:
+    """The target that is to be promoted.
+
+    :ivar newest_term: newest term that a target of the service has answered.
+    """
+
+    __slots__ = ("candidate", "newest_term")
+
+    def __init__(self, candidate: Candidate, newest_term: int):
+        self.candidate = candidate
+        self.newest_term = newest_term
+
+
 def fencing_token(leadership: DirectoryLeadership) -> int:
     """Returns a fencing token above those of all earlier orders.
 
@@ -114,9 +127,20 @@
         :raises PromotionWithheld: if no target can be promoted; nothing was ordered.
         :raises PromotionFailed: if no order was sent, or it was not confirmed.
         """
-        candidate = self._choose(leadership, service, view, observations, reason)
+        asked = rule_for(service, view).asked_targets(service, view)
+        candidates = self.queries.ask_all(asked, observations)
+        promoted = self.fence.find_promoted(service, candidates)
+        if promoted is not None:
+            # Its order was carried out after the answer was lost, or after its leader
+            # had ended.
+            self._name(service, promoted.entry.target_id, 0, promoted.term)
+            return
+        choice = self._choose(
+            leadership, service, view, candidates, observations, reason
+        )
+        candidate = choice.candidate
         target_id = candidate.entry.target_id
-        self.fence.prepare_order(leadership, service, target_id)
+        self.fence.prepare_order(leadership, service, target_id, choice.newest_term)
         pending_id = self.pauses.candidate_of(service)
         if rule_for(service, view).pauses_replicas:
             self.pauses.record_candidate(service, target_id)
@@ -140,7 +164,6 @@
                 # No order can be carried out late.
                 self.pauses.forget_candidate(service)
             raise
-        self.commit(SetPrimary(service, target_id, order.token))
         record_event(
             EventName.promotion_answered,
             service=service,
@@ -148,33 +171,53 @@
             token=order.token,
             outcome="done",
         )
+        term = self.fence.await_promotion(service, candidate.entry, order)
+        self._name(service, target_id, order.token, term)
+
+    def _name(self, service: str, target_id: str, token: int, term: int) -> None:
+        """Commits a primary, from when on processes rely on it.
+
+        :param term: term in which it was seen to lead; 0 if that is not known.
+        """
+        self.commit(SetPrimary(service, target_id, token, term))
+        record_event(
+            EventName.primary_named,
+            service=service,
+            target_id=target_id,
+            token=token,
+            term=term,
+        )
 
     def _choose(
         self,
         leadership: DirectoryLeadership,
         service: str,
         view: DirectoryView,
+        candidates: list[Candidate],
         observations: list[Observation],
         reason: str,
-    ) -> Candidate:
-        """Returns the target to promote, once nobody relies on the primary any more."""
+    ) -> Choice:
+        """Returns the target to promote, once nobody relies on the primary any more.
+
+        :param candidates: the targets as they have answered before that.
+        """
         rule = rule_for(service, view)
-        asked = rule.asked_targets(service, view)
-        candidates = self.queries.ask_all(asked, observations)
         chosen = self._select(service, view, candidates, observations, reason)
         fenced = self.fence.establish(leadership, service, view)
+        newest_term = max(each.term for each in candidates)
         if fenced is view and not rule.pauses_replicas:
-            return chosen
+            return Choice(chosen, newest_term)
         # Positions may have changed while the leases were waited for.
         asked = rule.asked_after_fence(service, fenced, candidates)
         if rule.pauses_replicas:
-            term = max(each.term for each in candidates) + 1
+            term = newest_term + 1
             if fenced is view:
                 self._stop_primary(service, view, asked, term)
             candidates = self.pauses.pause(service, asked, term, observations)
         else:
             candidates = self.queries.ask_all(asked, observations)
-        return self._select(service, fenced, candidates, observations, reason)
+        chosen = self._select(service, fenced, candidates, observations, reason)
+        return Choice(chosen, max(newest_term, *(each.term for each in candidates)))
 
     def _stop_primary(
         self,
--- a/src/godwitwheel/directory/state.py
+++ b/src/godwitwheel/directory/state.py
@@ -19,6 +19,7 @@
 from .documents import unpack_document
 from .errors import InvalidTable
 from .lost_targets import LostTargets, LostTargetsSnapshot
+from .promotion_terms import PromotionTerms
 from .records import (
     DirectoryView,
     OwnerEntry,
@@ -46,6 +47,7 @@
     fences: dict[str, str] = {}
     paused: dict[str, PausedReplicas] = {}
     lost: LostTargetsSnapshot = LostTargetsSnapshot()
+    terms: dict[str, PromotionTerms] = {}
 
 
 class Directory:
@@ -59,6 +61,7 @@
     :ivar departed: start times of targets that left, by id, in order of departure.
     :ivar paused: services whose replicas may be paused for a promotion.
     :ivar lost: targets that are gone and may hold acknowledged commits.
+    :ivar terms: the terms of the promotions, by service.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         "view",
         "document",
         "tokens",
+        "terms",
         "departed",
         "paused",
         "lost",
@@ -78,6 +82,7 @@
         self.view = DirectoryView()
         self.document = b""
         self.tokens: dict[str, int] = {}
+        self.terms: dict[str, PromotionTerms] = {}
         self.departed: dict[str, int] = {}
         self.paused: dict[str, PausedReplicas] = {}
         self.lost = LostTargets()
@@ -112,7 +117,7 @@
         self.lost.forget(entry.service, [entry.incarnation()])
         primaries = self._primaries_after(entry, known)
         if primaries != self.view.primaries:
-            self.lost.name_primary(entry.service)
+            self._name_primary(entry.service)
         self._update_view(index, targets=targets, primaries=primaries)
         return EntryResult(True)
 
@@ -163,7 +168,7 @@
             # The platform has answered the order, so that it isn't carried out late.
             self._forget_candidate(command.service)
         primaries = {**self.view.primaries, command.service: command.target_id}
-        self.lost.name_primary(command.service)
+        self._name_primary(command.service, command.term)
         fences = dict(self.view.fences)
         fences.pop(command.service, None)
         if primaries != self.view.primaries or fences != self.view.fences:
@@ -174,6 +179,8 @@
         """Fences a service's primary, or sets the candidate of a fenced one."""
         if self.view.fences.get(command.service) == command.candidate:
             return EntryResult(False)
+        terms = self.terms_of(command.service)
+        self.terms[command.service] = terms.with_candidate(command.above_term)
         fences = {**self.view.fences, command.service: command.candidate}
         self._update_view(index, fences=fences)
         return EntryResult(True)
@@ -216,6 +223,7 @@
             view.fences,
             dict(self.paused),
             self.lost.snapshot(),
+            dict(self.terms),
         )
 
     def restore(self, snapshot: DirectorySnapshot) -> None:
@@ -241,6 +249,16 @@
         self.lost.restore(snapshot.lost)
         # Snapshots of earlier versions don't name the synchronous services.
         self.lost.apply_table(table, snapshot.targets)
+        self.terms = dict(snapshot.terms)
+
+    def terms_of(self, service: str) -> PromotionTerms:
+        """Returns what is known of the terms of a service's promotions."""
+        return self.terms.get(service, PromotionTerms())
+
+    def _name_primary(self, service: str, term: int = 0) -> None:
+        """Records that a primary was named, and in which term if that is known."""
+        self.lost.name_primary(service)
+        self.terms[service] = self.terms_of(service).with_primary(term)
 
     def _decode(self, stored: bytes) -> RoutingTable | None:
         """Decodes a stored document.
--- a/src/godwitwheel/directory/target_queries.py
+++ b/src/godwitwheel/directory/target_queries.py
@@ -81,20 +81,28 @@
                 close_all(connections)
         return candidates
 
+    def poll(self, entry: TargetEntry) -> "StatusPoll":
+        """Returns a context manager that asks a target repeatedly."""
+        return StatusPoll(self, entry)
+
+    def ask_over(
+        self, entry: TargetEntry, connection: DatabaseConnection | None
+    ) -> ReplicaStatus | None:
+        """Asks a target for its status; ``None`` stands for no answer."""
+        return self._exchange(entry, connection, AskStatus(), math.inf)
+
     def _ask(self, entry: TargetEntry) -> ReplicaStatus | None:
-        connection = self._connect(entry)
-        try:
-            return self._exchange(entry, connection, AskStatus(), math.inf)
-        finally:
-            close_all([connection])
+        with self.poll(entry) as poll:
+            return poll.ask()
 
     def _connect_all(
         self, entries: list[TargetEntry]
     ) -> list[DatabaseConnection | None]:
-        opening = [spawn(self._connect, entry) for entry in entries]
+        opening = [spawn(self.connect, entry) for entry in entries]
         return [task.wait() for task in opening]
 
-    def _connect(self, entry: TargetEntry) -> DatabaseConnection | None:
+    def connect(self, entry: TargetEntry) -> DatabaseConnection | None:
+        """Opens a connection, or returns ``None`` if the target can't be reached."""
         try:
             return self.connector.connect(entry, NO_ACCOUNT, COMMAND_TIMEOUT_S)
         except SessionsError as error:
@@ -123,6 +131,36 @@
         return None
 
 
+class StatusPoll:
+    """Asks one target again and again, over one connection as long as that lasts."""
+
+    __slots__ = ("queries", "entry", "connection")
+
+    def __init__(self, queries: TargetQueries, entry: TargetEntry):
+        self.queries = queries
+        self.entry = entry
+        self.connection: DatabaseConnection | None = None
+
+    def __enter__(self) -> "StatusPoll":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._close()
+
+    def ask(self) -> ReplicaStatus | None:
+        """Returns the target's status, or ``None`` if it did not answer."""
+        if self.connection is None:
+            self.connection = self.queries.connect(self.entry)
+        status = self.queries.ask_over(self.entry, self.connection)
+        if status is None:
+            self._close()
+        return status
+
+    def _close(self) -> None:
+        close_all([self.connection])
+        self.connection = None
+
+
 def candidates_of(
     entries: list[TargetEntry],
     statuses: list[ReplicaStatus | None],
@@ -134,7 +172,10 @@
         received = None if status is None else status.received
         term = 0 if status is None else status.term
         unreachable_from = count_unreachable_from(entry.target_id, observations)
-        candidates.append(Candidate(entry, received, term, unreachable_from))
+        is_primary = status is not None and status.is_primary
+        candidates.append(
+            Candidate(entry, received, term, unreachable_from, is_primary)
+        )
     return candidates
 
 
--- a/src/godwitwheel/observe/events.py
+++ b/src/godwitwheel/observe/events.py
@@ -67,6 +67,8 @@
     promotion_ordered = "promotion_ordered"
     promotion_answered = "promotion_answered"
     promotion_withheld = "promotion_withheld"
+    promotion_without_effect = "promotion_without_effect"
+    primary_named = "primary_named"
     primary_stepped_down = "primary_stepped_down"
     replicas_paused = "replicas_paused"
     replicas_resumed = "replicas_resumed"
--- a/src/godwitwheel/sessions/board.py
+++ b/src/godwitwheel/sessions/board.py
@@ -282,12 +282,13 @@
                 self.limiters.pop(target_id, None)
         self.leaving.retain(view.targets.values())
         self._close_unused_pools()
-        for service in view.fences:
-            self.known_primary(service).confirmed_at = None
+        for service, candidate_id in view.fences.items():
+            self._expect_promotion(service, candidate_id, previous)
         for service, target_id in view.primaries.items():
+            was_fenced = service in previous.fences and service not in view.fences
             # An unchanged promotion order doesn't override a primary found since then.
-            if previous.primaries.get(service) != target_id:
-                self._expect_primary(service, target_id)
+            if previous.primaries.get(service) != target_id or was_fenced:
+                self._expect_primary(service, target_id, was_fenced)
         self.apply_limits()
         self.changed.notify()
         return True
@@ -336,9 +337,19 @@
             if is_raised:
                 pool.wake()
 
-    def _expect_primary(self, service: str, target_id: str) -> None:
+    def _expect_promotion(
+        self, service: str, candidate_id: str, previous: DirectoryView
+    ) -> None:
+        """Follows a fence: the primary is named once the candidate has taken over."""
         known_primary = self.known_primary(service)
-        if known_primary.target_id != target_id:
+        known_primary.confirmed_at = None
+        if candidate_id and previous.fences.get(service) != candidate_id:
+            known_primary.expected_at = self.clock.now() + EXPECTED_PROMOTION_S
+
+    def _expect_primary(self, service: str, target_id: str, was_fenced: bool) -> None:
+        """Follows the naming of a primary, also of the one that was fenced."""
+        known_primary = self.known_primary(service)
+        if was_fenced or known_primary.target_id != target_id:
             is_first = not known_primary.target_id
             expected_s = EXPECTED_FIRST_ANSWER_S if is_first else EXPECTED_PROMOTION_S
             known_primary.target_id = target_id
--- a/tests/common/promoters.py
+++ b/tests/common/promoters.py
@@ -1,7 +1,8 @@
 """Builds a promoter for tests, on a record of pauses that commits at once."""
 
 from godwitwheel.directory.commands import PauseReplicas, ResumeReplicas
-from godwitwheel.directory.fencing import PlatformFence
+from godwitwheel.directory.effects import PromotionEffects
+from godwitwheel.directory.fencing import LeaseFence, PlatformFence
 from godwitwheel.directory.pausing import ReplicaPauses
 from godwitwheel.directory.promotion import Promoter
 from godwitwheel.directory.state import Directory
@@ -34,3 +35,13 @@
         ReplicaPauses(queries, lambda: pauses.paused, commit_any),
         lambda service: [],
     )
+
+
+def lease_fence_of(group, directory, commit):
+    """Returns a fence for a group that serves as its connector and its clock.
+
+    :param directory: state that ``commit`` changes.
+    """
+    queries = TargetQueries(group, group.clock, lambda: None)
+    effects = PromotionEffects(queries, lambda: directory, group.clock)
+    return LeaseFence(lambda: directory.view, commit, group.clock, effects)
--- a/tests/cover/test_lease_fence.py
+++ b/tests/cover/test_lease_fence.py
@@ -2,23 +2,36 @@
 
 import pytest
 
-from godwitwheel.directory import fencing
+from godwitwheel.directory import effects, fencing
 from godwitwheel.directory.commands import FencePrimary
+from godwitwheel.directory.effects import LATE_ORDER_S
 from godwitwheel.directory.errors import PromotionFailed
 from godwitwheel.directory.failover import Observation, Verdict, assess
-from godwitwheel.directory.fencing import LATE_ORDER_S, LeaseFence
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.records import ProxyReport
 from godwitwheel.directory.report_timing import PRIMARY_LEASE_S
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
 from tests.common.fake_sessions import SERVICE, FakeGroup
-from tests.common.promoters import promoter_of
+from tests.common.promoters import lease_fence_of, promoter_of
 from tests.cover.test_promoter import ScriptedPromotionClient
 
 OBSERVATIONS = [Observation("p1", "t1", False, 900, [])]
 
 
+class PromptPlatform(ScriptedPromotionClient):
+    """Carries out each order that it answers with success at once."""
+
+    def __init__(self, group, *failures):
+        super().__init__(*failures)
+        self.group = group
+
+    def promote(self, service, target_id, token, timeout_s):
+        super().promote(service, target_id, token, timeout_s)
+        if self.group.primary.target_id != target_id:
+            self.group.promote(target_id)
+
+
 class LeasedGroup:
     """A leader that grants leases, and a group whose primary is to be replaced.
 
@@ -30,11 +43,12 @@
         self.clock = self.group.clock
         self.directory = Directory(JsonTableCodec())
         self.directory.view = self.group.board.view
-        self.client = ScriptedPromotionClient(*failures)
+        self.client = PromptPlatform(self.group, *failures)
         self.commits = []
         self.restart_leadership(self.clock.now() - 60.0)
         monkeypatch.setattr(fencing, "sleep", self.clock.advance)
-        fence = LeaseFence(lambda: self.directory.view, self.commit, self.clock)
+        monkeypatch.setattr(effects, "sleep", self.clock.advance)
+        fence = lease_fence_of(self.group, self.directory, self.commit)
         self.promoter = promoter_of(self.group, self.client, self.commit, fence)
 
     def restart_leadership(self, since):
@@ -93,7 +107,7 @@
     leased.replace()
     fence, candidate, primary = leased.commits
     assert fence == FencePrimary(SERVICE)
-    assert candidate == FencePrimary(SERVICE, primary.target_id)
+    assert candidate == FencePrimary(SERVICE, primary.target_id, above_term=1)
     assert leased.directory.view.fences == {}
     assert leased.directory.view.primaries == {SERVICE: primary.target_id}
 
--- a/tests/cover/test_synchronous_promotion.py
+++ b/tests/cover/test_synchronous_promotion.py
@@ -11,13 +11,12 @@
 from godwitwheel.directory.commands import FencePrimary, PutEntry
 from godwitwheel.directory.errors import PromotionFailed
 from godwitwheel.directory.failover import Observation
-from godwitwheel.directory.fencing import LeaseFence
 from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.records import TargetEntry
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
 from godwitwheel.sessions.statements import Position
-from tests.common.promoters import promoter_of
+from tests.common.promoters import lease_fence_of, promoter_of
 from tests.common.sync_group import SERVICE, SyncGroup, SyncTarget
 
 UNCONFIRMED = [Observation("p1", "t1", False, 900, [])]
@@ -178,7 +177,7 @@
         group.clock.advance(seconds)
 
     monkeypatch.setattr(fencing, "sleep", wait_for_leases)
-    fence = LeaseFence(lambda: directory.view, commit, group.clock)
+    fence = lease_fence_of(group, directory, commit)
     promoter = promoter_of(group, group, commit, fence)
     leadership = DirectoryLeadership(group.clock.now(), 3)
     promoter.replace(leadership, SERVICE, directory.view, UNCONFIRMED, "lost")
