Count only proxies that could have confirmed a primary against it

Cause: assess replaced a primary as soon as no recent report confirmed it. The first proxy that reaches control again reports 14 to 62 ms after it was told of the primary, and leases of all others have ended, so that it was "none of 1". Related: a proxy that still names the former primary, and one that was itself cut off until a moment ago, counted in the same way, the latter also beside proxies that confirm the primary.

Change: an observation counts against a primary only if its proxy was told of that primary, has lost it or had 600 ms to confirm it, and has reported to this leader for 600 ms without a pause of a lease. The share of reporting proxies is required of those observations. Reports say whether a proxy has confirmed the target since it was named, and which one was named if it considers another. A primary that proxies had confirmed and lost is replaced as soon as before.

Evidence: five tests in test_failover_decisions.py and test_ordered_promotions.py; with the former rule the four that concern it failed (the fifth checks the measure of contact), as did test_the_first_proxies_that_reach_control_again_replace_no_healthy_primary. The state machine now also fails on a fence without a fault of the primary.

--- a/src/godwitwheel/directory/failover.py
+++ b/src/godwitwheel/directory/failover.py
@@ -15,10 +15,13 @@
 # although the others reach it: a promotion delays all writes, a network partition only
 # those from its side.
 MIN_UNCONFIRMED_SHARE = 0.34
-# Share of the known proxies that must report before a primary counts as unreachable.
-# Not all need to: the proxies in the primary's data centre may be partitioned with it.
-# But a few reports give no information about the other proxies.
+# Share of the known proxies whose observations must count before a primary counts as
+# unreachable. Not all need to: the proxies in the primary's data centre may be
+# partitioned with it. But a few give no information about the other proxies.
 MIN_REPORTING_SHARE = 0.4
+# A proxy that has just reached control again may have been partitioned from the primary
+# as well. Its observations count once it has been in touch for this long, in seconds.
+MIN_CONTACT_S = 0.6
 # Time after an order until the service is assessed again: a promotion takes several
 # hundred ms, and earlier observations don't show its result.
 PROMOTION_GRACE_S = 2.0
@@ -59,13 +62,23 @@
 
 
 class ReceivedReport:
-    """A proxy's report and when it was received."""
+    """A proxy's report and when it was received.
 
-    __slots__ = ("report", "received_at")
+    :ivar in_touch_since: start of the time in which the proxy has reported without a
+        longer pause, in seconds of the clock; ``-inf`` if that does not matter.
+    """
+
+    __slots__ = ("report", "received_at", "in_touch_since")
 
-    def __init__(self, report: ProxyReport, received_at: float):
+    def __init__(
+        self,
+        report: ProxyReport,
+        received_at: float,
+        in_touch_since: float = -math.inf,
+    ):
         self.report = report
         self.received_at = received_at
+        self.in_touch_since = in_touch_since
 
 
 class Observation:
@@ -75,6 +88,10 @@
         primary.
     :ivar confirmation_age_ms: time since the last confirmation, in milliseconds.
     :ivar unreachable: all targets that the proxy can't reach.
+    :ivar was_confirmed: whether the proxy has confirmed ``target_id`` since it was told
+        of it.
+    :ivar named_id: target that it was told is the primary.
+    :ivar in_touch_s: time for which it has reported without a longer pause, in seconds.
     """
 
     __slots__ = (
@@ -83,6 +100,9 @@
         "is_confirmed",
         "confirmation_age_ms",
         "unreachable",
+        "was_confirmed",
+        "named_id",
+        "in_touch_s",
     )
 
     def __init__(
@@ -92,6 +112,9 @@
         is_confirmed: bool,
         confirmation_age_ms: float,
         unreachable: list[str],
+        was_confirmed: bool = True,
+        named_id: str = "",
+        in_touch_s: float = math.inf,
     ):
         self.proxy_id = proxy_id
         self.target_id = target_id
@@ -100,6 +123,22 @@
         )
         self.confirmation_age_ms = confirmation_age_ms
         self.unreachable = unreachable
+        self.was_confirmed = was_confirmed
+        self.named_id = named_id or target_id
+        self.in_touch_s = in_touch_s
+
+    def counts_against(self, primary_id: str) -> bool:
+        """Whether it is evidence that a primary is unreachable.
+
+        It is none if the proxy hasn't heard of that primary, has had no time to confirm
+        it, or was itself out of touch until now.
+        """
+        if self.is_confirmed or self.named_id != primary_id:
+            return False
+        had_time = (
+            self.was_confirmed or self.confirmation_age_ms >= CONFIRMATION_TIMEOUT_MS
+        )
+        return had_time and self.in_touch_s >= MIN_CONTACT_S
 
 
 class ServiceObservations:
@@ -145,6 +184,9 @@
                 primary.is_proven,
                 primary.proof_age_ms,
                 received.report.unreachable,
+                primary.was_proven,
+                primary.named_id,
+                now - received.in_touch_since,
             )
             found[primary.service].recent.append(observation)
     return found
@@ -168,8 +210,8 @@
 ) -> Assessment:
     """Decides whether to keep, replace or adopt a service's primary.
 
-    A proxy that names another target hasn't heard of the primary yet. Only those that
-    name it can count against a primary that others confirm.
+    A lack of evidence is not evidence, see :meth:`Observation.counts_against`: the
+    first proxies that are back after a partition say little.
 
     :param proxies: number of known proxies, including those without a recent report.
     :param led_for_s: time since this member became leader, in seconds.
@@ -200,18 +242,24 @@
         return Assessment(
             Verdict.keep, f"only {len(observations)} of {proxies} proxies report"
         )
+    against = [each for each in observations if each.counts_against(primary_id)]
     if not confirmed:
+        if len(against) < MIN_REPORTING_SHARE * proxies or not against:
+            return Assessment(
+                Verdict.keep,
+                f"only {len(against)} of {proxies} proxies have had time to confirm "
+                f"{primary_id}",
+            )
         return Assessment(
             Verdict.replace,
             f"none of {len(observations)} proxies has confirmed "
             f"{primary_id or 'a primary'} as primary for "
-            f"{min(each.confirmation_age_ms for each in observations)} ms",
+            f"{min(each.confirmation_age_ms for each in against)} ms",
         )
     unconfirmed = [
         observation
-        for observation in observations
+        for observation in against
         if observation.target_id == primary_id
-        and not observation.is_confirmed
         and observation.confirmation_age_ms >= PARTIAL_CONFIRMATION_TIMEOUT_MS
     ]
     if len(unconfirmed) >= MIN_UNCONFIRMED_SHARE * len(observations):
--- a/src/godwitwheel/directory/leadership.py
+++ b/src/godwitwheel/directory/leadership.py
@@ -105,14 +105,17 @@
 
         :returns: whether the proxy is new.
         """
-        is_new = report.proxy_id not in self.reports
+        previous = self.reports.get(report.proxy_id)
         if report.leaving:
             self.reports.pop(report.proxy_id, None)
             return False
-        self.reports[report.proxy_id] = ReceivedReport(report, now)
-        if is_new:
+        in_touch_since = now
+        if previous is not None and now - previous.received_at <= PRIMARY_LEASE_S:
+            in_touch_since = previous.in_touch_since
+        self.reports[report.proxy_id] = ReceivedReport(report, now, in_touch_since)
+        if previous is None:
             self.fleet_changed_at = now
-        return is_new
+        return previous is None
 
     def grant_lease(
         self, report: ProxyReport, carried_version: int, received_at: float
--- a/src/godwitwheel/directory/records.py
+++ b/src/godwitwheel/directory/records.py
@@ -184,19 +184,25 @@
     age_ms: Count
 
 
-class PrimaryReport(msgspec.Struct, frozen=True):
+class PrimaryReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a proxy has observed of a service's primary.
 
     :ivar target_id: target that the proxy considers the primary, or empty.
     :ivar is_proven: whether the last query confirmed that it is the primary.
     :ivar proof_age_ms: time since it was last confirmed or, if that is later, since the
         proxy was told that it is the primary, in milliseconds.
+    :ivar was_proven: whether it was confirmed since the proxy was told that it is the
+        primary.
+    :ivar named_id: target that the proxy was told is the primary, if it considers
+        another one.
     """
 
     service: str
     target_id: str
     is_proven: bool
     proof_age_ms: int
+    was_proven: bool = True
+    named_id: str = ""
 
 
 class TableChange(msgspec.Struct, frozen=True):
--- a/src/godwitwheel/sessions/observed.py
+++ b/src/godwitwheel/sessions/observed.py
@@ -84,6 +84,10 @@
         """
         return max(self.last_confirmed_at, self.named_at)
 
+    def was_confirmed(self) -> bool:
+        """Whether a target was confirmed since control named this one."""
+        return self.last_confirmed_at >= self.named_at
+
     def confirm(self, sent_at: float) -> None:
         """Records a confirmation of the target as primary.
 
--- a/src/godwitwheel/sessions/reporting/reporting.py
+++ b/src/godwitwheel/sessions/reporting/reporting.py
@@ -201,8 +201,16 @@
                 min(1000 * (now - known_primary.unconfirmed_since()), MAX_AGE_MS)
             )
             is_proven = known_primary.confirmed_at is not None
+            named_id = board.view.primaries.get(service, "")
             reports.append(
-                PrimaryReport(service, known_primary.target_id, is_proven, age_ms)
+                PrimaryReport(
+                    service,
+                    known_primary.target_id,
+                    is_proven,
+                    age_ms,
+                    known_primary.was_confirmed(),
+                    "" if named_id == known_primary.target_id else named_id,
+                )
             )
         unreachable = [
             target_id
--- a/tests/cover/test_failover_decisions.py
+++ b/tests/cover/test_failover_decisions.py
@@ -12,12 +12,14 @@
     assess,
     observations_by_service,
 )
+from godwitwheel.directory.leadership import DirectoryLeadership
 from godwitwheel.directory.records import (
     DirectoryView,
     PrimaryReport,
     ProxyReport,
     TargetEntry,
 )
+from godwitwheel.directory.report_timing import PRIMARY_LEASE_S
 from godwitwheel.sessions.statements import Position
 
 SERVICE = "bookings"
@@ -179,3 +181,54 @@
     changed = DirectoryView(1, targets=entries, primaries={SERVICE: "t1"})
     (asked,) = AsynchronousRule().asked_targets(SERVICE, changed)
     assert [e.target_id for e in asked] == ["t3"]
+
+
+def test_a_proxy_that_was_just_told_of_a_primary_is_no_evidence_against_it():
+    """The first proxy that was back after a cut had a healthy primary replaced."""
+    told = Observation("p1", "t1", False, 14, [], was_confirmed=False)
+    assert verdict([told]) is Verdict.keep
+    told = Observation("p1", "t1", False, 600, [], was_confirmed=False)
+    assert verdict([told]) is Verdict.replace
+
+
+def test_a_proxy_that_has_not_heard_of_a_primary_is_no_evidence_against_it():
+    assert verdict([observation("p1", False, 5000, "t2")]) is Verdict.keep
+    found_itself = Observation("p1", "t2", False, 5000, [], named_id="t1")
+    assert verdict([found_itself]) is Verdict.replace
+
+
+def test_proxies_that_were_out_of_touch_are_no_evidence_against_a_primary():
+    """They were cut off from it too, and have had no time to reach it again."""
+
+    def back_for(seconds):
+        return [
+            Observation(f"p{n}", "t1", False, 5000, [], in_touch_s=seconds)
+            for n in range(3)
+        ]
+
+    others = [observation(f"q{n}") for n in range(3)]
+    assert verdict(back_for(0.1)) is Verdict.keep
+    assert verdict(back_for(0.1) + others) is Verdict.keep
+    assert verdict(back_for(0.6)) is Verdict.replace
+    assert verdict(back_for(0.6) + others) is Verdict.replace
+
+
+def test_evidence_of_a_few_proxies_does_not_replace_a_primary():
+    told = [
+        Observation(f"p{n}", "t1", False, 14, [], was_confirmed=False) for n in range(4)
+    ]
+    assert verdict([observation("q0", False, 900), *told]) is Verdict.keep
+
+
+def test_a_report_after_a_pause_begins_a_new_contact():
+    leadership = DirectoryLeadership(100.0, 1)
+    report = ProxyReport("p1", "dc-1", 1, [PrimaryReport(SERVICE, "t1", False, 900)])
+
+    def in_touch_s(now):
+        leadership.receive_report(report, now)
+        found = observations_by_service(leadership.reports, now)[SERVICE]
+        return found.recent[0].in_touch_s
+
+    assert in_touch_s(101.0) == 0.0
+    assert in_touch_s(102.0) == 1.0
+    assert in_touch_s(102.0 + PRIMARY_LEASE_S + 0.1) == 0.0
--- a/tests/cover/test_ordered_promotions.py
+++ b/tests/cover/test_ordered_promotions.py
@@ -26,7 +26,7 @@
 PAUSES = st.sampled_from([0.5, 2.2, 3.2])
 # All faults end within this time, and a service without a primary then has one again.
 RECOVERY_S = 12.0
-CHECKED = {Failure.acknowledged_in_an_ended_term}
+CHECKED = {Failure.acknowledged_in_an_ended_term, Failure.replaced_without_a_fault}
 
 
 class Fleet:
@@ -181,3 +181,15 @@
     fleet.run(20.0)
     assert len(fleet.acknowledged) > served
     assert Failure.acknowledged_in_an_ended_term not in fleet.failures
+
+
+def test_the_first_proxies_that_reach_control_again_replace_no_healthy_primary(fleet):
+    """They had been told of it a moment ago, and control heard no other proxy."""
+    fleet.go_dark("t1", 60.0)
+    fleet.run(0.6)
+    fleet.cut_from_control({0, 1, 2}, 4.0)
+    fleet.run(3.6)
+    fleet.cut_from_control({1, 2}, 3.0)
+    fleet.run(4.0)
+    assert fleet.newest_term == 2
+    assert fleet.failures == {}
