Order a target again that was out of reach when its promotion was due

Cause: a target that leads its former term 3 s after the answer to its order is relied on if no newer term was seen, since the platform then takes it for the primary. A promotion can also be without effect because its target was gone when it was due; another one that control has not seen may have ended the target's term.

Change: it is relied on only if it could be asked without a break for those 3 s, and is ordered again otherwise.

Evidence: test_a_target_that_was_gone_when_its_promotion_was_due_is_ordered_again fails without the condition (acknowledged in an ended term) and passes with it.

--- a/src/godwitwheel/directory/effects.py
+++ b/src/godwitwheel/directory/effects.py
@@ -74,7 +74,9 @@
                 if now >= (answered_at + LATE_ORDER_S if leads else order.retry_at):
                     break
                 sleep(EFFECT_POLL_S)
-        if leads and self._has_nothing_to_promote(service, entry, status):
+            was_reached = poll.lost_connections == 0
+        # One that was out of reach may have missed its promotion.
+        if leads and was_reached and self._is_kept(service, entry, status):
             return status.term
         raise PromotionNotInEffect(
             f"{entry.target_id} was not seen to lead "
@@ -86,9 +88,7 @@
         # A fence of an earlier version was committed without the bound.
         return 0 < above < term
 
-    def _has_nothing_to_promote(
-        self, service: str, entry: TargetEntry, status: ReplicaStatus
-    ) -> bool:
+    def _is_kept(self, service: str, entry: TargetEntry, status: ReplicaStatus) -> bool:
         """Whether a target that leads a former term may be relied on all the same.
 
         The platform promotes nobody if it takes the target for the primary already:
--- a/src/godwitwheel/directory/target_queries.py
+++ b/src/godwitwheel/directory/target_queries.py
@@ -132,14 +132,18 @@
 
 
 class StatusPoll:
-    """Asks one target again and again, over one connection as long as that lasts."""
+    """Asks one target again and again, over one connection as long as that lasts.
 
-    __slots__ = ("queries", "entry", "connection")
+    :ivar lost_connections: how many connections were lost, or could not be opened.
+    """
+
+    __slots__ = ("queries", "entry", "connection", "lost_connections")
 
     def __init__(self, queries: TargetQueries, entry: TargetEntry):
         self.queries = queries
         self.entry = entry
         self.connection: DatabaseConnection | None = None
+        self.lost_connections = 0
 
     def __enter__(self) -> "StatusPoll":
         return self
@@ -152,7 +156,9 @@
         if self.connection is None:
             self.connection = self.queries.connect(self.entry)
         status = self.queries.ask_over(self.entry, self.connection)
-        if status is None:
+        # A target that is busy answers too.
+        if self.connection is None or not self.connection.is_usable():
+            self.lost_connections += 1
             self._close()
         return status
 
--- a/tests/common/unfenced_fleet.py
+++ b/tests/common/unfenced_fleet.py
@@ -154,7 +154,7 @@
         pass
 
     def is_usable(self):
-        return True
+        return self.target.is_reached_by(self.name)
 
     def reset_on_close(self):
         pass
@@ -427,6 +427,12 @@
         target.is_dark = False
         target.leads = target.leads and target.term == self.newest_term
 
+    def restart(self, target_id, seconds):
+        """Restarts a target that still leads its term afterwards."""
+        target = self.targets[target_id]
+        target.is_dark = True
+        self._end_after(seconds, lambda: setattr(target, "is_dark", False))
+
     def cut(self, target_id, proxies, seconds):
         """Cuts a target off from control, the other targets and some proxies."""
         target = self.targets[target_id]
--- a/tests/cover/test_ordered_promotions.py
+++ b/tests/cover/test_ordered_promotions.py
@@ -121,6 +121,15 @@
     simulated.close()
 
 
+def run_until(fleet, condition):
+    """Runs a fleet step by step, for 15 s at most."""
+    for _ in range(300):
+        if condition():
+            return
+        fleet.run(0.05)
+    raise AssertionError("this did not happen")
+
+
 def bring_a_former_primary_back(fleet, seconds):
     """The former primary ``t1`` has missed two promotions, and is reached again.
 
@@ -160,12 +169,28 @@
     assert fleet.failures == {}
 
 
+def test_a_target_that_was_gone_when_its_promotion_was_due_is_ordered_again(fleet):
+    """A promotion that control has not seen has ended the term that it leads."""
+    fleet.go_dark("t3", 60.0)
+    fleet.cut("t1", {0, 1}, 5.0)
+    run_until(fleet, lambda: fleet.orders)
+    fleet.cut("t2", set(), 60.0)
+    run_until(fleet, lambda: fleet.newest_term == 2)
+    fleet.go_dark("t2", 60.0)
+    run_until(fleet, lambda: fleet.orders)
+    fleet.restart("t1", 1.2)
+    fleet.run(12.0)
+    served = len(fleet.acknowledged)
+    fleet.run(1.0)
+    assert len(fleet.acknowledged) > served
+    assert Failure.acknowledged_in_an_ended_term not in fleet.failures
+
+
 def test_a_promotion_whose_order_got_no_answer_is_used_once_it_has_taken_effect(fleet):
     """Writes were refused for two more seconds."""
     fleet.lost_answers = 3
     fleet.go_dark("t1", 60.0)
-    while fleet.newest_term == 1:
-        fleet.run(0.1)
+    run_until(fleet, lambda: fleet.newest_term == 2)
     served = len(fleet.acknowledged)
     fleet.run(1.0)
     assert len(fleet.acknowledged) > served
