--- a/tests/cover/test_two_primaries.py
+++ b/tests/cover/test_two_primaries.py
@@ -213,7 +213,7 @@
     @precondition(lambda self: self.ordered)
     @rule()
     def commit_the_new_primary(self):
-        """The platform's answer arrives; the promotion may take effect only later."""
+        """Control has seen the target lead, so that the promotion is in effect."""
         if self.led[-1] != self.ordered:
             self.carry_out_the_order()
         self.commit(self.directory.set_primary, SetPrimary(SERVICE, self.ordered, 1))
