Let the model of ordered promotions cut proxies off for different times

Each proxy now has its own time, and a fence counts as without a fault 1.5 s after the last one instead of 2.5 s.

--- a/tests/common/unfenced_fleet.py
+++ b/tests/common/unfenced_fleet.py
@@ -58,7 +58,7 @@
 STEP_DOWN_S = 1.0
 # A fence that is committed this long after a primary was last faulty is not for that
 # fault, in seconds.
-FAULT_MEMORY_S = 2.5
+FAULT_MEMORY_S = 1.5
 
 
 class Failure(enum.Enum):
--- a/tests/cover/test_ordered_promotions.py
+++ b/tests/cover/test_ordered_promotions.py
@@ -23,6 +23,7 @@
 TARGETS = st.sampled_from(["t1", "t2", "t3"])
 PROXIES = st.sets(st.integers(0, 2))
 SECONDS = st.sampled_from([0.2, 2.5, 6.8])
+CUTS = st.sampled_from([0.2, 2.5, 4.5, 6.8])
 PAUSES = st.sampled_from([0.5, 2.2, 3.2])
 # All faults end within this time, and a service without a primary then has one again.
 RECOVERY_S = 12.0
@@ -74,10 +75,11 @@
         self.fleet.cut(self.fleet.leader.target_id, proxies, seconds)
         self.fleet.run(pause)
 
-    @rule(proxies=PROXIES, seconds=SECONDS)
-    def proxies_lose_control(self, proxies, seconds):
-        self.fleet.cut_from_control(proxies, seconds)
-        self.fleet.run(0.1)
+    @rule(seconds=st.tuples(CUTS, CUTS, CUTS), pause=PAUSES)
+    def proxies_lose_control(self, seconds, pause):
+        for number, each in enumerate(seconds):
+            self.fleet.cut_from_control({number}, each)
+        self.fleet.run(pause)
 
     @rule(target_id=TARGETS, seconds=SECONDS)
     def replica_receives_nothing(self, target_id, seconds):
