Let the model of two primaries play an answer before its effect

Change: the answer and the effect of an order are separate steps, targets have terms, and control's step is the product's (PromotionEffects): it looks whether the target leads a new term, or waits for a target that is the primary already. The checks are as they were.

--- a/tests/cover/test_two_primaries.py
+++ b/tests/cover/test_two_primaries.py
@@ -1,9 +1,12 @@
 """Promotions that don't stop the former primary, with lost and late messages.
 
 Processes, the leader and the platform take their steps in any order. The oracle knows
-when each promotion took effect.
+when each promotion took effect. The platform may answer an order before that, and a
+former primary that is ordered still leads its old term until then.
 """
 
+from unittest import mock
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -15,17 +18,27 @@
 )
 
 from godwitwheel.decisions.leases import LeaseTable
-from godwitwheel.directory.commands import FencePrimary, SetPrimary
-from godwitwheel.directory.leadership import CLOCK_DRIFT
+from godwitwheel.directory import effects
+from godwitwheel.directory.candidates import Candidate
+from godwitwheel.directory.commands import FencePrimary, PutEntry, SetPrimary
+from godwitwheel.directory.effects import LATE_ORDER_S, PromotionEffects
+from godwitwheel.directory.leadership import CLOCK_DRIFT, PromotionOrder
+from godwitwheel.directory.records import TargetEntry
 from godwitwheel.directory.report_timing import PRIMARY_LEASE_S, REPORT_INTERVAL_S
 from godwitwheel.directory.state import Directory
 from godwitwheel.directory.tables import JsonTableCodec
+from godwitwheel.sessions.connections.connection import ReplicaStatus
 from godwitwheel.sessions.reporting.authority import LeasedAuthority
+from godwitwheel.sessions.statements import Position
 
 SERVICE = "bookings"
 PROCESSES = st.integers(0, 2)
 TARGETS = st.sampled_from(["t1", "t2", "t3"])
 NO_TARGET = ""
+ENTRIES = [
+    TargetEntry(f"t{number}", SERVICE, f"10.0.0.{number}:1", "dc-1", 2, 0)
+    for number in (1, 2, 3)
+]
 
 
 class PendingWrite:
@@ -56,6 +69,43 @@
         self.writes = []
 
 
+class Statuses:
+    """What control learns from the targets themselves; also its clock.
+
+    :ivar lost_connections: read by the product; every target answers here.
+    """
+
+    lost_connections = 0
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.polled = None
+
+    def now(self):
+        return self.machine.now
+
+    def poll(self, entry):
+        self.polled = entry
+        return self
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        pass
+
+    def ask(self):
+        return self.status_of(self.polled)
+
+    def ask_statuses(self, entries):
+        return [self.status_of(entry) for entry in entries]
+
+    def status_of(self, entry):
+        term = self.machine.term_of(entry.target_id)
+        leads = self.machine.acts_as_primary(entry.target_id)
+        return ReplicaStatus(leads, term, Position(term, 0))
+
+
 class TwoPrimariesMachine(RuleBasedStateMachine):
     """Every former primary continues to commit until the end of the run.
 
@@ -76,9 +126,15 @@
         self.ordered = NO_TARGET
         self.led = ["t1"]
         self.acknowledged_at = {}
+        self.statuses = Statuses(self)
+        self.effects = PromotionEffects(
+            self.statuses, lambda: self.directory, self.statuses
+        )
 
     @initialize()
     def start(self):
+        for entry in ENTRIES:
+            self.commit(self.directory.put_entry, PutEntry(entry))
         self.commit(self.directory.set_primary, SetPrimary(SERVICE, "t1"))
         for process in self.processes:
             self.report(process, lost=False)
@@ -154,10 +210,12 @@
         self.fence()
         self.wait_while_some_report(connected, rounds, applies)
         self.order_a_promotion(target_id)
-        if self.ordered and late:
+        if self.ordered:
+            self.answer_the_order()
+        if self.ordered:
             self.carry_out_the_order()
-        elif self.ordered:
-            self.commit_the_new_primary()
+        if self.ordered and not late:
+            self.answer_the_order()
 
     @rule(number=PROCESSES, target_id=TARGETS, until=st.sampled_from([0.0, 0.3, 1.5]))
     def write_with_a_late_answer(self, number, target_id, until):
@@ -200,7 +258,8 @@
             return
         if not self.leases.all_proxies_use(view.version, self.now):
             return
-        command = FencePrimary(SERVICE, target_id)
+        newest_term = max(self.term_of(entry.target_id) for entry in ENTRIES)
+        command = FencePrimary(SERVICE, target_id, newest_term)
         self.commit(self.directory.fence_primary, command)
         self.ordered = target_id
 
@@ -212,13 +271,46 @@
 
     @precondition(lambda self: self.ordered)
     @rule()
-    def commit_the_new_primary(self):
-        """Control has seen the target lead, so that the promotion is in effect."""
-        if self.led[-1] != self.ordered:
-            self.carry_out_the_order()
-        self.commit(self.directory.set_primary, SetPrimary(SERVICE, self.ordered, 1))
+    def answer_the_order(self):
+        """The platform answers, also before the promotion takes effect.
+
+        A target that it takes for the primary already is not promoted again: control
+        finds that out by waiting. Otherwise it looks once, and may look again.
+        """
+        if self.led[-1] == self.ordered:
+            self.name(self.wait_for_the_effect())
+            return
+        answers = [
+            Candidate(entry, status.received, status.term, 0, status.is_primary)
+            for entry, status in zip(
+                ENTRIES, self.statuses.ask_statuses(ENTRIES), strict=True
+            )
+        ]
+        promoted = self.effects.find(SERVICE, answers)
+        if promoted is not None:
+            self.name(promoted.term)
+
+    def wait_for_the_effect(self):
+        (entry,) = [each for each in ENTRIES if each.target_id == self.ordered]
+        order = PromotionOrder(self.ordered, 1, self.now, self.now)
+        with mock.patch.object(effects, "sleep", lambda seconds: self.wait_long()):
+            return self.effects.wait(SERVICE, entry, order)
+
+    def wait_long(self):
+        self.now += LATE_ORDER_S
+
+    def name(self, term):
+        command = SetPrimary(SERVICE, self.ordered, 1, term)
+        self.commit(self.directory.set_primary, command)
         self.ordered = NO_TARGET
 
+    # Targets.
+
+    def term_of(self, target_id):
+        """Returns the term in which a target leads or has led last."""
+        terms = [term for term, led in enumerate(self.led, 1) if led == target_id]
+        return max(terms, default=1)
+
     # Statements.
 
     def acts_as_primary(self, target_id):
