Tell in the log when a target is ordered that missed the last promotion

Cause: the wait for a target that follows the last promotion ends after 10 s, and no line said so. In the tests a set of all failures and a flag of commits were left that nothing needs.

Change: promotion_ordered has the target's term and the newest one that led; a lower one means that the wait has ended. The set and the flag are gone, and the model's check compares with no failure at all.

Result: the tests of ordered promotions, the promoter, lease fences and synchronous promotions pass. No decision changes.

--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -163,6 +163,8 @@
             token=order.token,
             reason=reason,
             received=repr(candidate.received),
+            term=candidate.term,
+            newest_term=self.read_terms(service).newest,
             missed_by=candidate.unreachable_from,
         )
         try:
--- a/tests/common/unfenced_fleet.py
+++ b/tests/common/unfenced_fleet.py
@@ -79,7 +79,6 @@
     def __init__(self, term, newest_term):
         self.term = term
         self.newest_term = newest_term
-        self.is_acknowledged = False
 
 
 class Write:
@@ -485,7 +484,6 @@
                 Failure.acknowledged_in_an_ended_term,
                 f"{write.target.target_id} in {commit.term}, not {commit.newest_term}",
             )
-        commit.is_acknowledged = True
         self.acknowledged.append(commit)
 
     def check_read(self, target):
--- a/tests/cover/test_ordered_promotions.py
+++ b/tests/cover/test_ordered_promotions.py
@@ -27,7 +27,6 @@
 PAUSES = st.sampled_from([0.5, 2.2, 3.2])
 # All faults end within this time, and a service without a primary then has one again.
 RECOVERY_S = 12.0
-CHECKED = set(Failure)
 
 
 class Fleet:
@@ -97,7 +96,7 @@
 
     @invariant()
     def nothing_has_failed(self):
-        assert not CHECKED & self.fleet.failures.keys(), self.fleet.failures
+        assert self.fleet.failures == {}
 
     def teardown(self):
         try:
