Schedule the checks of primaries' terms and of lost targets by one class

Cause: wrote the scheduling of LostTargetChecks again: one check of a service at a time, its interval, and what is recorded when it fails.

Change: ServiceChecks holds it; either class says which services need a check, and checks one. Behaviour is as before.

--- a/src/godwitwheel/directory/lost_target_checks.py
+++ b/src/godwitwheel/directory/lost_target_checks.py
@@ -2,15 +2,14 @@
 
 from collections.abc import Callable
 
-from ..control.errors import ControlError
 from ..internal.clock import Clock
-from ..internal.loop import spawn
-from ..observe.events import EventName, record_event, record_failure
+from ..observe.events import EventName, record_event
 from ..sessions.connections.connection import ReplicaStatus
 from .candidates import replicas_of
 from .commands import ForgetLost
 from .pausing import ReplicaPauses
 from .records import TargetEntry
+from .service_checks import ServiceChecks
 from .state import Directory
 from .target_queries import TargetQueries
 
@@ -18,7 +17,7 @@
 CHECK_INTERVAL_S = 0.5
 
 
-class LostTargetChecks:
+class LostTargetChecks(ServiceChecks):
     """Asks the targets of services that have lost some.
 
     The primary's log has every acknowledged commit. Once enough other targets have
@@ -27,19 +26,12 @@
 
     :ivar pauses: tells which orders may be carried out late.
     :ivar commit: commits a command and returns whether it changed anything.
-    :ivar in_progress: services that are being checked.
-    :ivar next_at: by service, when it is checked next, in seconds of the clock.
     """
 
-    __slots__ = (
-        "directory",
-        "queries",
-        "pauses",
-        "commit",
-        "clock",
-        "in_progress",
-        "next_at",
-    )
+    __slots__ = ("directory", "queries", "pauses", "commit")
+
+    interval_s = CHECK_INTERVAL_S
+    failure_event = EventName.lost_targets_kept
 
     def __init__(
         self,
@@ -49,23 +41,18 @@
         commit: Callable,
         clock: Clock,
     ):
+        super().__init__(clock)
         self.directory = directory
         self.queries = queries
         self.pauses = pauses
         self.commit = commit
-        self.clock = clock
-        self.in_progress: set[str] = set()
-        self.next_at: dict[str, float] = {}
 
-    def decide(self, now: float) -> None:
-        """Begins the checks that are due; called on the leader."""
-        for service in self.directory.lost.by_service:
-            is_due = now >= self.next_at.get(service, now)
-            if not is_due or service in self.in_progress:
-                continue
-            if self._holders_needed(service) > 0 and not self._is_replaced(service):
-                self.in_progress.add(service)
-                spawn(self._check, service)
+    def services(self) -> list[str]:
+        return [
+            service
+            for service in self.directory.lost.by_service
+            if self._holders_needed(service) > 0 and not self._is_replaced(service)
+        ]
 
     def _holders_needed(self, service: str) -> int:
         policy = self.directory.view.table.services.get(service)
@@ -76,20 +63,7 @@
         has_candidate = bool(self.pauses.candidate_of(service))
         return has_candidate or service in self.directory.view.fences
 
-    def _check(self, service: str) -> None:
-        try:
-            self._forget_if_held(service)
-        except ControlError as error:
-            record_event(
-                EventName.lost_targets_kept, service=service, reason=str(error)
-            )
-        except Exception as error:
-            record_failure(error)
-        finally:
-            self.next_at[service] = self.clock.now() + CHECK_INTERVAL_S
-            self.in_progress.discard(service)
-
-    def _forget_if_held(self, service: str) -> None:
+    def check(self, service: str) -> None:
         # Those that are lost from now on may hold later commits.
         lost = [each.incarnation for each in self.directory.lost.of(service)]
         view = self.directory.view
--- a/src/godwitwheel/directory/primary_term_checks.py
+++ b/src/godwitwheel/directory/primary_term_checks.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable
 
-from ..control.errors import ControlError
 from ..internal.clock import Clock
-from ..internal.loop import spawn
-from ..observe.events import EventName, record_event, record_failure
+from ..observe.events import EventName, record_event
 from .commands import RecordTerm
-from .records import TargetEntry
+from .service_checks import ServiceChecks
 from .state import Directory
 from .target_queries import TargetQueries
 
@@ -15,18 +13,19 @@
 CHECK_INTERVAL_S = 0.2
 
 
-class PrimaryTermChecks:
+class PrimaryTermChecks(ServiceChecks):
     """Asks primaries that a platform or a target of its own has brought to the lead.
 
     Where the platform stops a former primary, a target is named when its order is
     answered, before it leads.
 
     :ivar commit: commits a command and returns whether it changed anything.
-    :ivar in_progress: services whose primary is being asked.
-    :ivar next_at: by service, when its primary is asked next, in seconds of the clock.
     """
 
-    __slots__ = ("directory", "queries", "commit", "clock", "in_progress", "next_at")
+    __slots__ = ("directory", "queries", "commit")
+
+    interval_s = CHECK_INTERVAL_S
+    failure_event = EventName.primary_term_unknown
 
     def __init__(
         self,
@@ -35,44 +34,30 @@
         commit: Callable[[RecordTerm], bool],
         clock: Clock,
     ):
+        super().__init__(clock)
         self.directory = directory
         self.queries = queries
         self.commit = commit
-        self.clock = clock
-        self.in_progress: set[str] = set()
-        self.next_at: dict[str, float] = {}
 
-    def decide(self, now: float) -> None:
-        """Begins the checks that are due; called on the leader."""
+    def services(self) -> list[str]:
         view = self.directory.view
-        for service, target_id in view.primaries.items():
-            if self.directory.terms_of(service).is_current or service in view.fences:
-                continue
-            primary = view.targets.get(target_id)
-            is_due = now >= self.next_at.get(service, now)
-            if primary is not None and is_due and service not in self.in_progress:
-                self.in_progress.add(service)
-                spawn(self._check, primary)
-
-    def _check(self, primary: TargetEntry) -> None:
-        service = primary.service
-        try:
-            self._record_term(primary)
-        except ControlError as error:
-            record_event(
-                EventName.primary_term_unknown, service=service, reason=str(error)
-            )
-        except Exception as error:
-            record_failure(error)
-        finally:
-            self.next_at[service] = self.clock.now() + CHECK_INTERVAL_S
-            self.in_progress.discard(service)
+        return [
+            service
+            for service, target_id in view.primaries.items()
+            if not self.directory.terms_of(service).is_current
+            and service not in view.fences
+            and target_id in view.targets
+        ]
 
-    def _record_term(self, primary: TargetEntry) -> None:
+    def check(self, service: str) -> None:
+        view = self.directory.view
+        primary = view.targets.get(view.primaries.get(service, ""))
+        if primary is None:
+            return
         (status,) = self.queries.ask_statuses([primary])
         if status is None or not status.is_primary:
             return
-        service, term = primary.service, status.term
+        term = status.term
         if term < self.directory.terms_of(service).newest:
             return
         if self.commit(RecordTerm(service, primary.target_id, term)):
