--- a/src/godwitwheel/directory/promotion.py
+++ b/src/godwitwheel/directory/promotion.py
@@ -368,7 +368,8 @@
         """Whether a target that follows the last promotion may still be promoted.
 
         Only one that control knows and that did not answer may follow it: the others
-        are counted already.
+        are counted already. The wait for it begins with the first call, and starts
+        anew once a target that follows was chosen, or the primary is kept.
         """
         answered = {
             each.entry.target_id for each in candidates if each.received is not None
